--- /dev/null
+++ b/src/key.rs
@@ -0,0 +1,65 @@
+//! Customers' keys. Only digests are held; a key itself is never stored, logged or sent on.
+
+use {
+    derive_more::{Display, Error},
+    sha2::{Digest as _, Sha256},
+    std::{
+        fmt::{self, Debug, Display, Formatter},
+        str::FromStr,
+    },
+    subtle::ConstantTimeEq,
+};
+
+/// What a digest's text begins with.
+const PREFIX: &str = "sha256:";
+
+/// The SHA-256 digest of a key.
+#[derive(Clone, Copy, PartialOrd, Ord, Eq)]
+pub struct Digest([u8; 32]);
+
+impl Digest {
+    /// The digest of a key as a caller presents it.
+    pub fn of(key: &[u8]) -> Self {
+        Self(Sha256::digest(key).into())
+    }
+}
+
+impl PartialEq for Digest {
+    fn eq(&self, other: &Self) -> bool {
+        self.0.ct_eq(&other.0).into()
+    }
+}
+
+impl Debug for Digest {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str("Digest(..)")
+    }
+}
+
+impl Display for Digest {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(PREFIX)?;
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+/// A text that is no digest.
+#[derive(Debug, Display, Error)]
+#[display("not a key digest: give what `greengagecleat key digest` prints")]
+pub struct Malformed;
+
+impl FromStr for Digest {
+    type Err = Malformed;
+
+    fn from_str(text: &str) -> Result<Self, Malformed> {
+        let hex = text.strip_prefix(PREFIX).ok_or(Malformed)?;
+        if hex.len() != 64 || !hex.is_ascii() {
+            return Err(Malformed);
+        }
+        let mut bytes = [0; 32];
+        for (at, byte) in bytes.iter_mut().enumerate() {
+            *byte = u8::from_str_radix(&hex[2 * at..2 * at + 2], 16).map_err(|_| Malformed)?;
+        }
+        Ok(Self(bytes))
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,13 @@
+//! A multi-region inference gateway, and the coordination parts of which it is made.
+//!
+//! Every decision is a pure state machine (see [`machine`]); the services around them do sockets
+//! and timers and nothing else.
+
+pub mod clock;
+pub mod config;
+pub mod error;
+pub mod key;
+pub mod machine;
+pub mod name;
+
+pub use error::{Error, Result};
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The daemon's command line.
+
+fn main() {}
--- /dev/null
+++ b/testbed/src/main.rs
@@ -0,0 +1,3 @@
+//! Command line of the testbed.
+
+fn main() {}
