Accept the operators' documents by content and tell every fault at once

Ruled out: a hand-written walk over every field (stands beside the types); acceptance of a document against the others in force, because hosts see the changes of different documents in different orders and would end apart. Change: each document is accepted by its own text only. Rows are read one by one; the field an error points at is noted with its line and taken out, and the row is read again, so that all faults come at once.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,6 +1,15 @@
 //! The operators' documents: the tables of routes and pools, and the customers.
 
 pub mod accept;
+pub mod fault;
+mod join;
+mod read;
+mod rule;
+mod snapshot;
 pub mod table;
 
-pub use accept::Snapshot;
+pub use {
+    fault::{Document, Fault, Severity},
+    read::Row,
+    snapshot::Snapshot,
+};
--- /dev/null
+++ b/src/config/read.rs
@@ -0,0 +1,205 @@
+//! Reads a document row by row, so that all its errors are found at once, each with its line.
+
+use {
+    super::fault::{Document, Fault, Severity},
+    serde::de::DeserializeOwned,
+    std::{collections::BTreeMap, ops::Range},
+    toml::{
+        Spanned,
+        de::{DeTable, DeValue, Error, ValueDeserializer},
+    },
+};
+
+/// A row of a document and the lines it stands on.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Row<T> {
+    /// The row.
+    pub value: T,
+    line: usize,
+    fields: BTreeMap<String, usize>,
+}
+
+impl<T> Row<T> {
+    /// Line of a field, or of the row where the field is left out.
+    pub fn line(&self, field: &str) -> usize {
+        self.fields.get(field).copied().unwrap_or(self.line)
+    }
+}
+
+/// A row that can be read.
+pub(super) trait Shape: DeserializeOwned {
+    /// The fields that can't be left out.
+    const REQUIRED: &'static [&'static str];
+}
+
+/// One document while it is read.
+#[derive(Debug)]
+pub(super) struct Reader<'a> {
+    document: Document,
+    text: &'a str,
+    faults: Vec<Fault>,
+}
+
+impl<'a> Reader<'a> {
+    /// Starts on a document's text.
+    pub(super) fn new(document: Document, text: &'a str) -> Self {
+        Self {
+            document,
+            text,
+            faults: Vec::new(),
+        }
+    }
+
+    /// The faults found, in the order of their lines.
+    pub(super) fn finish(mut self) -> Vec<Fault> {
+        self.faults.sort();
+        self.faults.dedup();
+        self.faults
+    }
+
+    /// Notes an error.
+    pub(super) fn fault(&mut self, line: usize, reason: impl Into<String>, remedy: &str) {
+        self.faults.push(Fault {
+            document: self.document,
+            line,
+            severity: Severity::Error,
+            reason: reason.into(),
+            remedy: remedy.to_owned(),
+        });
+    }
+
+    /// The tables under the array `key`, the only one that the document may hold.
+    pub(super) fn tables(&mut self, key: &str) -> Vec<Spanned<DeTable<'a>>> {
+        let (root, errors) = DeTable::parse_recoverable(self.text);
+        if !errors.is_empty() {
+            for error in errors {
+                let line = self.line(error.span());
+                self.fault(line, error.message().trim(), "correct the TOML");
+            }
+            return Vec::new();
+        }
+        let mut tables = Vec::new();
+        for (name, value) in root.into_inner() {
+            if name.get_ref() == key {
+                tables = self.array(key, value);
+                continue;
+            }
+            let line = self.line(Some(name.span()));
+            let reason = format!("unknown table or field `{}`", name.get_ref());
+            self.fault(line, reason, &format!("write every row under [[{key}]]"));
+        }
+        tables
+    }
+
+    /// The tables of an array of tables.
+    pub(super) fn array(
+        &mut self,
+        key: &str,
+        value: Spanned<DeValue<'a>>,
+    ) -> Vec<Spanned<DeTable<'a>>> {
+        let remedy = format!("write each row under [[{key}]]");
+        let line = self.line(Some(value.span()));
+        let DeValue::Array(values) = value.into_inner() else {
+            self.fault(line, format!("`{key}` is no array of tables"), &remedy);
+            return Vec::new();
+        };
+        let mut tables = Vec::new();
+        for value in values {
+            let span = value.span();
+            match value.into_inner() {
+                DeValue::Table(table) => tables.push(Spanned::new(span, table)),
+                _ => {
+                    let line = self.line(Some(span));
+                    self.fault(
+                        line,
+                        format!("`{key}` holds a value that is no table"),
+                        &remedy,
+                    );
+                }
+            }
+        }
+        tables
+    }
+
+    /// Reads one row; every field that is wrong becomes a fault.
+    pub(super) fn row<T: Shape>(&mut self, table: Spanned<DeTable<'a>>) -> Option<Row<T>> {
+        let span = table.span();
+        let line = self.line(Some(span.clone()));
+        let mut table = table.into_inner();
+        let fields: BTreeMap<_, _> = table
+            .keys()
+            .map(|key| (key.get_ref().to_string(), self.line(Some(key.span()))))
+            .collect();
+        let mut whole = true;
+        for field in T::REQUIRED {
+            if !fields.contains_key(*field) {
+                self.fault(
+                    line,
+                    format!("missing field `{field}`"),
+                    "add it to this row",
+                );
+                whole = false;
+            }
+        }
+        loop {
+            let value = Spanned::new(span.clone(), DeValue::Table(table.clone()));
+            let error = match T::deserialize(ValueDeserializer::from(value)) {
+                Ok(value) if whole => {
+                    return Some(Row {
+                        value,
+                        line,
+                        fields,
+                    });
+                }
+                Ok(_) => return None,
+                Err(error) => error,
+            };
+            if !whole && error.message().starts_with("missing field") {
+                return None;
+            }
+            let field = culprit(&table, &error)?;
+            let line = fields.get(&field).copied().unwrap_or(line);
+            whole &= is_unknown_field(&error);
+            self.fault(line, reason(&field, &error), remedy(&error));
+            table.remove(field.as_str());
+        }
+    }
+
+    fn line(&self, span: Option<Range<usize>>) -> usize {
+        let end = span.map_or(0, |span| span.start).min(self.text.len());
+        let newlines = self.text.as_bytes()[..end]
+            .iter()
+            .filter(|byte| **byte == b'\n')
+            .count();
+        newlines + 1
+    }
+}
+
+/// The field that a row's error is about.
+fn culprit(table: &DeTable<'_>, error: &Error) -> Option<String> {
+    let at = error.span()?.start;
+    table
+        .iter()
+        .find(|(key, value)| key.span().contains(&at) || value.span().contains(&at))
+        .or_else(|| table.iter().next())
+        .map(|(key, _)| key.get_ref().to_string())
+}
+
+fn is_unknown_field(error: &Error) -> bool {
+    error.message().starts_with("unknown field")
+}
+
+fn reason(field: &str, error: &Error) -> String {
+    let message = error.message().trim();
+    if is_unknown_field(error) {
+        return message.to_owned();
+    }
+    format!("`{field}`: {message}")
+}
+
+fn remedy(error: &Error) -> &'static str {
+    if is_unknown_field(error) {
+        return "correct the field's name or remove it";
+    }
+    "give a value of the kind that is expected"
+}
