Add routing: the choice of region, pool and replica as a pure decision

Cause: the request path needs a choice that holds residency, never loops and keeps leaving replicas free of new work, whatever the lists and the load reports say. Ruled out: following every replica of a large pool (bounded shards instead); using a report's total as it is (a lagging one counts a host's own requests twice or not at all); spilling on the first queue (every host does it at once). Change: eligibility in a fixed order, prefix affinity by rendezvous hashing within a load bound, reports corrected by the host's own sends, cache hints, slow start, ejection with one probe, bounded subsets, and spill by a share that moves in small steps within a link budget.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod key;
 pub mod machine;
 pub mod name;
+pub mod route;
 
 pub use error::{Error, Result};
--- /dev/null
+++ b/src/route/eligible.rs
@@ -0,0 +1,79 @@
+//! Eligibility: the rules that hold before any load is looked at.
+
+use {
+    super::{
+        options::Fault,
+        request::{Refusal, Request},
+    },
+    crate::{
+        config::{
+            Snapshot,
+            table::{Payment, Pool},
+        },
+        name,
+    },
+};
+
+/// Whether the customer may use the route at all.
+pub(super) fn open(request: &Request<'_>) -> Result<(), Refusal> {
+    let route = request.route;
+    if route.open {
+        return Ok(());
+    }
+    let Some(customer) = request.customer else {
+        return Err(Refusal::Closed);
+    };
+    let named = route.customers.is_empty() || route.customers.contains(&customer.name);
+    if named { Ok(()) } else { Err(Refusal::Closed) }
+}
+
+/// Whether the request is new to this host.
+pub(super) fn unvisited(
+    request: &Request<'_>,
+    host: &name::Host,
+    fault: Fault,
+) -> Result<(), Refusal> {
+    if fault != Fault::Visited && request.hosts.contains(host) {
+        return Err(Refusal::Loop);
+    }
+    Ok(())
+}
+
+/// Whether the customer's residency allows a region.
+pub(super) fn resident(request: &Request<'_>, region: &name::Region, fault: Fault) -> bool {
+    let Some(customer) = request.customer else {
+        return true;
+    };
+    let bound = !customer.residency.is_empty() && fault != Fault::Residency;
+    !bound || customer.residency.contains(region)
+}
+
+/// Whether the request may be forwarded to a region: it has a hop left and hasn't been there.
+pub(super) fn reachable(
+    request: &Request<'_>,
+    home: &name::Region,
+    region: &name::Region,
+    fault: Fault,
+) -> bool {
+    if region == home {
+        return false;
+    }
+    if fault == Fault::Visited {
+        return true;
+    }
+    request.hops > 0 && !request.visited.contains(region)
+}
+
+/// The route's pools that may be used, in the route's order.
+pub(super) fn pools<'a>(
+    request: &Request<'a>,
+    snapshot: &'a Snapshot,
+    on_demand: bool,
+) -> impl Iterator<Item = &'a Pool> + use<'a> {
+    request
+        .route
+        .pools
+        .iter()
+        .filter_map(|name| snapshot.pools.get(name))
+        .filter(move |pool| on_demand || pool.payment == Payment::Paid)
+}
--- /dev/null
+++ b/src/route/load.rs
@@ -0,0 +1,114 @@
+//! A replica's load: its own lagging reports, corrected by what this host sent and saw end.
+
+use {
+    crate::name,
+    serde::{Deserialize, Serialize},
+    std::{collections::VecDeque, time::Duration},
+};
+
+/// Changes of this host's own count that are remembered, to look back to a report's time.
+const HISTORY: usize = 64;
+/// How much two clocks may drift apart, as a share of the time that passes.
+const DRIFT: f64 = 200e-6;
+
+/// What a replica reports about itself.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// When it was taken, in milliseconds of the replica's own clock.
+    pub at_ms: u64,
+    /// Requests that it runs.
+    pub running: u32,
+    /// Requests that wait in it.
+    pub waiting: u32,
+    /// Requests that it can run at once.
+    pub slots: u32,
+    /// The models that it has loaded; empty where it doesn't say.
+    #[serde(default)]
+    pub models: Vec<name::Model>,
+    /// Whether it finishes what it has and takes nothing new.
+    #[serde(default)]
+    pub draining: bool,
+}
+
+/// The load of one replica as this host believes it.
+#[derive(Debug, Clone, Default)]
+pub struct Load {
+    own: u32,
+    history: VecDeque<(Duration, u32)>,
+    others: u32,
+    reported: Option<Duration>,
+    at_ms: u64,
+    least_offset_s: Option<f64>,
+}
+
+impl Load {
+    /// Takes in a report that arrived at `now`. An older one than the last is dropped, unless the
+    /// replica's clock started anew.
+    pub fn report(&mut self, now: Duration, report: &Report, life: Duration) {
+        let restarted = self.at_ms.saturating_sub(report.at_ms) > life.as_millis() as u64;
+        if restarted {
+            self.least_offset_s = None;
+        } else if report.at_ms < self.at_ms {
+            return;
+        }
+        self.at_ms = report.at_ms;
+        let taken = self.taken(now, report.at_ms);
+        let total = report.running + report.waiting;
+        self.others = total.saturating_sub(self.own_at(taken));
+        self.reported = Some(now);
+    }
+
+    /// When the report was taken on this host's clock: the least difference seen between the
+    /// clocks, drift allowed for, stands for a report without lag.
+    fn taken(&mut self, now: Duration, at_ms: u64) -> Duration {
+        let offset = now.as_secs_f64() - at_ms as f64 / 1_000.0;
+        let since = now.saturating_sub(self.reported.unwrap_or(now));
+        let drift = since.as_secs_f64() * DRIFT;
+        let least = self.least_offset_s.unwrap_or(offset);
+        let least = offset.min(least + drift);
+        self.least_offset_s = Some(least);
+        now.saturating_sub(Duration::from_secs_f64(offset - least))
+    }
+
+    fn own_at(&self, then: Duration) -> u32 {
+        let after = self.history.iter().find(|(at, _)| *at > then);
+        after.map_or(self.own, |(_, before)| *before)
+    }
+
+    /// One request has been sent.
+    pub fn sent(&mut self, now: Duration) {
+        self.remember(now);
+        self.own += 1;
+    }
+
+    /// One request has ended.
+    pub fn ended(&mut self, now: Duration) {
+        self.remember(now);
+        self.own = self.own.saturating_sub(1);
+    }
+
+    /// Keeps the count as it was before a change at `now`.
+    fn remember(&mut self, now: Duration) {
+        if self.history.len() == HISTORY {
+            self.history.pop_front();
+        }
+        self.history.push_back((now, self.own));
+    }
+
+    /// Requests of this host that are under way.
+    pub fn own(&self) -> u32 {
+        self.own
+    }
+
+    /// Requests of all hosts that are believed to be running or waiting.
+    pub fn outstanding(&self, now: Duration, life: Duration) -> u32 {
+        let fresh = self
+            .reported
+            .is_some_and(|at| now.saturating_sub(at) <= life);
+        if fresh {
+            self.own + self.others
+        } else {
+            self.own
+        }
+    }
+}
--- /dev/null
+++ b/src/route/options.rs
@@ -0,0 +1,92 @@
+//! What can be set about routing.
+
+use std::time::Duration;
+
+/// What can be set about routing. The defaults suit language models behind a handful of hosts a
+/// region.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Options {
+    /// Replicas of one pool that a host follows and uses at most.
+    pub subset: usize,
+    /// Prompt tokens that a replica takes in a second, to price a prefix that isn't cached.
+    pub prefill_tokens_per_s: f64,
+    /// How much a full batch lengthens an answer, as a share of the answer's time.
+    pub batch_slowdown: f64,
+    /// The mean time of an answer before any has been seen.
+    pub service: Duration,
+    /// How far a replica's load may lie over the pool's mean before affinity passes it by.
+    pub load_bound: f64,
+    /// How long a hint about a cached prefix is believed.
+    pub hint_life: Duration,
+    /// How long a cold replica takes to reach its full part.
+    pub slow_start: Duration,
+    /// How old a load report may be before it counts for nothing.
+    pub report_life: Duration,
+    /// Failures, halved by each success, at which a replica is ejected.
+    pub eject_at: f64,
+    /// The first ejection's length; each further one in a row is twice as long.
+    pub eject_for: Duration,
+    /// The longest ejection.
+    pub eject_for_at_most: Duration,
+    /// The share of a pool that may be ejected; beyond it ejections are ignored.
+    pub eject_share: f64,
+    /// There and back between regions.
+    pub region_round_trip: Duration,
+    /// How old a region's digest may be before it is no spill target.
+    pub digest_life: Duration,
+    /// How much longer home must take than another region before spilling grows.
+    pub spill_enter: Duration,
+    /// How much longer home must take than another region for spilling not to shrink.
+    pub spill_exit: Duration,
+    /// How often the spilled share is adapted.
+    pub spill_every: Duration,
+    /// How much the spilled share grows at each adaptation.
+    pub spill_grow: f64,
+    /// How much the spilled share shrinks at each adaptation.
+    pub spill_shrink: f64,
+    /// Bytes a second that all hosts of a region together may send over the links to others.
+    pub link_bytes_per_s: f64,
+    /// A deliberate fault, for tests.
+    pub fault: Fault,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            subset: 32,
+            prefill_tokens_per_s: 8_000.0,
+            batch_slowdown: 1.0,
+            service: Duration::from_secs(2),
+            load_bound: 1.25,
+            hint_life: Duration::from_secs(300),
+            slow_start: Duration::from_secs(20),
+            report_life: Duration::from_secs(5),
+            eject_at: 2.5,
+            eject_for: Duration::from_secs(2),
+            eject_for_at_most: Duration::from_secs(60),
+            eject_share: 0.5,
+            region_round_trip: Duration::from_millis(100),
+            digest_life: Duration::from_secs(10),
+            spill_enter: Duration::from_millis(100),
+            spill_exit: Duration::from_millis(20),
+            spill_every: Duration::from_millis(250),
+            spill_grow: 0.05,
+            spill_shrink: 0.02,
+            link_bytes_per_s: 62_500_000.0,
+            fault: Fault::None,
+        }
+    }
+}
+
+/// A deliberate fault by which tests show that they would see it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// No fault.
+    None,
+    /// Residency is not looked at.
+    Residency,
+    /// Visited regions are not looked at.
+    Visited,
+    /// Leaving replicas are used.
+    Leaving,
+}
--- /dev/null
+++ b/src/route/router.rs
@@ -0,0 +1,478 @@
+//! The router itself.
+
+use {
+    super::{
+        affinity::{self, Hints},
+        eligible,
+        load::Report,
+        options::Options,
+        replica::{Listed, Replica},
+        request::{Choice, Reason, Refusal, Request, RunnerUp},
+        select::{self, Candidate, Members},
+        spill::{Digest, Estimate, Regions, Summary, Target},
+    },
+    crate::{config::Snapshot, name},
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+        time::Duration,
+    },
+};
+
+/// Runners-up that a choice names.
+const RUNNERS_UP: usize = 2;
+/// The weight of the newest answer in the mean time of answers.
+const SERVICE_GAIN: f64 = 0.05;
+/// Shards of a large pool that one replica is in.
+const SHARDS_EACH: usize = 2;
+
+/// Where a host is.
+#[derive(Debug, Clone)]
+pub struct Home {
+    /// The host.
+    pub host: name::Host,
+    /// Its region.
+    pub region: name::Region,
+}
+
+/// Chooses region, pool and replica.
+#[derive(Debug)]
+pub struct Router {
+    home: Home,
+    options: Options,
+    snapshot: Arc<Snapshot>,
+    pools: BTreeMap<name::Pool, Members>,
+    places: BTreeMap<name::Upstream, name::Pool>,
+    hints: Hints,
+    regions: Regions,
+    rank: u32,
+    hosts: u32,
+    listed: bool,
+    rng: StdRng,
+    scratch: Vec<Candidate>,
+}
+
+impl Router {
+    /// A router that knows nothing yet.
+    pub fn new(home: Home, options: Options, seed: u64) -> Self {
+        Self {
+            home,
+            options,
+            snapshot: Arc::default(),
+            pools: BTreeMap::new(),
+            places: BTreeMap::new(),
+            hints: Hints::default(),
+            regions: Regions::default(),
+            rank: 0,
+            hosts: 1,
+            listed: false,
+            rng: StdRng::seed_from_u64(seed),
+            scratch: Vec::new(),
+        }
+    }
+
+    /// Puts tables in force.
+    pub fn config(&mut self, snapshot: Arc<Snapshot>) {
+        self.snapshot = snapshot;
+    }
+
+    /// Says how many hosts the region has and which of them, in order, this one is.
+    pub fn hosts(&mut self, rank: u32, count: u32) {
+        self.rank = rank;
+        self.hosts = count.max(1);
+    }
+
+    /// Takes in the whole list of upstreams, of the tables and the host list together. Those of
+    /// other regions are ignored. One that appears after the first list is cold.
+    pub fn upstreams(&mut self, now: Duration, list: &[Listed]) {
+        let cold_since = self.listed.then_some(now);
+        self.listed = self.listed || !list.is_empty();
+        let mut old = std::mem::take(&mut self.pools);
+        self.places.clear();
+        for (name, listed) in self.by_pool(list) {
+            let slots = self.snapshot.pools[&name].slots;
+            let service = self.options.service;
+            let before = old.remove(&name).unwrap_or_else(|| Members::new(service));
+            let followed = self.subset(&listed);
+            let replicas = followed
+                .iter()
+                .map(|listed| match before.find(&listed.name) {
+                    Some(at) => {
+                        let mut replica = before.replicas[at].clone();
+                        replica.relist(now, listed);
+                        replica
+                    }
+                    None => Replica::new(listed, slots, cold_since),
+                })
+                .collect();
+            for listed in &followed {
+                self.places.insert(listed.name.clone(), name.clone());
+            }
+            let members = Members {
+                replicas,
+                scale: listed.len() as f64 / followed.len() as f64,
+                ..before
+            };
+            self.pools.insert(name, members);
+        }
+    }
+
+    /// The listed upstreams of this region's pools, each pool's by name and without doubles.
+    fn by_pool<'a>(&self, list: &'a [Listed]) -> BTreeMap<name::Pool, Vec<&'a Listed>> {
+        let mut pools: BTreeMap<name::Pool, Vec<&Listed>> = BTreeMap::new();
+        for listed in list {
+            let pool = self.snapshot.pools.get(&listed.pool);
+            if pool.is_some_and(|pool| pool.region == self.home.region) {
+                pools.entry(listed.pool.clone()).or_default().push(listed);
+            }
+        }
+        for listed in pools.values_mut() {
+            listed.sort_by(|one, other| one.name.cmp(&other.name));
+            listed.dedup_by(|one, other| one.name == other.name);
+        }
+        pools
+    }
+
+    /// The part of a large pool that this host follows: one shard. Every replica is in two shards
+    /// and hosts take shards in turn, so that shards share the load of their replicas.
+    fn subset<'a>(&self, listed: &[&'a Listed]) -> Vec<&'a Listed> {
+        let wanted = self.options.subset;
+        if listed.len() <= wanted {
+            return listed.to_vec();
+        }
+        let shards = (listed.len() * SHARDS_EACH).div_ceil(wanted) as u64;
+        let shard = u64::from(self.rank) % shards;
+        let of_shard = |listed: &&&Listed| {
+            let hash = affinity::hash(listed.name.as_str().as_bytes());
+            let own = affinity::weight(affinity::mix(shard), hash);
+            let better = (0..shards)
+                .filter(|other| affinity::weight(affinity::mix(*other), hash) > own)
+                .count();
+            better < SHARDS_EACH
+        };
+        listed.iter().filter(of_shard).copied().collect()
+    }
+
+    /// The upstreams whose load this host follows.
+    pub fn followed(&self) -> impl Iterator<Item = &name::Upstream> {
+        self.places.keys()
+    }
+
+    /// Takes in an upstream's report of its load.
+    pub fn report(&mut self, now: Duration, upstream: &name::Upstream, report: &Report) {
+        let options = self.options.clone();
+        if let Some((replica, _)) = self.replica(upstream) {
+            replica.report(now, report, &options);
+        }
+    }
+
+    /// Takes in a cache event: an upstream holds a prefix, or has dropped it.
+    pub fn hint(&mut self, now: Duration, upstream: &name::Upstream, prefix: u64, held: bool) {
+        let hash = affinity::hash(upstream.as_str().as_bytes());
+        if held {
+            self.hints.held(now, prefix, hash);
+        } else {
+            self.hints.dropped(prefix, hash);
+        }
+    }
+
+    /// Takes in another region's digest.
+    pub fn digest(&mut self, now: Duration, digest: Digest) {
+        if digest.region != self.home.region {
+            self.regions.learn(now, digest);
+        }
+    }
+
+    /// How long the host's own queue for a pool makes a request wait.
+    pub fn backlog(&mut self, pool: &name::Pool, wait: Duration) {
+        if let Some(members) = self.pools.get_mut(pool) {
+            members.backlog = wait;
+        }
+    }
+
+    /// This region's digest, for other regions.
+    pub fn summary(&self, now: Duration) -> Digest {
+        let pools = self.pools.iter().map(|(name, members)| {
+            let total = members.total(now, None, &self.options);
+            let summary = Summary {
+                live: total.live,
+                capacity: total.capacity as f32,
+                outstanding: total.outstanding as f32,
+                service_ms: members.service.as_millis() as u32,
+                backlog_ms: members.backlog.as_millis() as u32,
+            };
+            (name.clone(), summary)
+        });
+        Digest {
+            region: self.home.region.clone(),
+            pools: pools.collect(),
+        }
+    }
+
+    /// A request has been sent to an upstream.
+    pub fn sent(&mut self, now: Duration, upstream: &name::Upstream, prefix: Option<u64>) {
+        let Some((replica, _)) = self.replica(upstream) else {
+            return;
+        };
+        replica.load.sent(now);
+        replica.health.sent(now);
+        let hash = replica.hash;
+        if let Some(prefix) = prefix {
+            self.hints.held(now, prefix, hash);
+        }
+    }
+
+    /// A request has been answered, `took` after it was sent.
+    pub fn finished(&mut self, now: Duration, upstream: &name::Upstream, took: Duration) {
+        let Some((replica, service)) = self.replica(upstream) else {
+            return;
+        };
+        replica.load.ended(now);
+        if replica.health.succeeded() {
+            replica.warm_up(now);
+        }
+        let mean = service.as_secs_f64() * (1.0 - SERVICE_GAIN);
+        *service = Duration::from_secs_f64(mean + took.as_secs_f64() * SERVICE_GAIN);
+    }
+
+    /// A request failed through the upstream's fault.
+    pub fn failed(&mut self, now: Duration, upstream: &name::Upstream) {
+        let options = self.options.clone();
+        if let Some((replica, _)) = self.replica(upstream) {
+            replica.load.ended(now);
+            replica.health.failed(now, &options);
+        }
+    }
+
+    /// A request ended through no fault or merit of the upstream, as when its caller left.
+    pub fn withdrawn(&mut self, now: Duration, upstream: &name::Upstream) {
+        if let Some((replica, _)) = self.replica(upstream) {
+            replica.load.ended(now);
+            replica.health.withdrawn();
+        }
+    }
+
+    fn replica(&mut self, upstream: &name::Upstream) -> Option<(&mut Replica, &mut Duration)> {
+        let members = self.pools.get_mut(self.places.get(upstream)?)?;
+        let at = members.find(upstream)?;
+        Some((&mut members.replicas[at], &mut members.service))
+    }
+
+    /// Chooses where a request goes.
+    pub fn choose(&mut self, now: Duration, request: &Request<'_>) -> Result<Choice, Refusal> {
+        let fault = self.options.fault;
+        eligible::open(request)?;
+        eligible::unvisited(request, &self.home.host, fault)?;
+        let paid = self.choose_among(now, request, request.on_demand);
+        match paid {
+            Err(Refusal::Unavailable) if !request.on_demand => {
+                self.choose_among(now, request, true)
+            }
+            other => other,
+        }
+    }
+
+    fn choose_among(
+        &mut self,
+        now: Duration,
+        request: &Request<'_>,
+        on_demand: bool,
+    ) -> Result<Choice, Refusal> {
+        let resident = eligible::resident(request, &self.home.region, self.options.fault);
+        if !resident {
+            return self.forward(now, request, on_demand, Reason::Residency);
+        }
+        let Some(local) = self.local(now, request, on_demand) else {
+            self.regions.spill_all(request.route);
+            return self.forward(now, request, on_demand, Reason::Absent);
+        };
+        if let Some(choice) = self.spill(now, request, on_demand, &local) {
+            return Ok(choice);
+        }
+        self.pick(now, request, &local).ok_or(Refusal::Unavailable)
+    }
+
+    /// The pool of this region with the least expected delay.
+    fn local(&self, now: Duration, request: &Request<'_>, on_demand: bool) -> Option<Target> {
+        let model = request.route.model.as_ref();
+        eligible::pools(request, &self.snapshot, on_demand)
+            .filter_map(|pool| {
+                let members = self.pools.get(&pool.name)?;
+                let total = members.total(now, model, &self.options);
+                let untried = self.untried(now, request, members);
+                (total.live > 0 && untried).then(|| Target {
+                    region: self.home.region.clone(),
+                    pool: pool.name.clone(),
+                    cost: members.delay(&total, &self.options),
+                })
+            })
+            .min_by(|one, other| one.cost.total_cmp(&other.cost))
+    }
+
+    fn untried(&self, now: Duration, request: &Request<'_>, members: &Members) -> bool {
+        let model = request.route.model.as_ref();
+        request.tried.is_empty()
+            || members
+                .usable(now, model, &self.options)
+                .any(|(_, replica)| !request.tried.contains(&replica.name))
+    }
+
+    /// Spills the request when its lot says so. One that was forwarded here stays.
+    fn spill(
+        &mut self,
+        now: Duration,
+        request: &Request<'_>,
+        on_demand: bool,
+        local: &Target,
+    ) -> Option<Choice> {
+        if !request.visited.is_empty() || request.hops == 0 {
+            return None;
+        }
+        let (best, _) = self.away(now, request, on_demand);
+        let best = best?;
+        let away = Some(best.cost);
+        let part = self
+            .regions
+            .share(now, &local.pool, local.cost, away, &self.options);
+        if part <= 0.0 || best.cost >= local.cost || !self.rng.random_bool(part) {
+            return None;
+        }
+        self.cross(now, request, best, Reason::Spill, vec![runner_up(local)])
+            .ok()
+    }
+
+    /// Forwards a request that this region can't serve.
+    fn forward(
+        &mut self,
+        now: Duration,
+        request: &Request<'_>,
+        on_demand: bool,
+        reason: Reason,
+    ) -> Result<Choice, Refusal> {
+        let (known, unknown) = self.away(now, request, on_demand);
+        if let Some(target) = known.or(unknown) {
+            return self.cross(now, request, target, reason, Vec::new());
+        }
+        if request.hops == 0 {
+            return Err(Refusal::Hops);
+        }
+        let anywhere = eligible::pools(request, &self.snapshot, true)
+            .any(|pool| eligible::resident(request, &pool.region, self.options.fault));
+        Err(match anywhere {
+            true => Refusal::Unavailable,
+            false => Refusal::Residency,
+        })
+    }
+
+    fn cross(
+        &mut self,
+        now: Duration,
+        request: &Request<'_>,
+        target: Target,
+        reason: Reason,
+        runners_up: Vec<RunnerUp>,
+    ) -> Result<Choice, Refusal> {
+        let bytes = request.bytes;
+        let region = &target.region;
+        let sent = self
+            .regions
+            .forward(now, region, bytes, self.hosts, &self.options);
+        if !sent {
+            return Err(Refusal::Link);
+        }
+        Ok(Choice {
+            region: target.region,
+            pool: target.pool,
+            upstream: None,
+            reason,
+            runners_up,
+        })
+    }
+
+    /// The best other region that is heard of, and one that isn't.
+    fn away(
+        &self,
+        now: Duration,
+        request: &Request<'_>,
+        on_demand: bool,
+    ) -> (Option<Target>, Option<Target>) {
+        let fault = self.options.fault;
+        let prefix = request.prefix.map_or(0, |prefix| prefix.tokens);
+        let missing = f64::from(prefix) / self.options.prefill_tokens_per_s;
+        let mut known: Option<Target> = None;
+        let mut unknown = None;
+        for pool in eligible::pools(request, &self.snapshot, on_demand) {
+            let region = &pool.region;
+            let open = eligible::resident(request, region, fault)
+                && eligible::reachable(request, &self.home.region, region, fault);
+            if !open {
+                continue;
+            }
+            let estimate = self
+                .regions
+                .cost(now, region, &pool.name, self.hosts, &self.options);
+            let target = |cost| Target {
+                region: region.clone(),
+                pool: pool.name.clone(),
+                cost,
+            };
+            match estimate {
+                Some(Estimate::Seconds(cost)) => {
+                    let cost = cost + missing;
+                    if known.as_ref().is_none_or(|best| cost < best.cost) {
+                        known = Some(target(cost));
+                    }
+                }
+                Some(Estimate::Unknown) if unknown.is_none() => {
+                    unknown = Some(target(f64::INFINITY));
+                }
+                _ => {}
+            }
+        }
+        (known, unknown)
+    }
+
+    fn pick(&mut self, now: Duration, request: &Request<'_>, local: &Target) -> Option<Choice> {
+        let members = self.pools.get(&local.pool)?;
+        select::rank(
+            now,
+            members,
+            request,
+            &self.hints,
+            &self.options,
+            &mut self.rng,
+            &mut self.scratch,
+        );
+        let best = self.scratch.first()?;
+        let upstream = |candidate: &Candidate| members.replicas[candidate.at].name.clone();
+        let runners_up = self.scratch[1..]
+            .iter()
+            .take(RUNNERS_UP)
+            .map(|candidate| RunnerUp {
+                region: local.region.clone(),
+                upstream: Some(upstream(candidate)),
+                cost_ms: (candidate.cost * 1_000.0) as u64,
+            });
+        Some(Choice {
+            region: local.region.clone(),
+            pool: local.pool.clone(),
+            upstream: Some(upstream(best)),
+            reason: best.reason,
+            runners_up: runners_up.collect(),
+        })
+    }
+
+    /// The names of the pools that have upstreams here.
+    pub fn pools(&self) -> BTreeSet<name::Pool> {
+        self.pools.keys().cloned().collect()
+    }
+}
+
+fn runner_up(target: &Target) -> RunnerUp {
+    RunnerUp {
+        region: target.region.clone(),
+        upstream: None,
+        cost_ms: (target.cost * 1_000.0) as u64,
+    }
+}
--- /dev/null
+++ b/src/route/select.rs
@@ -0,0 +1,244 @@
+//! The choice of a replica within a pool.
+
+use {
+    super::{
+        affinity::{self, Hints},
+        eject::Standing,
+        options::Options,
+        replica::{self, Replica},
+        request::{Prefix, Reason, Request},
+    },
+    crate::name,
+    rand::{Rng, RngExt},
+    std::time::Duration,
+};
+
+/// Replicas that are looked at in the prefix's rendezvous order.
+const RANKED: usize = 2;
+/// Replicas that are looked at by lot.
+const SAMPLED: usize = 2;
+/// Requests over the bounded load that affinity always allows, so that idle pools keep it.
+const BOUND_SLACK: f64 = 1.0;
+/// How much of a cached prefix's worth is expected where nothing but its hash speaks for it.
+const HASH_TRUST: f64 = 0.5;
+
+/// The replicas of one pool that this host follows.
+#[derive(Debug, Clone)]
+pub(super) struct Members {
+    /// The replicas, by name.
+    pub(super) replicas: Vec<Replica>,
+    /// The mean time of an answer.
+    pub(super) service: Duration,
+    /// How long the host's own queue makes a request wait.
+    pub(super) backlog: Duration,
+    /// Replicas of the pool in all for each one that is followed.
+    pub(super) scale: f64,
+}
+
+impl Members {
+    /// A pool without replicas.
+    pub(super) fn new(service: Duration) -> Self {
+        Self {
+            replicas: Vec::new(),
+            service,
+            backlog: Duration::ZERO,
+            scale: 1.0,
+        }
+    }
+
+    /// The place of a replica.
+    pub(super) fn find(&self, name: &name::Upstream) -> Option<usize> {
+        self.replicas
+            .binary_search_by(|replica| replica.name.cmp(name))
+            .ok()
+    }
+
+    /// Capacity and load of the replicas that can take work.
+    pub(super) fn total(
+        &self,
+        now: Duration,
+        model: Option<&name::Model>,
+        options: &Options,
+    ) -> Total {
+        let mut total = Total::default();
+        for (_, replica) in self.usable(now, model, options) {
+            total.live += 1;
+            total.capacity += replica.capacity(now, options) * self.scale;
+            total.outstanding += replica.outstanding(now, options) * self.scale;
+        }
+        total
+    }
+
+    /// The replicas that can take work for `model`, with their places. When too many are ejected,
+    /// the ejected ones are among them, for then the cause is hardly theirs.
+    pub(super) fn usable(
+        &self,
+        now: Duration,
+        model: Option<&name::Model>,
+        options: &Options,
+    ) -> impl Iterator<Item = (usize, &Replica)> {
+        let serving = move |replica: &&Replica| replica.serves(model, options.fault);
+        let ejected = move |replica: &&Replica| replica.standing(now) == Standing::Ejected;
+        let all = self.replicas.iter().filter(serving).count();
+        let out = self.replicas.iter().filter(serving).filter(ejected).count();
+        let ignored = out as f64 > all as f64 * options.eject_share;
+        self.replicas
+            .iter()
+            .enumerate()
+            .filter(move |(_, replica)| serving(replica) && (ignored || !ejected(replica)))
+    }
+
+    /// The expected delay of one more request, in seconds.
+    pub(super) fn delay(&self, total: &Total, options: &Options) -> f64 {
+        let utilization = total.outstanding / total.capacity;
+        replica::delay(utilization, self.service, options) + self.backlog.as_secs_f64()
+    }
+}
+
+/// Capacity and load of a pool.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Total {
+    /// Replicas that can take work.
+    pub(super) live: u32,
+    /// Requests that they should run at once.
+    pub(super) capacity: f64,
+    /// Requests believed to be in them.
+    pub(super) outstanding: f64,
+}
+
+/// A replica under consideration.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Candidate {
+    /// Its place among the members.
+    pub(super) at: usize,
+    /// What speaks for it.
+    pub(super) reason: Reason,
+    /// The expected delay, in seconds.
+    pub(super) cost: f64,
+    weight: u64,
+    utilization: f64,
+    outstanding: f64,
+}
+
+/// Orders the usable replicas so that the best come first, into `out`.
+pub(super) fn rank(
+    now: Duration,
+    members: &Members,
+    request: &Request<'_>,
+    hints: &Hints,
+    options: &Options,
+    rng: &mut impl Rng,
+    out: &mut Vec<Candidate>,
+) {
+    let view = View {
+        now,
+        members,
+        hints,
+        options,
+        prefix: request.prefix,
+    };
+    view.collect(request, out);
+    if out.is_empty() {
+        return;
+    }
+    view.shortlist(rng, out);
+    out.sort_by(|one, other| one.cost.total_cmp(&other.cost));
+}
+
+struct View<'a> {
+    now: Duration,
+    members: &'a Members,
+    hints: &'a Hints,
+    options: &'a Options,
+    prefix: Option<Prefix>,
+}
+
+impl View<'_> {
+    /// The usable replicas that the request hasn't tried.
+    fn collect(&self, request: &Request<'_>, out: &mut Vec<Candidate>) {
+        out.clear();
+        let model = request.route.model.as_ref();
+        let untried = self
+            .members
+            .usable(self.now, model, self.options)
+            .filter(|(_, replica)| !request.tried.contains(&replica.name));
+        out.extend(untried.map(|(at, replica)| self.candidate(at, replica)));
+    }
+
+    fn candidate(&self, at: usize, replica: &Replica) -> Candidate {
+        let probe = replica.standing(self.now) == Standing::Probe;
+        let outstanding = replica.outstanding(self.now, self.options);
+        let utilization = replica.utilization(self.now, self.options);
+        Candidate {
+            at,
+            reason: if probe { Reason::Probe } else { Reason::Load },
+            cost: replica::delay(utilization, self.members.service, self.options),
+            weight: self
+                .prefix
+                .map_or(0, |prefix| affinity::weight(prefix.hash, replica.hash)),
+            utilization,
+            outstanding,
+        }
+    }
+
+    /// Leaves the candidates that are worth comparing: those that may hold the prefix, and a few
+    /// by lot so that hosts with the same lagging view don't all choose the same replica.
+    fn shortlist(&self, rng: &mut impl Rng, out: &mut Vec<Candidate>) {
+        let sampled: [usize; SAMPLED] = std::array::from_fn(|_| rng.random_range(0..out.len()));
+        let Some(prefix) = self.prefix else {
+            keep(out, &sampled);
+            return;
+        };
+        let mut kept = [usize::MAX; SAMPLED + RANKED];
+        kept[..SAMPLED].copy_from_slice(&sampled);
+        self.ranked(prefix, out, &mut kept[SAMPLED..]);
+        let missing = f64::from(prefix.tokens) / self.options.prefill_tokens_per_s;
+        for (place, candidate) in out.iter_mut().enumerate() {
+            let replica = &self.members.replicas[candidate.at];
+            let life = self.options.hint_life;
+            if self.hints.holds(self.now, prefix.hash, replica.hash, life) {
+                candidate.reason = Reason::Cached;
+            } else if kept.get(SAMPLED) == Some(&place) {
+                candidate.reason = Reason::Affinity;
+                candidate.cost += missing * (1.0 - HASH_TRUST);
+            } else {
+                candidate.cost += missing;
+            }
+        }
+        let mut place = 0;
+        out.retain(|candidate| {
+            let chosen = kept.contains(&place) || candidate.reason == Reason::Cached;
+            place += 1;
+            chosen
+        });
+    }
+
+    /// The first replicas in rendezvous order that lie within the bounded load and are far enough
+    /// through their slow start.
+    fn ranked(&self, prefix: Prefix, out: &[Candidate], places: &mut [usize]) {
+        let mean = out.iter().map(|one| one.utilization).sum::<f64>() / out.len() as f64;
+        let within = |one: &Candidate| {
+            let replica = &self.members.replicas[one.at];
+            let ramp = replica.ramp(self.now, self.options);
+            let capacity = one.outstanding / one.utilization.max(f64::MIN_POSITIVE);
+            let bound = mean * self.options.load_bound * capacity + BOUND_SLACK;
+            one.outstanding <= bound && affinity::admitted(prefix.hash, replica.hash, ramp)
+        };
+        for rank in 0..places.len() {
+            let taken = &places[..rank];
+            let best = (0..out.len())
+                .filter(|place| !taken.contains(place) && within(&out[*place]))
+                .max_by_key(|place| out[*place].weight);
+            places[rank] = best.unwrap_or(usize::MAX);
+        }
+    }
+}
+
+fn keep(out: &mut Vec<Candidate>, places: &[usize]) {
+    let mut place = 0;
+    out.retain(|_| {
+        let chosen = places.contains(&place);
+        place += 1;
+        chosen
+    });
+}
--- /dev/null
+++ b/tests/route.rs
@@ -0,0 +1,539 @@
+//! Routing: what must hold whatever the load, the lists and the faults, and how single choices are
+//! made.
+
+use {
+    greengagecleat::{
+        config::{
+            Snapshot,
+            table::{Customers, Kind, Payment, Pool, Pools, Route, Routes},
+        },
+        name,
+        route::{
+            Choice, Digest, Fault, HOPS, Home, Listed, Options, Prefix, Reason, Refusal, Report,
+            Request, Router, State, Summary,
+        },
+    },
+    quickcheck::{Gen, QuickCheck, Testable},
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
+};
+
+const REGIONS: [&str; 3] = ["north", "middle", "south"];
+const REPLICAS: usize = 4;
+const SECOND: Duration = Duration::from_secs(1);
+
+fn check(seed: u64, tests: u64, property: impl Testable) -> bool {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(64, seed))
+        .tests(tests)
+        .quicktest(property)
+        .is_ok()
+}
+
+fn pool(region: &str, payment: Payment) -> Pool {
+    let text = format!("name = \"{region}\"\nregion = \"{region}\"\nslots = 4");
+    Pool {
+        payment,
+        ..toml::from_str(&text).unwrap()
+    }
+}
+
+fn route() -> Route {
+    Route {
+        name: "digest".into(),
+        kind: Kind::Model,
+        model: Some("ml".into()),
+        path: None,
+        pools: REGIONS.map(name::Pool::from).to_vec(),
+        open: false,
+        customers: Default::default(),
+        idempotent: true,
+        deferrable: false,
+        deadline_ms: 60_000,
+    }
+}
+
+/// Tables of one pool a region, and a customer bound to each set of regions.
+fn snapshot() -> Arc<Snapshot> {
+    let customer = |set: usize| {
+        let residency = (0..3).filter(|at| set >> at & 1 == 1).map(|at| REGIONS[at]);
+        let residency: Vec<_> = residency.collect();
+        let text = format!("name = \"c{set}\"\nrate = 1.0\nburst = 1.0\nresidency = {residency:?}");
+        toml::from_str(&text).unwrap()
+    };
+    Arc::new(Snapshot::new(
+        Routes {
+            route: vec![route()],
+        },
+        Pools {
+            pool: REGIONS.map(|region| pool(region, Payment::Paid)).to_vec(),
+        },
+        Customers {
+            customer: (0..8).map(customer).collect(),
+        },
+    ))
+}
+
+fn listed(region: &str, at: usize, state: State) -> Listed {
+    Listed {
+        name: format!("{region}-{at}").as_str().into(),
+        pool: region.into(),
+        state,
+    }
+}
+
+fn list(region: &str) -> Vec<Listed> {
+    (0..REPLICAS)
+        .map(|at| listed(region, at, State::Live))
+        .collect()
+}
+
+fn router(region: &str, options: Options) -> Router {
+    let home = Home {
+        host: region.into(),
+        region: region.into(),
+    };
+    let mut router = Router::new(home, options, 7);
+    router.config(snapshot());
+    router.upstreams(Duration::ZERO, &list(region));
+    router
+}
+
+fn ask(route: &Route) -> Request<'_> {
+    Request {
+        route,
+        customer: None,
+        prefix: None,
+        bytes: 4_000,
+        deadline: 60 * SECOND,
+        visited: &[],
+        hosts: &[],
+        hops: HOPS,
+        on_demand: false,
+        tried: &[],
+    }
+}
+
+/// An open route, so that requests need no customer.
+fn open_route() -> Route {
+    Route {
+        open: true,
+        ..route()
+    }
+}
+
+fn digest(region: &str, outstanding: f32) -> Digest {
+    let summary = Summary {
+        live: REPLICAS as u32,
+        capacity: 16.0,
+        outstanding,
+        service_ms: 2_000,
+        backlog_ms: 0,
+    };
+    Digest {
+        region: region.into(),
+        pools: BTreeMap::from([(region.into(), summary)]),
+    }
+}
+
+/// Three regions under random events; every request is followed to its end.
+struct World {
+    rng: StdRng,
+    now: Duration,
+    routers: Vec<Router>,
+    lists: Vec<Vec<Listed>>,
+    snapshot: Arc<Snapshot>,
+}
+
+impl World {
+    fn new(seed: u64, fault: Fault) -> Self {
+        let options = || Options {
+            fault,
+            spill_grow: 0.5,
+            ..Options::default()
+        };
+        Self {
+            rng: StdRng::seed_from_u64(seed),
+            now: Duration::ZERO,
+            routers: REGIONS
+                .iter()
+                .map(|region| router(region, options()))
+                .collect(),
+            lists: REGIONS.iter().map(|region| list(region)).collect(),
+            snapshot: snapshot(),
+        }
+    }
+
+    fn disturb(&mut self) {
+        self.now += Duration::from_millis(self.rng.random_range(0..3_000));
+        let at = self.rng.random_range(0..3);
+        let replica = self.rng.random_range(0..REPLICAS);
+        let upstream = self.lists[at][replica].name.clone();
+        match self.rng.random_range(0..5) {
+            0 => self.relist(at, replica),
+            1 => {
+                let waiting = self.rng.random_range(0..40);
+                let report = Report {
+                    at_ms: self.now.as_millis() as u64,
+                    waiting,
+                    slots: 4,
+                    ..Report::default()
+                };
+                self.routers[at].report(self.now, &upstream, &report);
+            }
+            2 => self.routers[at].failed(self.now, &upstream),
+            3 => self.routers[at].finished(self.now, &upstream, SECOND),
+            _ => self.tell(at),
+        }
+    }
+
+    fn relist(&mut self, at: usize, replica: usize) {
+        let leave = self.rng.random_bool(0.5);
+        self.lists[at][replica].state = if leave { State::Leaving } else { State::Live };
+        self.routers[at].upstreams(self.now, &self.lists[at]);
+    }
+
+    fn tell(&mut self, from: usize) {
+        let digest = self.routers[from].summary(self.now);
+        let to = self.rng.random_range(0..3);
+        self.routers[to].digest(self.now, digest);
+    }
+
+    /// Follows one request and says whether everything that must hold held.
+    fn request(&mut self) -> bool {
+        let set = self.rng.random_range(0..8);
+        let customer = self.snapshot.customers[format!("c{set}").as_str()].clone();
+        let route = self.snapshot.routes["digest"].clone();
+        let mut at = self.rng.random_range(0..3);
+        let mut visited: Vec<name::Region> = Vec::new();
+        let mut hosts: Vec<name::Host> = Vec::new();
+        for hops in (0..=HOPS).rev() {
+            let request = Request {
+                customer: Some(&customer),
+                visited: &visited,
+                hosts: &hosts,
+                hops,
+                prefix: Some(Prefix::of(&[set as u8])),
+                ..ask(&route)
+            };
+            let Ok(choice) = self.routers[at].choose(self.now, &request) else {
+                return true;
+            };
+            let resident =
+                customer.residency.is_empty() || customer.residency.contains(&choice.region);
+            if !resident || visited.contains(&choice.region) {
+                return false;
+            }
+            let Some(upstream) = choice.upstream else {
+                visited.push(REGIONS[at].into());
+                hosts.push(REGIONS[at].into());
+                at = REGIONS
+                    .iter()
+                    .position(|one| *one == choice.region.as_str())
+                    .unwrap();
+                continue;
+            };
+            let prefix = request.prefix.map(|prefix| prefix.hash);
+            self.routers[at].sent(self.now, &upstream, prefix);
+            let listed = self.lists[at].iter().find(|one| one.name == upstream);
+            return listed.is_some_and(|one| one.state == State::Live);
+        }
+        false
+    }
+}
+
+fn holds(seed: u64, fault: Fault) -> bool {
+    let mut world = World::new(seed, fault);
+    (0..200).all(|_| {
+        world.disturb();
+        world.request()
+    })
+}
+
+#[test]
+fn residency_loops_and_leaving_hold_under_random_events() {
+    fn property(seed: u64) -> bool {
+        holds(seed, Fault::None)
+    }
+    assert!(check(1, 150, property as fn(u64) -> bool));
+}
+
+#[test]
+fn property_catches_a_router_that_ignores_residency() {
+    fn property(seed: u64) -> bool {
+        holds(seed, Fault::Residency)
+    }
+    assert!(!check(1, 150, property as fn(u64) -> bool));
+}
+
+#[test]
+fn property_catches_a_router_that_ignores_visited_regions() {
+    fn property(seed: u64) -> bool {
+        holds(seed, Fault::Visited)
+    }
+    assert!(!check(1, 150, property as fn(u64) -> bool));
+}
+
+#[test]
+fn property_catches_a_router_that_uses_leaving_replicas() {
+    fn property(seed: u64) -> bool {
+        holds(seed, Fault::Leaving)
+    }
+    assert!(!check(1, 150, property as fn(u64) -> bool));
+}
+
+#[test]
+fn closed_route_refuses_a_request_without_a_customer() {
+    let route = route();
+    let refusal = router("north", Options::default()).choose(SECOND, &ask(&route));
+    assert_eq!(refusal, Err(Refusal::Closed));
+}
+
+#[test]
+fn same_seed_and_events_give_the_same_choices() {
+    let choices = || -> Vec<Choice> {
+        let mut router = router("north", Options::default());
+        let route = open_route();
+        let each = (0..100).map(|_| {
+            let choice = router.choose(SECOND, &ask(&route)).unwrap();
+            router.sent(SECOND, choice.upstream.as_ref().unwrap(), None);
+            choice
+        });
+        each.collect()
+    };
+    assert_eq!(choices(), choices());
+}
+
+#[test]
+fn shared_prefix_goes_to_one_replica_on_every_host_until_it_is_loaded() {
+    let route = open_route();
+    let request = Request {
+        prefix: Some(Prefix::of(&[b'a'; 8_000])),
+        ..ask(&route)
+    };
+    let first = |seed: u64| {
+        let home = Home {
+            host: "other".into(),
+            region: "north".into(),
+        };
+        let mut router = Router::new(home, Options::default(), seed);
+        router.config(snapshot());
+        router.upstreams(Duration::ZERO, &list("north"));
+        router.choose(SECOND, &request).unwrap().upstream.unwrap()
+    };
+    let chosen = first(1);
+    assert!((2..20).all(|seed| first(seed) == chosen));
+
+    let mut router = router("north", Options::default());
+    let mut count: BTreeMap<name::Upstream, u32> = BTreeMap::new();
+    for _ in 0..32 {
+        let upstream = router.choose(SECOND, &request).unwrap().upstream.unwrap();
+        router.sent(SECOND, &upstream, Some(request.prefix.unwrap().hash));
+        *count.entry(upstream).or_default() += 1;
+    }
+    assert_eq!(count.len(), REPLICAS, "{count:?}");
+}
+
+#[test]
+fn lagging_report_counts_own_requests_once() {
+    let mut router = router("north", Options::default());
+    let upstream = name::Upstream::from("north-0");
+    let report = |at_ms, running| Report {
+        at_ms,
+        running,
+        slots: 4,
+        ..Report::default()
+    };
+    router.report(SECOND, &upstream, &report(5_000, 1));
+    router.sent(2 * SECOND, &upstream, None);
+    router.sent(4 * SECOND, &upstream, None);
+    // Taken three seconds after the first, so before the second request was sent, and late.
+    router.report(5 * SECOND, &upstream, &report(7_000, 2));
+    let summary = router.summary(5 * SECOND).pools["north"];
+    assert_eq!(summary.outstanding, 3.0);
+}
+
+#[test]
+fn failing_replica_is_ejected_probed_once_and_taken_back_slowly() {
+    let mut router = router("north", Options::default());
+    let failing = name::Upstream::from("north-1");
+    for _ in 0..3 {
+        router.sent(SECOND, &failing, None);
+        router.failed(SECOND, &failing);
+    }
+    let route = open_route();
+    let chosen = |router: &mut Router, now| {
+        let choice = router.choose(now, &ask(&route)).unwrap();
+        choice.upstream.unwrap()
+    };
+    assert!((0..200).all(|_| chosen(&mut router, 2 * SECOND) != failing));
+
+    let later = 4 * SECOND;
+    assert!((0..200).any(|_| chosen(&mut router, later) == failing));
+    router.sent(later, &failing, None);
+    assert!((0..200).all(|_| chosen(&mut router, later) != failing));
+    let before = router.summary(later).pools["north"].capacity;
+    router.finished(later, &failing, SECOND);
+    let after = router.summary(later).pools["north"].capacity;
+    assert!(after - before < 1.0, "{before} {after}");
+    let warm = router.summary(later + 30 * SECOND).pools["north"].capacity;
+    assert_eq!(warm, 16.0);
+}
+
+#[test]
+fn ejections_are_ignored_when_most_of_a_pool_fails() {
+    let mut router = router("north", Options::default());
+    for at in 0..REPLICAS {
+        let upstream = listed("north", at, State::Live).name;
+        for _ in 0..3 {
+            router.sent(SECOND, &upstream, None);
+            router.failed(SECOND, &upstream);
+        }
+    }
+    let route = open_route();
+    let request = Request {
+        hops: 0,
+        ..ask(&route)
+    };
+    assert!(router.choose(SECOND, &request).is_ok());
+}
+
+#[test]
+fn draining_report_and_missing_model_exclude_a_replica() {
+    let mut router = router("north", Options::default());
+    let report = |models: &[&str], draining| Report {
+        slots: 4,
+        models: models
+            .iter()
+            .map(|model| name::Model::from(*model))
+            .collect(),
+        draining,
+        ..Report::default()
+    };
+    for (at, report) in [
+        report(&["ml"], true),
+        report(&["other"], false),
+        report(&["ml"], false),
+        report(&["ml"], true),
+    ]
+    .iter()
+    .enumerate()
+    {
+        router.report(SECOND, &listed("north", at, State::Live).name, report);
+    }
+    let route = open_route();
+    for _ in 0..50 {
+        let choice = router.choose(SECOND, &ask(&route)).unwrap();
+        assert_eq!(choice.upstream.unwrap().as_str(), "north-2");
+    }
+}
+
+#[test]
+fn large_pool_is_followed_in_bounded_subsets_that_cover_it() {
+    let many: Vec<_> = (0..400)
+        .map(|at| listed("north", at, State::Live))
+        .collect();
+    let options = Options::default();
+    let mut covered = std::collections::BTreeSet::new();
+    for rank in 0..30 {
+        let mut router = router("north", options.clone());
+        router.hosts(rank, 30);
+        router.upstreams(SECOND, &many);
+        let followed = router.followed().count();
+        assert!(followed <= 2 * options.subset, "{followed}");
+        covered.extend(router.followed().cloned());
+    }
+    assert_eq!(covered.len(), many.len());
+}
+
+/// Loads home so that a request waits there, and lets `rounds` of requests adapt the share.
+fn spilled(router: &mut Router, from: Duration, rounds: u32) -> u32 {
+    let route = open_route();
+    let mut spilled = 0;
+    for round in 0..rounds {
+        let now = from + Duration::from_millis(250) * round;
+        router.digest(now, digest("south", 0.0));
+        let choice = router.choose(now, &ask(&route)).unwrap();
+        if choice.upstream.is_none() {
+            assert_eq!(choice.region.as_str(), "south");
+            spilled += 1;
+        }
+    }
+    spilled
+}
+
+#[test]
+fn waiting_at_home_spills_little_by_little_and_stops_little_by_little() {
+    let mut router = router("north", Options::default());
+    assert_eq!(spilled(&mut router, SECOND, 40), 0);
+    router.backlog(&"north".into(), 5 * SECOND);
+    let early = spilled(&mut router, 100 * SECOND, 8);
+    let late = spilled(&mut router, 110 * SECOND, 40);
+    assert!(early <= 5, "{early}");
+    assert!(late >= 25, "{late}");
+    router.backlog(&"north".into(), Duration::from_millis(170));
+    let held = spilled(&mut router, 130 * SECOND, 20);
+    assert!(held >= 10, "{held}");
+    router.backlog(&"north".into(), Duration::ZERO);
+    assert_eq!(spilled(&mut router, 140 * SECOND, 100), 0);
+}
+
+#[test]
+fn forwarded_request_is_not_spilled_again() {
+    let mut router = router("north", Options::default());
+    router.backlog(&"north".into(), 30 * SECOND);
+    spilled(&mut router, SECOND, 80);
+    let route = open_route();
+    let visited = ["middle".into()];
+    let request = Request {
+        visited: &visited,
+        hops: 1,
+        ..ask(&route)
+    };
+    let now = 22 * SECOND;
+    let stays = |_| router.choose(now, &request).unwrap().upstream.is_some();
+    assert!((0..100).all(stays));
+}
+
+#[test]
+fn region_without_replicas_forwards_and_link_budget_bounds_it() {
+    let options = Options {
+        link_bytes_per_s: 40_000.0,
+        ..Options::default()
+    };
+    let mut router = router("north", options);
+    router.upstreams(SECOND, &[]);
+    router.digest(SECOND, digest("south", 3.0));
+    router.digest(SECOND, digest("middle", 9.0));
+    let route = open_route();
+    let choices: Vec<_> = (0..20)
+        .map(|_| router.choose(SECOND, &ask(&route)))
+        .collect();
+    let sent = choices.iter().flatten().inspect(|choice| {
+        assert_eq!(choice.reason, Reason::Absent);
+        assert!(choice.upstream.is_none());
+    });
+    assert_eq!(sent.count(), 10);
+    assert!(
+        choices[10..]
+            .iter()
+            .all(|choice| *choice == Err(Refusal::Link))
+    );
+}
+
+#[test]
+fn forwards_to_a_region_not_heard_of_only_when_no_other_is_left() {
+    let mut router = router("north", Options::default());
+    router.upstreams(SECOND, &[]);
+    let route = open_route();
+    let choice = router.choose(SECOND, &ask(&route)).unwrap();
+    assert_eq!(choice.region.as_str(), "middle");
+    router.digest(SECOND, digest("south", 3.0));
+    let choice = router.choose(SECOND, &ask(&route)).unwrap();
+    assert_eq!(choice.region.as_str(), "south");
+    let nowhere = Request {
+        hops: 0,
+        ..ask(&route)
+    };
+    assert_eq!(router.choose(SECOND, &nowhere), Err(Refusal::Hops));
+}
