Add stand-ins of the platform, the engines, a plain service, the weight store and the network

An engine's text is a function of the prompt and the index, so that a reader can tell a whole answer.

--- /dev/null
+++ b/testbed/src/command/mod.rs
@@ -0,0 +1,28 @@
+//! The commands.
+
+mod standin;
+
+use {
+    argh::FromArgs,
+    std::{io, process::ExitCode},
+};
+
+/// Stand-ins of the platform and the upstreams, and the load and experiment tool.
+#[derive(Debug, FromArgs)]
+pub(crate) struct Arguments {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Standin(standin::Arguments),
+}
+
+/// Runs a command.
+pub(crate) async fn run(arguments: Arguments) -> io::Result<ExitCode> {
+    match arguments.command {
+        Command::Standin(arguments) => standin::run(arguments).await,
+    }
+}
--- /dev/null
+++ b/testbed/src/engine/mod.rs
@@ -0,0 +1,271 @@
+//! A model engine: continuous batching, a limited prefix cache, priorities, resume, cancel, late
+//! load reports, late and lossy cache events, and orders with or without fencing.
+
+mod answer;
+mod batch;
+pub mod cache;
+pub mod order;
+mod routes;
+mod settings;
+
+pub(crate) use routes::{marked, switch};
+pub use settings::Settings;
+
+use {
+    crate::{fault, seen, serve::Server},
+    batch::Batch,
+    order::Desk,
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::BTreeMap,
+        io,
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+        time::{Duration, SystemTime, UNIX_EPOCH},
+    },
+    tokio::{
+        sync::Notify,
+        task::AbortHandle,
+        time::{Instant, sleep},
+    },
+};
+
+/// Rest between steps in which no sequence could advance.
+const IDLE_STEP: Duration = Duration::from_millis(2);
+
+/// A model engine.
+#[derive(Debug)]
+pub struct Engine;
+
+/// An engine that runs until it is dropped.
+#[derive(Debug)]
+pub struct Running {
+    /// Where it listens.
+    pub address: SocketAddr,
+    state: Arc<State>,
+    _server: Server,
+    tasks: [AbortHandle; 2],
+}
+
+/// The engine's load as it reports it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// When it was taken, in milliseconds since the Unix epoch by the engine's clock.
+    pub at_ms: u64,
+    /// Sequences that run.
+    pub running: usize,
+    /// Sequences that wait.
+    pub waiting: usize,
+    /// Sequences that may run at once.
+    pub slots: usize,
+    /// Models loaded.
+    pub models: Vec<String>,
+    /// Version of the models.
+    pub version: String,
+    /// Whether it takes no new work.
+    pub draining: bool,
+}
+
+/// What the engine has done so far.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Count {
+    /// Requests for completions.
+    pub requests: u64,
+    /// Tokens generated.
+    pub tokens: u64,
+    /// Answers generated to the end.
+    pub finished: u64,
+    /// Sequences cancelled while they ran.
+    pub cancelled: u64,
+    /// Prompt tokens admitted.
+    pub prompt_tokens: u64,
+    /// Prompt tokens that the cache held.
+    pub cached_tokens: u64,
+}
+
+#[derive(Debug)]
+struct State {
+    settings: Settings,
+    origin: Instant,
+    batch: Mutex<Batch>,
+    work: Notify,
+    desk: Mutex<Desk>,
+    load: Mutex<Load>,
+    count: Mutex<Count>,
+    runs: Mutex<BTreeMap<u64, u32>>,
+    fault: fault::Switch,
+    seen: seen::Journal,
+}
+
+impl Engine {
+    /// Starts an engine.
+    pub async fn start(settings: Settings) -> io::Result<Running> {
+        let state = Arc::new(State::new(settings));
+        let served = state.clone();
+        let server = Server::start(state.settings.bind, move |request| {
+            routes::answer(served.clone(), request)
+        })
+        .await?;
+        let tasks = [
+            tokio::spawn(run(state.clone())).abort_handle(),
+            tokio::spawn(report(state.clone())).abort_handle(),
+        ];
+        Ok(Running {
+            address: server.address(),
+            state,
+            _server: server,
+            tasks,
+        })
+    }
+}
+
+impl Running {
+    /// Sets or clears the fault switch.
+    pub fn fault(&self, order: Option<fault::Order>) {
+        self.state.fault.set(order);
+    }
+
+    /// The last requests that it saw.
+    pub fn seen(&self) -> Vec<seen::Seen> {
+        self.state.seen.all()
+    }
+
+    /// What it has done so far.
+    pub fn count(&self) -> Count {
+        self.state.count()
+    }
+
+    /// How often it started on each prompt, by the prompt's hash (`text::hash`).
+    pub fn runs(&self) -> BTreeMap<u64, u32> {
+        self.state.runs.lock().unwrap().clone()
+    }
+
+    /// Its load now, without lag.
+    pub fn load(&self) -> Load {
+        self.state.measure()
+    }
+
+    /// The orders that it took or refused.
+    pub fn orders(&self) -> Vec<order::Entry> {
+        self.state.desk.lock().unwrap().entries.clone()
+    }
+
+    /// Forgets the prefix cache, as a restart does.
+    pub fn chill(&self) {
+        self.state.batch.lock().unwrap().cache.clear();
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(AbortHandle::abort);
+    }
+}
+
+impl State {
+    fn new(settings: Settings) -> Self {
+        let desk = Desk::new(&settings);
+        let load = Load {
+            at_ms: 0,
+            running: 0,
+            waiting: 0,
+            slots: settings.slots,
+            models: settings.models.clone(),
+            version: settings.version.clone(),
+            draining: false,
+        };
+        Self {
+            origin: Instant::now(),
+            batch: Mutex::new(Batch::new(&settings)),
+            work: Notify::new(),
+            desk: Mutex::new(desk),
+            load: Mutex::new(load),
+            count: Mutex::default(),
+            runs: Mutex::default(),
+            fault: fault::Switch::default(),
+            seen: seen::Journal::default(),
+            settings,
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.origin.elapsed()
+    }
+
+    fn measure(&self) -> Load {
+        let batch = self.batch.lock().unwrap();
+        let desk = self.desk.lock().unwrap();
+        Load {
+            at_ms: unix_ms(),
+            running: batch.running(),
+            waiting: batch.waiting(),
+            slots: self.settings.slots,
+            models: desk.models.keys().cloned().collect(),
+            version: desk.version(),
+            draining: desk.draining,
+        }
+    }
+
+    fn count(&self) -> Count {
+        let batch = self.batch.lock().unwrap();
+        Count {
+            prompt_tokens: batch.prompt_tokens,
+            cached_tokens: batch.cached_tokens,
+            ..*self.count.lock().unwrap()
+        }
+    }
+
+    /// One step of the batch; returns how long it takes, or none when there is no work.
+    fn admit(&self) -> Option<Duration> {
+        let mut batch = self.batch.lock().unwrap();
+        let computed = batch.admit(self.now(), self.settings.slots);
+        let running = u32::try_from(batch.running()).unwrap_or(u32::MAX);
+        if running == 0 {
+            return None;
+        }
+        let decode = self.settings.step + self.settings.step_per_sequence * running;
+        let prefill = self.settings.prefill_per_token * computed;
+        Some((decode + prefill) * self.fault.factor())
+    }
+
+    /// Ends a step; returns whether any sequence advanced.
+    fn decode(&self) -> bool {
+        let progress = self.batch.lock().unwrap().decode();
+        let mut count = self.count.lock().unwrap();
+        count.tokens += progress.tokens;
+        count.finished += progress.finished;
+        count.cancelled += progress.cancelled;
+        progress.tokens + progress.finished + progress.cancelled > 0
+    }
+}
+
+/// The engine's loop: a step at a time for as long as there is work.
+async fn run(state: Arc<State>) {
+    loop {
+        let Some(step) = state.admit() else {
+            state.work.notified().await;
+            continue;
+        };
+        if step.is_zero() {
+            tokio::task::yield_now().await;
+        } else {
+            sleep(step).await;
+        }
+        if !state.decode() {
+            sleep(IDLE_STEP).await;
+        }
+    }
+}
+
+/// Takes the load at intervals, so that a report is up to an interval old.
+async fn report(state: Arc<State>) {
+    loop {
+        *state.load.lock().unwrap() = state.measure();
+        sleep(state.settings.load_lag.max(IDLE_STEP)).await;
+    }
+}
+
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.unwrap_or_default().as_millis() as u64
+}
--- /dev/null
+++ b/testbed/src/engine/routes.rs
@@ -0,0 +1,246 @@
+//! The engine's HTTP surface.
+
+use {
+    super::{
+        State,
+        answer::{self, Head, Request as Asked},
+        batch::{Delta, PENDING_TOKENS, Sequence},
+        order::{self, Order},
+    },
+    crate::{
+        fault::{self, Fault},
+        serve::{self, Body},
+        text, weights,
+    },
+    hyper::{
+        HeaderMap, Method, Request, Response, StatusCode, body::Incoming, header::HeaderValue,
+        http::request::Parts,
+    },
+    serde_json::json,
+    std::{io, sync::Arc},
+    tokio::{sync::mpsc, time::sleep},
+};
+
+/// Priority of a request that names none.
+const DEFAULT_PRIORITY: u8 = 5;
+
+/// Priority that none may exceed.
+const HIGHEST_PRIORITY: u8 = 9;
+
+/// What a wrong answer gives as its id.
+const WRONG_ID: &str = "another-request";
+
+pub(super) async fn answer(
+    state: Arc<State>,
+    request: Request<Incoming>,
+) -> io::Result<Response<Body>> {
+    let path = request.uri().path().to_owned();
+    match (request.method(), path.as_str()) {
+        (&Method::POST, "/v1/chat/completions") => completion(state, request, true).await,
+        (&Method::POST, "/v1/completions") => completion(state, request, false).await,
+        (&Method::GET, "/v1/models") => Ok(models(&state)),
+        (&Method::GET, "/load") => {
+            let load = state.load.lock().unwrap().clone();
+            Ok(serve::json(StatusCode::OK, &load))
+        }
+        (&Method::GET, "/events") => Ok(events(&state, &request)),
+        (&Method::POST, "/orders") => orders(state, request).await,
+        (&Method::GET, "/control/seen") => Ok(serve::json(StatusCode::OK, &state.seen.all())),
+        (&Method::GET, "/control/count") => Ok(serve::json(StatusCode::OK, &state.count())),
+        (&Method::GET, "/control/orders") => {
+            let entries = state.desk.lock().unwrap().entries.clone();
+            Ok(serve::json(StatusCode::OK, &entries))
+        }
+        (&Method::PUT, "/control/fault") => switch(&state.fault, request).await,
+        (&Method::DELETE, "/control/fault") => {
+            state.fault.set(None);
+            Ok(serve::empty(StatusCode::NO_CONTENT))
+        }
+        _ => Ok(answer::error(StatusCode::NOT_FOUND, "no such path")),
+    }
+}
+
+/// Sets a fault switch from a request's body.
+pub(crate) async fn switch(
+    switch: &fault::Switch,
+    request: Request<Incoming>,
+) -> io::Result<Response<Body>> {
+    let order = match serve::read::<fault::Order>(request.into_body()).await? {
+        Ok(order) => order,
+        Err(refusal) => return Ok(refusal),
+    };
+    switch.set(Some(order));
+    Ok(serve::empty(StatusCode::NO_CONTENT))
+}
+
+async fn completion(
+    state: Arc<State>,
+    request: Request<Incoming>,
+    chat: bool,
+) -> io::Result<Response<Body>> {
+    let (parts, body) = request.into_parts();
+    let body = serve::whole(body).await?;
+    state.seen.note(&parts, &body);
+    state.count.lock().unwrap().requests += 1;
+    let fault = state.fault.strike();
+    let asked = match serde_json::from_slice::<Asked>(&body) {
+        Ok(asked) => asked,
+        Err(error) => return Ok(answer::error(StatusCode::BAD_REQUEST, &error.to_string())),
+    };
+    if let Some(refusal) = refusal(&state, &asked, &parts.headers, fault) {
+        return Ok(marked(refusal, &parts, fault));
+    }
+    if fault == Some(Fault::Garbage) {
+        return Ok(marked(answer::garbage(asked.stream), &parts, fault));
+    }
+    let (head, deltas) = enqueue(&state, &asked, &parts.headers, chat, fault);
+    if fault == Some(Fault::Stall { after: 0 }) {
+        std::future::pending::<()>().await;
+    }
+    if fault == Some(Fault::Cut { after: 0 }) {
+        return Err(serve::cut());
+    }
+    let response = if asked.stream {
+        answer::streamed(head, deltas)
+    } else {
+        answer::whole(head, deltas).await?
+    };
+    Ok(marked(response, &parts, fault))
+}
+
+/// Why a request is not run, if it isn't.
+fn refusal(
+    state: &State,
+    asked: &Asked,
+    headers: &HeaderMap,
+    fault: Option<Fault>,
+) -> Option<Response<Body>> {
+    if fault == Some(Fault::Error) {
+        let status = StatusCode::INTERNAL_SERVER_ERROR;
+        return Some(answer::error(status, "set by a fault switch"));
+    }
+    let desk = state.desk.lock().unwrap();
+    if desk.draining {
+        return Some(answer::error(StatusCode::SERVICE_UNAVAILABLE, "draining"));
+    }
+    if !desk.models.contains_key(&asked.model) {
+        return Some(answer::error(StatusCode::NOT_FOUND, "model not loaded"));
+    }
+    if offset(headers) > 0 && !state.settings.resume {
+        return Some(answer::error(StatusCode::BAD_REQUEST, "can't resume"));
+    }
+    None
+}
+
+fn enqueue(
+    state: &State,
+    asked: &Asked,
+    headers: &HeaderMap,
+    chat: bool,
+    fault: Option<Fault>,
+) -> (Head, mpsc::Receiver<Delta>) {
+    let prompt = asked.prompt();
+    let max = asked.max().unwrap_or(state.settings.max_tokens);
+    let total = text::answer_tokens(&prompt, max);
+    let head = Head {
+        id: format!("cmpl-{:016x}", text::hash(&prompt)),
+        model: asked.model.clone(),
+        chat,
+        prompt_tokens: text::prompt_tokens(&prompt),
+        total,
+        max,
+    };
+    let (sender, receiver) = mpsc::channel(PENDING_TOKENS);
+    *state
+        .runs
+        .lock()
+        .unwrap()
+        .entry(text::hash(&prompt))
+        .or_default() += 1;
+    state.batch.lock().unwrap().push(Sequence {
+        prompt,
+        next: offset(headers).min(total),
+        total: if fault == Some(Fault::Endless) {
+            u32::MAX
+        } else {
+            total
+        },
+        priority: number(headers, "x-priority").map_or(DEFAULT_PRIORITY, |priority| {
+            u8::try_from(priority)
+                .unwrap_or(HIGHEST_PRIORITY)
+                .min(HIGHEST_PRIORITY)
+        }),
+        fault,
+        deltas: sender,
+    });
+    state.work.notify_one();
+    (head, receiver)
+}
+
+/// The response with the request's id, or with a wrong one.
+pub(crate) fn marked(
+    mut response: Response<Body>,
+    parts: &Parts,
+    fault: Option<Fault>,
+) -> Response<Body> {
+    let id = match fault {
+        Some(Fault::WrongId) => Some(HeaderValue::from_static(WRONG_ID)),
+        _ => parts.headers.get("x-request-id").cloned(),
+    };
+    if let Some(id) = id {
+        response.headers_mut().insert("x-request-id", id);
+    }
+    response
+}
+
+fn number(headers: &HeaderMap, name: &str) -> Option<u32> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
+
+fn offset(headers: &HeaderMap) -> u32 {
+    number(headers, "x-resume-offset").unwrap_or(0)
+}
+
+fn models(state: &State) -> Response<Body> {
+    let desk = state.desk.lock().unwrap();
+    let data: Vec<_> = desk
+        .models
+        .keys()
+        .map(|id| json!({"id": id, "object": "model", "owned_by": "testbed"}))
+        .collect();
+    serve::json(StatusCode::OK, &json!({"object": "list", "data": data}))
+}
+
+fn events(state: &State, request: &Request<Incoming>) -> Response<Body> {
+    let after = serve::query(request, "after").unwrap_or(0);
+    let until = state.now().saturating_sub(state.settings.event_lag);
+    let gap = state.settings.event_gap_percent;
+    let events = state.batch.lock().unwrap().cache.events(after, until, gap);
+    serve::json(StatusCode::OK, &events)
+}
+
+async fn orders(state: Arc<State>, request: Request<Incoming>) -> io::Result<Response<Body>> {
+    let asked = match serve::read::<order::Request>(request.into_body()).await? {
+        Ok(asked) => asked,
+        Err(refusal) => return Ok(refusal),
+    };
+    let order = asked.order.clone();
+    if !state.desk.lock().unwrap().take(asked) {
+        return Ok(answer::error(StatusCode::CONFLICT, "old fencing number"));
+    }
+    if let Order::Load { model, version } = order {
+        tokio::spawn(load(state, model, version));
+    }
+    Ok(serve::empty(StatusCode::OK))
+}
+
+/// Fetches a model's weights and then serves it.
+async fn load(state: Arc<State>, model: String, version: String) {
+    if let Some(store) = state.settings.weights {
+        while !weights::fetch(store, &model, &version).await {
+            sleep(state.settings.load_time).await;
+        }
+    }
+    sleep(state.settings.load_time).await;
+    state.desk.lock().unwrap().loaded(model, version);
+}
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -1,1 +1,16 @@
 //! Stand-ins of the platform and the upstreams, and the load and experiment tool.
+//!
+//! Each stand-in is a small HTTP server on an ephemeral loopback port: `engine::Engine::start`
+//! gives a handle with its address and its switches, and dropping the handle ends it.
+
+pub mod client;
+pub mod engine;
+pub mod fault;
+mod millis;
+pub mod plain;
+pub mod platform;
+pub mod seen;
+pub mod serve;
+pub mod text;
+pub mod wan;
+pub mod weights;
