Add the machine of one exchange

Cause: the gateway needs one place that decides what is sent upstream, how often, and what the caller is told, and that can be driven without sockets.

Change: attempt::Exchange takes what happened to an exchange and says what to send, relay, resume, cancel, drop or fail. Work that may not repeat is sent at most once; a model call is sent again before its first relayed token and resumed at the offset after it; every answer must repeat the exchange's id. attempt::Budget bounds retries, attempt::sse splits streams of events.

Ruled out: counting work as started when the request is chosen. The first property run showed 'not run' to be untrue when an attempt was cancelled between the choice and the first byte, so the machine is asked once more just before that byte leaves, which is also the fence after a pause.

Conclusion: ready for the gateway's seam.

--- /dev/null
+++ b/src/attempt/budget.rs
@@ -0,0 +1,110 @@
+//! The retry budget: retries are bounded by a share of first attempts.
+//!
+//! Each host keeps its own budget. Every bound is linear in the host's own first attempts, so the
+//! sum over the fleet obeys the same ratio with no message between hosts.
+
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+/// Who grants retries.
+pub trait Grant {
+    /// Notes a first attempt.
+    fn deposit(&mut self, now: Duration);
+
+    /// Whether one more attempt may be sent; it is taken from the budget.
+    fn withdraw(&mut self, now: Duration) -> bool;
+}
+
+/// What a budget allows.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Limit {
+    /// Retries earned by one first attempt.
+    pub ratio: f64,
+    /// Retries earned by a second, whatever the traffic, so that a quiet host can retry too.
+    pub per_second: f64,
+    /// Most retries that can be saved up.
+    pub burst: f64,
+}
+
+impl Default for Limit {
+    fn default() -> Self {
+        Self {
+            ratio: 0.1,
+            per_second: 0.1,
+            burst: 10.0,
+        }
+    }
+}
+
+/// A token bucket filled by first attempts.
+///
+/// Over any span that saw `n` first attempts in `t` seconds it grants at most
+/// `ratio * n + per_second * t + burst` retries.
+#[derive(Debug)]
+pub struct Budget {
+    limit: Limit,
+    saved: f64,
+    filled: Duration,
+}
+
+impl Budget {
+    /// A full budget at `now`.
+    pub fn new(limit: Limit, now: Duration) -> Self {
+        Self {
+            limit,
+            saved: limit.burst,
+            filled: now,
+        }
+    }
+
+    fn fill(&mut self, now: Duration) {
+        let passed = now.saturating_sub(self.filled).as_secs_f64();
+        self.filled = self.filled.max(now);
+        self.add(passed * self.limit.per_second);
+    }
+
+    fn add(&mut self, retries: f64) {
+        self.saved = (self.saved + retries).min(self.limit.burst);
+    }
+}
+
+impl Grant for Budget {
+    fn deposit(&mut self, now: Duration) {
+        self.fill(now);
+        self.add(self.limit.ratio);
+    }
+
+    fn withdraw(&mut self, now: Duration) -> bool {
+        self.fill(now);
+        if self.saved < 1.0 {
+            return false;
+        }
+        self.saved -= 1.0;
+        true
+    }
+}
+
+/// A budget that the exchanges of a host share.
+#[derive(Debug, Clone)]
+pub struct Shared(Arc<Mutex<Budget>>);
+
+impl Shared {
+    /// Shares a budget.
+    pub fn new(budget: Budget) -> Self {
+        Self(Arc::new(Mutex::new(budget)))
+    }
+}
+
+impl Grant for Shared {
+    fn deposit(&mut self, now: Duration) {
+        let mut budget = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        budget.deposit(now);
+    }
+
+    fn withdraw(&mut self, now: Duration) -> bool {
+        let mut budget = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        budget.withdraw(now)
+    }
+}
--- /dev/null
+++ b/src/attempt/mod.rs
@@ -0,0 +1,20 @@
+//! Attempts: what is sent upstream for one exchange, how often, and what the caller is told.
+//!
+//! [`Exchange`] is the machine of one exchange; [`Budget`] bounds the retries of all exchanges of
+//! a host; [`sse`] splits a stream of server-sent events.
+
+mod backoff;
+pub mod budget;
+mod event;
+mod exchange;
+mod outcome;
+mod plan;
+pub mod sse;
+
+pub use {
+    budget::{Budget, Grant},
+    event::{Action, Drop, Event},
+    exchange::Exchange,
+    outcome::{Code, Ran},
+    plan::{Fault, Id, Plan, Work},
+};
--- /dev/null
+++ b/src/attempt/sse.rs
@@ -0,0 +1,114 @@
+//! Splits a byte stream into whole server-sent events, whatever its chunk boundaries.
+
+use {
+    bytes::{Bytes, BytesMut},
+    derive_more::{Display, Error},
+};
+
+/// Most bytes of an event that has not ended yet.
+pub const EVENT_LIMIT: usize = 1 << 20;
+
+/// The data that ends a stream of an OpenAI-compatible engine.
+const DONE: &[u8] = b"[DONE]";
+
+/// One whole event, with the blank line that ends it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Frame {
+    /// The event's bytes as they arrived.
+    pub bytes: Bytes,
+    /// What the event carries.
+    pub kind: Kind,
+}
+
+/// What an event carries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// A comment or an event without data.
+    Empty,
+    /// Data.
+    Data,
+    /// The end of the stream.
+    Done,
+}
+
+impl Frame {
+    /// The value of the event's last `data` field.
+    pub fn data(&self) -> Option<&[u8]> {
+        data(&self.bytes)
+    }
+}
+
+/// An event longer than [`EVENT_LIMIT`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+#[display("a server-sent event is longer than {EVENT_LIMIT} bytes")]
+pub struct TooLong;
+
+/// Collects chunks and gives whole events. Holds at most one unfinished event and one chunk.
+#[derive(Debug, Default)]
+pub struct Splitter {
+    held: BytesMut,
+    searched: usize,
+}
+
+impl Splitter {
+    /// An empty splitter.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes a chunk and returns the events that it completes.
+    pub fn push(&mut self, chunk: &[u8]) -> Result<Vec<Frame>, TooLong> {
+        self.held.extend_from_slice(chunk);
+        let mut frames = Vec::new();
+        while let Some(end) = self.end() {
+            let bytes = self.held.split_to(end).freeze();
+            self.searched = 0;
+            let kind = kind(&bytes);
+            frames.push(Frame { bytes, kind });
+        }
+        if self.held.len() > EVENT_LIMIT {
+            return Err(TooLong);
+        }
+        Ok(frames)
+    }
+
+    /// Whether an event has begun and not ended.
+    pub fn is_partial(&self) -> bool {
+        !self.held.is_empty()
+    }
+
+    /// The length of the first whole event held.
+    fn end(&mut self) -> Option<usize> {
+        let mut at = self.searched;
+        while let Some(step) = self.held[at..].iter().position(|&byte| byte == b'\n') {
+            let next = at + step + 1;
+            match &self.held[next..] {
+                [b'\n', ..] => return Some(next + 1),
+                [b'\r', b'\n', ..] => return Some(next + 2),
+                [] | [b'\r'] => {
+                    self.searched = next - 1;
+                    return None;
+                }
+                _ => at = next,
+            }
+        }
+        self.searched = self.held.len();
+        None
+    }
+}
+
+fn kind(event: &[u8]) -> Kind {
+    match data(event) {
+        None => Kind::Empty,
+        Some(DONE) => Kind::Done,
+        Some(_) => Kind::Data,
+    }
+}
+
+fn data(event: &[u8]) -> Option<&[u8]> {
+    event
+        .split(|&byte| byte == b'\n')
+        .filter_map(|line| line.strip_prefix(b"data:"))
+        .map(<[u8]>::trim_ascii)
+        .next_back()
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! Every decision is a pure state machine (see [`machine`]); the services around them do sockets
 //! and timers and nothing else.
 
+pub mod attempt;
 pub mod clock;
 pub mod config;
 pub mod error;
--- /dev/null
+++ b/tests/attempt.rs
@@ -0,0 +1,10 @@
+//! Attempts: exchanges against failing upstreams, the retry budget, and streams of events.
+
+#[path = "attempt/bench.rs"]
+mod bench;
+#[path = "attempt/budget.rs"]
+mod budget;
+#[path = "attempt/exchange.rs"]
+mod exchange;
+#[path = "attempt/sse.rs"]
+mod sse;
