--- /dev/null
+++ b/examples/brownout.rs
@@ -0,0 +1,262 @@
+//! Retries while upstreams are slow: the retry budget beside unbounded retries and none.
+//!
+//! `cargo run --release --example brownout [SEED]` drives [`attempt::Exchange`] against simulated
+//! upstreams that go on with abandoned work, slows them for a minute, and prints for each way the
+//! requests sent for one that arrived and the share answered, before, during and after.
+
+use {
+    greengagecleat::{
+        attempt::{
+            self, Budget, Event, Exchange, Grant, Id, Plan, Work,
+            budget::{Limit, Shared},
+        },
+        machine::Machine,
+    },
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+    std::{
+        collections::{BTreeMap, VecDeque},
+        time::Duration,
+    },
+};
+
+const UPSTREAMS: usize = 6;
+const SLOTS: usize = 16;
+const SERVICE: f64 = 0.2;
+/// Offered load over capacity while the upstreams are well.
+const LOAD: f64 = 0.7;
+/// How much slower the upstreams are in the brown-out.
+const SLOWER: f64 = 2.0;
+const SLOW_FROM: f64 = 60.0;
+const SLOW_UNTIL: f64 = 120.0;
+const END: f64 = 240.0;
+
+#[derive(Debug, Clone)]
+enum Way {
+    Never,
+    Always,
+    Budget(Shared),
+}
+
+impl Grant for Way {
+    fn deposit(&mut self, now: Duration) {
+        if let Way::Budget(budget) = self {
+            budget.deposit(now);
+        }
+    }
+
+    fn withdraw(&mut self, now: Duration) -> bool {
+        match self {
+            Way::Never => false,
+            Way::Always => true,
+            Way::Budget(budget) => budget.withdraw(now),
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Due {
+    Arrival,
+    Tick {
+        exchange: u64,
+    },
+    Served {
+        upstream: usize,
+        exchange: u64,
+        attempt: u32,
+    },
+}
+
+#[derive(Debug, Default, Clone, Copy)]
+struct Count {
+    arrived: u64,
+    sent: u64,
+    answered: u64,
+}
+
+#[derive(Debug, Default)]
+struct Upstream {
+    running: usize,
+    queue: VecDeque<(u64, u32)>,
+}
+
+struct World {
+    way: Way,
+    rng: StdRng,
+    due: BTreeMap<(Duration, u64), Due>,
+    order: u64,
+    exchanges: BTreeMap<u64, (usize, Exchange<Way>)>,
+    upstreams: Vec<Upstream>,
+    counts: [Count; 3],
+    next: u64,
+}
+
+fn phase(now: Duration) -> usize {
+    match now.as_secs_f64() {
+        at if at < SLOW_FROM => 0,
+        at if at < SLOW_UNTIL => 1,
+        _ => 2,
+    }
+}
+
+impl World {
+    fn new(way: Way, seed: u64) -> Self {
+        Self {
+            way,
+            rng: StdRng::seed_from_u64(seed),
+            due: BTreeMap::new(),
+            order: 0,
+            exchanges: BTreeMap::new(),
+            upstreams: (0..UPSTREAMS).map(|_| Upstream::default()).collect(),
+            counts: [Count::default(); 3],
+            next: 0,
+        }
+    }
+
+    fn later(&mut self, at: Duration, due: Due) {
+        self.order += 1;
+        self.due.insert((at, self.order), due);
+    }
+
+    fn exponential(&mut self, mean: f64) -> Duration {
+        let uniform: f64 = self.rng.random_range(f64::EPSILON..1.0);
+        Duration::from_secs_f64(-uniform.ln() * mean)
+    }
+
+    fn run(&mut self) {
+        self.later(Duration::ZERO, Due::Arrival);
+        while let Some(((now, _), due)) = self.due.pop_first() {
+            match due {
+                Due::Arrival => self.arrive(now),
+                Due::Tick { exchange } => self.tick(now, exchange),
+                Due::Served {
+                    upstream,
+                    exchange,
+                    attempt,
+                } => self.served(now, upstream, exchange, attempt),
+            }
+        }
+    }
+
+    fn arrive(&mut self, now: Duration) {
+        if now.as_secs_f64() > END {
+            return;
+        }
+        let rate = LOAD * (UPSTREAMS * SLOTS) as f64 / SERVICE;
+        let gap = self.exponential(1.0 / rate);
+        self.later(now + gap, Due::Arrival);
+        let exchange = self.next;
+        self.next += 1;
+        let plan = Plan {
+            id: Id::from("id"),
+            work: Work::Idempotent,
+            deadline: now + Duration::from_secs(5),
+            connect: Duration::from_secs(1),
+            first: Duration::from_millis(1_200),
+            silence: Duration::from_secs(1),
+            hedge: None,
+            attempts: 4,
+            seed: exchange,
+            fault: attempt::Fault::None,
+        };
+        self.counts[phase(now)].arrived += 1;
+        let machine = Exchange::new(plan, self.way.clone());
+        self.exchanges.insert(exchange, (phase(now), machine));
+        self.step(now, exchange, Event::Started);
+    }
+
+    fn tick(&mut self, now: Duration, exchange: u64) {
+        let due = |(_, machine): &(usize, Exchange<Way>)| machine.wake() <= now;
+        if self.exchanges.get(&exchange).is_some_and(due) {
+            self.step(now, exchange, Event::Tick);
+        }
+    }
+
+    fn step(&mut self, now: Duration, exchange: u64, event: Event) {
+        let Some((arrived, machine)) = self.exchanges.get_mut(&exchange) else {
+            return;
+        };
+        let arrived = *arrived;
+        let actions = machine.step(now, event);
+        let wake = machine.wake();
+        if machine.is_over() {
+            self.exchanges.remove(&exchange);
+        } else {
+            self.later(wake, Due::Tick { exchange });
+        }
+        for action in actions {
+            match action {
+                attempt::Action::Send { attempt, .. } => {
+                    self.counts[phase(now)].sent += 1;
+                    self.send(now, exchange, attempt);
+                }
+                attempt::Action::Finish => self.counts[arrived].answered += 1,
+                _ => {}
+            }
+        }
+    }
+
+    fn send(&mut self, now: Duration, exchange: u64, attempt: u32) {
+        let upstream = self.rng.random_range(0..UPSTREAMS);
+        self.upstreams[upstream]
+            .queue
+            .push_back((exchange, attempt));
+        self.serve(now, upstream);
+        self.step(now, exchange, Event::Sent { attempt });
+    }
+
+    fn serve(&mut self, now: Duration, upstream: usize) {
+        while self.upstreams[upstream].running < SLOTS {
+            let Some((exchange, attempt)) = self.upstreams[upstream].queue.pop_front() else {
+                return;
+            };
+            self.upstreams[upstream].running += 1;
+            let slower = if phase(now) == 1 { SLOWER } else { 1.0 };
+            let time = self.exponential(SERVICE * slower);
+            self.later(
+                now + time,
+                Due::Served {
+                    upstream,
+                    exchange,
+                    attempt,
+                },
+            );
+        }
+    }
+
+    fn served(&mut self, now: Duration, upstream: usize, exchange: u64, attempt: u32) {
+        self.upstreams[upstream].running -= 1;
+        self.serve(now, upstream);
+        let head = Event::Head {
+            attempt,
+            status: 200,
+            id: Some(Id::from("id")),
+            ran: None,
+            retry_after: None,
+        };
+        self.step(now, exchange, head);
+        self.step(now, exchange, Event::End { attempt });
+    }
+}
+
+fn main() {
+    let seed = std::env::args().nth(1).and_then(|text| text.parse().ok());
+    let seed = seed.unwrap_or(1);
+    let budget = Budget::new(Limit::default(), Duration::ZERO);
+    let ways = [
+        ("none", Way::Never),
+        ("unbounded", Way::Always),
+        ("budget", Way::Budget(Shared::new(budget))),
+    ];
+    println!("seed {seed}; offered load {LOAD} of capacity, {SLOWER} times slower for a minute");
+    println!("| retries | phase | sent / arrived | answered |");
+    println!("|---|---|---|---|");
+    for (name, way) in ways {
+        let mut world = World::new(way, seed);
+        world.run();
+        for (phase, count) in ["before", "slow", "after"].iter().zip(world.counts) {
+            let sent = count.sent as f64 / count.arrived as f64;
+            let answered = count.answered as f64 / count.arrived as f64;
+            println!("| {name} | {phase} | {sent:.3} | {answered:.3} |");
+        }
+    }
+}
