Earn retries by answers rather than by first attempts

Cause: a budget earned by first attempts goes on adding a tenth to the load of upstreams that answer nothing, and keeps them from recovering.

Ruled out: a smaller ratio, which would also leave lone failures unmended while all is well.

--- a/src/attempt/budget.rs
+++ b/src/attempt/budget.rs
@@ -1,7 +1,8 @@
-//! The retry budget: retries are bounded by a share of first attempts.
+//! The retry budget: retries are bounded by a share of whole answers.
 //!
-//! Each host keeps its own budget. Every bound is linear in the host's own first attempts, so the
-//! sum over the fleet obeys the same ratio with no message between hosts.
+//! Each host keeps its own budget. Every bound is linear in the host's own answers, so the sum over
+//! the fleet obeys the same ratio with no message between hosts. While upstreams answer nothing,
+//! nothing is earned and retries cease.
 
 use std::{
     sync::{Arc, Mutex, PoisonError},
@@ -10,7 +11,7 @@
 
 /// Who grants retries.
 pub trait Grant {
-    /// Notes a first attempt.
+    /// Notes a whole answer.
     fn deposit(&mut self, now: Duration);
 
     /// Whether one more attempt may be sent; it is taken from the budget.
@@ -20,7 +21,7 @@
 /// What a budget allows.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Limit {
-    /// Retries earned by one first attempt.
+    /// Retries earned by one whole answer.
     pub ratio: f64,
     /// Retries earned by a second, whatever the traffic, so that a quiet host can retry too.
     pub per_second: f64,
@@ -38,9 +39,9 @@
     }
 }
 
-/// A token bucket filled by first attempts.
+/// A token bucket filled by whole answers.
 ///
-/// Over any span that saw `n` first attempts in `t` seconds it grants at most
+/// Over any span that saw `n` answers in `t` seconds it grants at most
 /// `ratio * n + per_second * t + burst` retries.
 #[derive(Debug)]
 pub struct Budget {
--- a/src/attempt/exchange.rs
+++ b/src/attempt/exchange.rs
@@ -114,7 +114,6 @@
     }
 
     fn start(&mut self, now: Duration) -> Vec<Action> {
-        self.budget.deposit(now);
         self.hedge_at = match self.plan.work {
             Work::Once => None,
             Work::Idempotent | Work::Model { .. } => self.plan.hedge.map(|after| now + after),
@@ -324,13 +323,14 @@
         actions
     }
 
-    fn end(&mut self, number: u32) -> Vec<Action> {
+    fn end(&mut self, now: Duration, number: u32) -> Vec<Action> {
         let stage = self.attempts.get(&number).map(|attempt| attempt.stage);
         if stage != Some(Stage::Answering) {
             return late(number);
         }
         let mut actions = Vec::from_iter(self.open(number));
         actions.push(Action::Finish);
+        self.budget.deposit(now);
         self.over = true;
         if let Some(attempt) = self.attempts.get_mut(&number) {
             attempt.stage = Stage::Over;
@@ -343,7 +343,7 @@
             return Vec::new();
         }
         if self.plan.fault == Fault::BreakIsEnd && self.opened {
-            return self.end(number);
+            return self.end(now, number);
         }
         self.lost(now, number, Code::UpstreamBroken, None)
     }
@@ -493,7 +493,7 @@
                 },
             ),
             Event::Chunk { attempt, tokens } => self.chunk(now, attempt, tokens),
-            Event::End { attempt } => self.end(attempt),
+            Event::End { attempt } => self.end(now, attempt),
             Event::Broken { attempt } => self.broken(now, attempt),
             Event::Tick => self.tick(now),
             Event::CallerLeft => {
--- a/tests/attempt/budget.rs
+++ b/tests/attempt/budget.rs
@@ -45,7 +45,7 @@
 }
 
 #[test]
-fn retries_are_refused_when_first_attempts_do_not_pay_for_them() {
+fn retries_are_refused_when_answers_do_not_pay_for_them() {
     let mut budget = Budget::new(Limit::default(), Duration::ZERO);
     let granted = (0..100).filter(|_| budget.withdraw(Duration::ZERO)).count();
     assert_eq!(granted, 10);
