Add fair admission: start-time fair queueing in tokens between customers

Cause: a customer that sends several times its rate must slow only itself, long requests must not starve behind brief ones, and what can't meet its deadline must be answered at once. Ruled out: strict priority of brief requests (long ones starve); an estimate of service time that is trusted while slots are free (nothing would run that could correct it). Change: one virtual clock a pool, one start tag a customer, settlement at a request's end; within a customer a rank that bounds overtaking; bounds on waiting requests that push out the customer with the most for its weight; a host's part of shared slots. Conclusion: fairness within one maximal request each, work conservation and bounded overtaking hold in all schedules tried.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod key;
 pub mod machine;
 pub mod name;
+pub mod queue;
 pub mod route;
 
 pub use error::{Error, Result};
--- /dev/null
+++ b/src/queue/flow.rs
@@ -0,0 +1,133 @@
+//! The waiting requests of one customer at one pool.
+
+use {
+    super::{
+        event::{Arrival, TOP_PRIORITY, Ticket},
+        options::{Fault, Options},
+    },
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// How long a request waits behind brief ones under [`Fault::Starve`].
+const FOR_EVER: Duration = Duration::from_secs(1 << 32);
+
+/// A waiting request.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Item {
+    /// The request.
+    pub(super) ticket: Ticket,
+    /// Its size.
+    pub(super) tokens: u64,
+    /// When it must have started to meet its deadline.
+    pub(super) latest: Duration,
+    /// Its place in its customer's order: the earliest goes first.
+    pub(super) rank: Duration,
+}
+
+impl Item {
+    /// The request that arrives at `now` and, once started, takes `service`.
+    ///
+    /// The rank is the arrival plus what others may arrive later and still go first. It is never
+    /// before `now`, so nothing that arrives after a request's rank overtakes it.
+    pub(super) fn new(
+        now: Duration,
+        arrival: &Arrival,
+        service: Duration,
+        options: &Options,
+    ) -> Self {
+        let below_top = u32::from(TOP_PRIORITY.saturating_sub(arrival.priority));
+        let long = arrival.tokens >= options.long_tokens;
+        let behind = match (long, options.fault) {
+            (false, _) => Duration::ZERO,
+            (true, Fault::Starve) => FOR_EVER,
+            (true, _) => options.long_behind,
+        };
+        let aged = now + behind + options.priority_step * below_top;
+        let latest = arrival.deadline.saturating_sub(service);
+        Self {
+            ticket: arrival.ticket,
+            tokens: arrival.tokens,
+            latest,
+            rank: match options.fault {
+                Fault::Starve => aged,
+                _ => aged.min(latest).max(now),
+            },
+        }
+    }
+
+    fn key(&self) -> (Duration, Ticket) {
+        (self.rank, self.ticket)
+    }
+}
+
+/// The waiting requests of one customer at one pool.
+#[derive(Debug, Clone)]
+pub(super) struct Flow {
+    /// The customer's weight.
+    pub(super) weight: u32,
+    /// The virtual time at which its next request starts.
+    pub(super) start: f64,
+    /// Tokens that wait.
+    pub(super) tokens: u64,
+    items: BTreeMap<(Duration, Ticket), Item>,
+}
+
+impl Flow {
+    /// A customer without requests.
+    pub(super) fn new(weight: u32, start: f64) -> Self {
+        Self {
+            weight: weight.max(1),
+            start,
+            tokens: 0,
+            items: BTreeMap::new(),
+        }
+    }
+
+    /// Requests that wait.
+    pub(super) fn len(&self) -> usize {
+        self.items.len()
+    }
+
+    /// Whether none waits.
+    pub(super) fn is_empty(&self) -> bool {
+        self.items.is_empty()
+    }
+
+    /// Virtual time that `tokens` take.
+    pub(super) fn stretch(&self, tokens: u64) -> f64 {
+        tokens as f64 / f64::from(self.weight)
+    }
+
+    /// Tokens that go before a new request with `rank`.
+    pub(super) fn ahead(&self, rank: Duration) -> u64 {
+        let last = (rank, Ticket(u64::MAX));
+        self.items.range(..=last).map(|(_, item)| item.tokens).sum()
+    }
+
+    pub(super) fn push(&mut self, item: Item) {
+        self.tokens += item.tokens;
+        self.items.insert(item.key(), item);
+    }
+
+    /// The request that is next.
+    pub(super) fn first(&self) -> Option<&Item> {
+        self.items.values().next()
+    }
+
+    /// The request that would be last.
+    pub(super) fn last(&self) -> Option<&Item> {
+        self.items.values().next_back()
+    }
+
+    pub(super) fn remove(&mut self, item: &Item) {
+        if self.items.remove(&item.key()).is_some() {
+            self.tokens -= item.tokens;
+        }
+    }
+
+    /// Takes all requests out.
+    pub(super) fn clear(&mut self) -> impl Iterator<Item = Item> + use<> {
+        self.tokens = 0;
+        std::mem::take(&mut self.items).into_values()
+    }
+}
--- /dev/null
+++ b/src/queue/scheduler.rs
@@ -0,0 +1,120 @@
+//! The scheduler: the queues of all pools of one host.
+
+use {
+    super::{
+        event::{Action, Event, Ticket},
+        options::{Fault, Options},
+        pool::Pool,
+    },
+    crate::{machine::Machine, name},
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// Decides which waiting request starts next at each pool.
+#[derive(Debug, Default)]
+pub struct Scheduler {
+    options: Options,
+    pools: BTreeMap<name::Pool, Pool>,
+    places: BTreeMap<Ticket, name::Pool>,
+}
+
+impl Scheduler {
+    /// A scheduler without slots or requests.
+    pub fn new(options: Options) -> Self {
+        Self {
+            options,
+            ..Self::default()
+        }
+    }
+
+    /// How long a request waits that goes last at a pool.
+    pub fn backlog(&self, pool: &name::Pool) -> Duration {
+        self.pools.get(pool).map_or(Duration::ZERO, Pool::backlog)
+    }
+
+    /// Requests that wait at a pool.
+    pub fn waiting(&self, pool: &name::Pool) -> usize {
+        self.pools.get(pool).map_or(0, Pool::waiting)
+    }
+
+    /// Requests that run at a pool.
+    pub fn running(&self, pool: &name::Pool) -> u32 {
+        self.pools.get(pool).map_or(0, Pool::running)
+    }
+
+    /// When the next [`Event::Tick`] is due at the latest.
+    pub fn wake(&self) -> Option<Duration> {
+        self.pools.values().filter_map(Pool::wake).min()
+    }
+
+    fn take(&mut self, now: Duration, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Arrive(arrival) => {
+                let pool = arrival.pool.clone();
+                self.places.insert(arrival.ticket, pool.clone());
+                let queue = self.pools.entry(pool).or_default();
+                queue.arrive(now, arrival, &self.options, out);
+            }
+            Event::Cancel { ticket } => {
+                if let Some(pool) = self.pool(ticket) {
+                    pool.cancel(ticket);
+                }
+            }
+            Event::Withdraw { customer } => {
+                if self.options.fault == Fault::Withdrawn {
+                    return;
+                }
+                let owner = Some(customer);
+                for pool in self.pools.values_mut() {
+                    pool.withdraw(&owner, out);
+                }
+            }
+            Event::Done { ticket, tokens } => {
+                if let Some(pool) = self.pool(ticket) {
+                    pool.done(now, ticket, tokens);
+                }
+                self.places.remove(&ticket);
+            }
+            Event::Capacity { pool, slots } => self.pools.entry(pool).or_default().resize(slots),
+            Event::Tick => {}
+        }
+    }
+
+    fn pool(&mut self, ticket: Ticket) -> Option<&mut Pool> {
+        self.pools.get_mut(self.places.get(&ticket)?)
+    }
+
+    fn runs(&self, ticket: Ticket) -> bool {
+        let pool = self
+            .places
+            .get(&ticket)
+            .and_then(|pool| self.pools.get(pool));
+        pool.is_some_and(|pool| pool.runs(ticket))
+    }
+}
+
+impl Machine for Scheduler {
+    type Event = Event;
+    type Action = Action;
+
+    fn step(&mut self, now: Duration, event: Event) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let cancelled = match event {
+            Event::Cancel { ticket } => Some(ticket),
+            _ => None,
+        };
+        self.take(now, event, &mut actions);
+        for pool in self.pools.values_mut() {
+            pool.advance(now, &self.options, &mut actions);
+        }
+        for action in &actions {
+            if let Action::Shed { ticket, .. } = action {
+                self.places.remove(ticket);
+            }
+        }
+        if let Some(ticket) = cancelled.filter(|ticket| !self.runs(*ticket)) {
+            self.places.remove(&ticket);
+        }
+        actions
+    }
+}
--- /dev/null
+++ b/tests/queue.rs
@@ -0,0 +1,412 @@
+//! Fair admission: what must hold under any schedule, and how single requests fare.
+
+use {
+    greengagecleat::{
+        machine::Machine as _,
+        name,
+        queue::{Action, Arrival, Engines, Event, Fault, Options, Reason, Scheduler, Ticket, part},
+    },
+    quickcheck::{Gen, QuickCheck},
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+const HOUR: Duration = Duration::from_secs(3_600);
+const CUSTOMERS: usize = 4;
+const LONGEST_TOKENS: u64 = 6_000;
+
+fn pool() -> name::Pool {
+    "pool".into()
+}
+
+fn arrival(ticket: u64, customer: usize, tokens: u64) -> Arrival {
+    Arrival {
+        ticket: Ticket(ticket),
+        pool: pool(),
+        customer: Some(format!("c{customer}").into()),
+        weight: customer as u32 + 1,
+        priority: 5,
+        tokens,
+        deadline: HOUR,
+    }
+}
+
+fn capacity(slots: u32) -> Event {
+    Event::Capacity {
+        pool: pool(),
+        slots,
+    }
+}
+
+fn started(actions: &[Action]) -> Vec<u64> {
+    let tickets = actions.iter().filter_map(|action| match action {
+        Action::Start { ticket } => Some(ticket.0),
+        Action::Shed { .. } => None,
+    });
+    tickets.collect()
+}
+
+/// What one customer got beside another while both waited without a break.
+#[derive(Debug, Clone, Copy, Default)]
+struct Lead {
+    now: f64,
+    least: f64,
+    most: f64,
+}
+
+/// A scheduler under a random schedule, and a plain account of what it must keep to.
+struct World {
+    rng: StdRng,
+    options: Options,
+    scheduler: Scheduler,
+    now: Duration,
+    slots: usize,
+    tickets: u64,
+    waiting: BTreeMap<Ticket, (Arrival, Duration)>,
+    running: BTreeMap<Ticket, u64>,
+    leads: BTreeMap<(usize, usize), Lead>,
+}
+
+impl World {
+    fn new(seed: u64, fault: Fault) -> Self {
+        let options = Options {
+            fault,
+            waiting: 60,
+            waiting_each: 30,
+            ..Options::default()
+        };
+        Self {
+            rng: StdRng::seed_from_u64(seed),
+            scheduler: Scheduler::new(options.clone()),
+            options,
+            now: Duration::ZERO,
+            slots: 0,
+            tickets: 0,
+            waiting: BTreeMap::new(),
+            running: BTreeMap::new(),
+            leads: BTreeMap::new(),
+        }
+    }
+
+    fn event(&mut self) -> Event {
+        self.now += Duration::from_millis(self.rng.random_range(0..400));
+        match self.rng.random_range(0..20) {
+            0..10 => self.arrive(),
+            10..16 => self.done(),
+            16 => self.cancel(),
+            17 => {
+                self.slots = self.rng.random_range(0..6);
+                capacity(self.slots as u32)
+            }
+            18 if self.rng.random_bool(0.2) => {
+                let customer = self.rng.random_range(0..CUSTOMERS);
+                Event::Withdraw {
+                    customer: format!("c{customer}").into(),
+                }
+            }
+            _ => Event::Tick,
+        }
+    }
+
+    fn arrive(&mut self) -> Event {
+        self.tickets += 1;
+        let tokens = match self.rng.random_bool(0.3) {
+            true => LONGEST_TOKENS,
+            false => self.rng.random_range(10..1_000),
+        };
+        let wait = match self.rng.random_bool(0.1) {
+            true => 5 * SECOND,
+            false => HOUR,
+        };
+        let customer = self.rng.random_range(0..CUSTOMERS);
+        let arrival = Arrival {
+            priority: self.rng.random_range(0..10),
+            deadline: self.now + wait,
+            ..arrival(self.tickets, customer, tokens)
+        };
+        self.waiting
+            .insert(arrival.ticket, (arrival.clone(), self.now));
+        Event::Arrive(arrival)
+    }
+
+    fn done(&mut self) -> Event {
+        let Some((ticket, tokens)) = self.running.pop_first() else {
+            return Event::Tick;
+        };
+        Event::Done { ticket, tokens }
+    }
+
+    fn cancel(&mut self) -> Event {
+        let waiting = self.waiting.len();
+        if waiting == 0 {
+            return Event::Tick;
+        }
+        let at = self.rng.random_range(0..waiting);
+        let ticket = *self.waiting.keys().nth(at).unwrap();
+        self.waiting.remove(&ticket);
+        Event::Cancel { ticket }
+    }
+
+    fn step(&mut self) -> Result<(), String> {
+        let event = self.event();
+        let withdrawn = match &event {
+            Event::Withdraw { customer } => Some(customer.clone()),
+            _ => None,
+        };
+        for action in self.scheduler.step(self.now, event) {
+            match action {
+                Action::Start { ticket } => self.start(ticket)?,
+                Action::Shed { ticket, reason, .. } => self.shed(ticket, reason)?,
+            }
+        }
+        if withdrawn.is_some()
+            && self
+                .waiting
+                .values()
+                .any(|(one, _)| one.customer == withdrawn)
+        {
+            return Err(format!("{withdrawn:?} still waits"));
+        }
+        if !self.waiting.is_empty() && self.running.len() < self.slots {
+            return Err("a slot is idle while requests wait".into());
+        }
+        if self.waiting.len() != self.scheduler.waiting(&pool()) {
+            return Err("the count of waiting requests is wrong".into());
+        }
+        self.settle_leads();
+        Ok(())
+    }
+
+    fn start(&mut self, ticket: Ticket) -> Result<(), String> {
+        if self.running.len() >= self.slots {
+            return Err("more run than there are slots".into());
+        }
+        let Some((arrival, at)) = self.waiting.remove(&ticket) else {
+            return Err(format!("{ticket} started though it didn't wait"));
+        };
+        if arrival.deadline <= self.now {
+            return Err(format!("{ticket} started after its deadline"));
+        }
+        let bound = self.options.long_behind + self.options.priority_step * 9;
+        let starved = self
+            .waiting
+            .values()
+            .find(|(other, since)| other.customer == arrival.customer && *since + bound < at);
+        if let Some((other, _)) = starved {
+            return Err(format!("{} was overtaken without bound", other.ticket));
+        }
+        self.running.insert(ticket, arrival.tokens);
+        self.lead(&arrival)
+    }
+
+    fn shed(&mut self, ticket: Ticket, reason: Reason) -> Result<(), String> {
+        match self.waiting.remove(&ticket) {
+            Some(_) => Ok(()),
+            None => Err(format!("{ticket} shed ({reason}) though it didn't wait")),
+        }
+    }
+
+    fn backlogged(&self) -> BTreeSet<usize> {
+        let weights = self
+            .waiting
+            .values()
+            .map(|(one, _)| one.weight as usize - 1);
+        weights.collect()
+    }
+
+    /// Charges a start to its customer's lead over each other one and holds the bound: one
+    /// maximal request each.
+    fn lead(&mut self, arrival: &Arrival) -> Result<(), String> {
+        let customer = arrival.weight as usize - 1;
+        let gain = arrival.tokens as f64 / f64::from(arrival.weight);
+        for (pair, lead) in &mut self.leads {
+            if pair.0 == customer {
+                lead.now += gain;
+            } else if pair.1 == customer {
+                lead.now -= gain;
+            }
+            lead.least = lead.least.min(lead.now);
+            lead.most = lead.most.max(lead.now);
+            let each = |customer: usize| LONGEST_TOKENS as f64 / (customer + 1) as f64;
+            if lead.most - lead.least > each(pair.0) + each(pair.1) + 1e-6 {
+                return Err(format!("{pair:?}: {lead:?}"));
+            }
+        }
+        self.settle_leads();
+        Ok(())
+    }
+
+    /// Leads are counted only while both customers wait without a break.
+    fn settle_leads(&mut self) {
+        let backlogged = self.backlogged();
+        self.leads
+            .retain(|(one, other), _| backlogged.contains(one) && backlogged.contains(other));
+        for one in &backlogged {
+            for other in backlogged.range(one + 1..) {
+                self.leads.entry((*one, *other)).or_default();
+            }
+        }
+    }
+}
+
+fn fails(fault: Fault) -> Option<String> {
+    fn property(seed: u64, fault: Fault) -> Result<(), String> {
+        let mut world = World::new(seed, fault);
+        (0..400).try_for_each(|_| world.step())
+    }
+    let check = |property: fn(u64) -> Result<(), String>| {
+        QuickCheck::new()
+            .rng(Gen::from_size_and_seed(64, 3))
+            .tests(150)
+            .quicktest(property)
+            .err()
+            .map(|failure| format!("{failure:?}"))
+    };
+    match fault {
+        Fault::None => check(|seed| property(seed, Fault::None)),
+        Fault::Unfair => check(|seed| property(seed, Fault::Unfair)),
+        Fault::Starve => check(|seed| property(seed, Fault::Starve)),
+        Fault::Overrun => check(|seed| property(seed, Fault::Overrun)),
+        Fault::Idle => check(|seed| property(seed, Fault::Idle)),
+        Fault::Withdrawn => check(|seed| property(seed, Fault::Withdrawn)),
+    }
+}
+
+#[test]
+fn fairness_order_slots_and_removal_hold_under_random_schedules() {
+    assert_eq!(fails(Fault::None), None);
+}
+
+#[test]
+fn property_catches_each_mutant() {
+    for (fault, message) in [
+        (Fault::Unfair, "Lead"),
+        (Fault::Starve, "overtaken"),
+        (Fault::Overrun, "more run"),
+        (Fault::Idle, "idle"),
+        (Fault::Withdrawn, "still waits"),
+    ] {
+        let failure = fails(fault).unwrap_or_default();
+        assert!(failure.contains(message), "{fault:?}: {failure}");
+    }
+}
+
+#[test]
+fn flood_of_one_customer_delays_another_by_one_request_at_most() {
+    let mut scheduler = Scheduler::new(Options::default());
+    scheduler.step(Duration::ZERO, capacity(1));
+    for ticket in 1..=50 {
+        scheduler.step(SECOND, Event::Arrive(arrival(ticket, 0, 500)));
+    }
+    scheduler.step(SECOND, Event::Arrive(arrival(51, 1, 500)));
+    let done = Event::Done {
+        ticket: Ticket(1),
+        tokens: 500,
+    };
+    assert_eq!(started(&scheduler.step(2 * SECOND, done)), [51]);
+}
+
+#[test]
+fn customer_is_charged_what_its_requests_took_in_fact() {
+    let mut scheduler = Scheduler::new(Options::default());
+    scheduler.step(Duration::ZERO, capacity(1));
+    for ticket in 1..=20 {
+        scheduler.step(SECOND, Event::Arrive(arrival(ticket, 0, 1_000)));
+        scheduler.step(SECOND, Event::Arrive(arrival(100 + ticket, 1, 1_000)));
+    }
+    let (mut running, mut counts) = (1, [0, 0]);
+    for _ in 0..24 {
+        counts[usize::from(running > 100)] += 1;
+        // The first customer, of half the other's weight, takes a fifth of what it asks for.
+        let tokens = if running > 100 { 1_000 } else { 200 };
+        let done = Event::Done {
+            ticket: Ticket(running),
+            tokens,
+        };
+        let next = scheduler.step(2 * SECOND, done);
+        running = started(&next)[0];
+    }
+    assert!(counts[0] > counts[1], "{counts:?}");
+}
+
+#[test]
+fn request_that_cannot_meet_its_deadline_is_shed_at_once_with_a_hint() {
+    let mut scheduler = Scheduler::new(Options::default());
+    scheduler.step(Duration::ZERO, capacity(1));
+    scheduler.step(Duration::ZERO, Event::Arrive(arrival(1, 0, 1_000)));
+    let done = Event::Done {
+        ticket: Ticket(1),
+        tokens: 1_000,
+    };
+    scheduler.step(10 * SECOND, done);
+    for ticket in 2..=6 {
+        scheduler.step(10 * SECOND, Event::Arrive(arrival(ticket, 0, 1_000)));
+    }
+    let hopeless = Arrival {
+        deadline: 40 * SECOND,
+        ..arrival(7, 0, 1_000)
+    };
+    let actions = scheduler.step(10 * SECOND, Event::Arrive(hopeless));
+    let shed = Action::Shed {
+        ticket: Ticket(7),
+        reason: Reason::Late,
+        retry_after: 40 * SECOND,
+    };
+    assert_eq!(actions, [shed]);
+}
+
+#[test]
+fn waiting_request_is_shed_as_soon_as_it_is_too_late() {
+    let mut scheduler = Scheduler::new(Options::default());
+    let urgent = Arrival {
+        deadline: 5 * SECOND,
+        ..arrival(1, 0, 1_000)
+    };
+    assert!(scheduler.step(SECOND, Event::Arrive(urgent)).is_empty());
+    assert_eq!(scheduler.wake(), Some(5 * SECOND));
+    let actions = scheduler.step(6 * SECOND, Event::Tick);
+    assert!(matches!(
+        actions[..],
+        [Action::Shed {
+            reason: Reason::Late,
+            ..
+        }]
+    ));
+}
+
+#[test]
+fn full_queue_pushes_out_the_customer_that_has_the_most_for_its_weight() {
+    let options = Options {
+        waiting: 10,
+        ..Options::default()
+    };
+    let mut scheduler = Scheduler::new(options);
+    for ticket in 1..=10 {
+        scheduler.step(SECOND, Event::Arrive(arrival(ticket, 0, 500)));
+    }
+    let actions = scheduler.step(SECOND, Event::Arrive(arrival(11, 1, 500)));
+    assert!(matches!(
+        actions[..],
+        [Action::Shed {
+            ticket: Ticket(10),
+            reason: Reason::Full,
+            ..
+        }]
+    ));
+}
+
+#[test]
+fn host_has_its_equal_part_and_borrows_only_what_is_free() {
+    let engines = |outstanding| Engines {
+        slots: 32.0,
+        outstanding,
+    };
+    assert_eq!(part(engines(0.0), 0, 4), 8);
+    assert_eq!(part(engines(8.0), 8, 4), 14);
+    assert_eq!(part(engines(32.0), 20, 4), 8);
+    assert_eq!(part(engines(50.0), 0, 4), 8);
+}
