--- /dev/null
+++ b/src/bin/greengagecleat/serve.rs
@@ -0,0 +1,74 @@
+//! `greengagecleat serve`: a host until SIGTERM, then a drain.
+
+use {
+    crate::{USAGE, arguments::Serve, log, setting},
+    greengagecleat::{clock::Monotonic, entry::Entry},
+    std::process::ExitCode,
+    tokio::signal::unix::{Signal, SignalKind, signal},
+};
+
+/// Exit status after a second SIGTERM or after the drain limit.
+const CUT: u8 = 3;
+
+/// Runs the host and returns the process's exit status.
+pub(crate) fn run(flags: &Serve) -> ExitCode {
+    let (settings, logging) = match setting::settings(flags).and_then(|settings| {
+        let logging = setting::log(flags)?;
+        Ok((settings, logging))
+    }) {
+        Ok(both) => both,
+        Err(error) => {
+            eprintln!("greengagecleat: {error}");
+            return ExitCode::from(USAGE);
+        }
+    };
+    log::start(logging);
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("greengagecleat: starting the runtime: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    runtime.block_on(async {
+        let entry = match Entry::start(settings, Monotonic::new()).await {
+            Ok(entry) => entry,
+            Err(error) => {
+                eprintln!("greengagecleat: {error}");
+                return ExitCode::FAILURE;
+            }
+        };
+        until_drained(entry).await
+    })
+}
+
+async fn until_drained(entry: Entry<Monotonic>) -> ExitCode {
+    let (mut terminate, mut interrupt) = match signals() {
+        Ok(both) => both,
+        Err(error) => {
+            eprintln!("greengagecleat: listening for signals: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    let cut = tokio::select! {
+        cut = entry.drain() => cut,
+        _ = terminate.recv() => entry.running(),
+        _ = interrupt.recv() => entry.running(),
+    };
+    if cut == 0 {
+        tracing::info!("drained");
+        return ExitCode::SUCCESS;
+    }
+    tracing::error!(cut, "ended with running work cut");
+    ExitCode::from(CUT)
+}
+
+fn signals() -> std::io::Result<(Signal, Signal)> {
+    let terminate = signal(SignalKind::terminate())?;
+    let interrupt = signal(SignalKind::interrupt())?;
+    Ok((terminate, interrupt))
+}
--- /dev/null
+++ b/src/bin/greengagecleat/setting.rs
@@ -0,0 +1,183 @@
+//! Settings from flags and the environment, checked; a flag wins.
+
+use {
+    crate::arguments::Serve,
+    greengagecleat::{Error, Result, name, settings::Settings},
+    std::{env, net::SocketAddr, str::FromStr, time::Duration},
+};
+
+/// Longest name of a host, region or failure domain, in bytes.
+const NAME_LIMIT: usize = 64;
+/// Smallest and largest body limit, in bytes.
+const BODY_LIMIT: std::ops::RangeInclusive<usize> = 1024..=64 * 1024 * 1024;
+/// Longest drain, in seconds.
+const DRAIN_LIMIT_SECONDS: f64 = 86_400.0;
+
+/// How the daemon logs.
+#[derive(Debug)]
+pub(crate) struct Log {
+    pub(crate) json: bool,
+    pub(crate) filter: tracing_subscriber::EnvFilter,
+}
+
+/// One setting: its flag's value, its flag and its environment variable.
+struct Setting {
+    flag: &'static str,
+    variable: &'static str,
+    given: Option<String>,
+}
+
+impl Setting {
+    /// The value and where it came from.
+    fn value(&self) -> Option<(String, &'static str)> {
+        if let Some(value) = &self.given {
+            return Some((value.clone(), self.flag));
+        }
+        let value = env::var(self.variable).ok()?;
+        Some((value, self.variable))
+    }
+
+    fn wrong(&self, origin: &'static str, reason: impl Into<String>) -> Error {
+        Error::Setting {
+            setting: self.flag,
+            origin,
+            reason: reason.into(),
+        }
+    }
+
+    /// The value read as `T`, or nothing if it is absent.
+    fn parse<T: FromStr>(&self, wanted: &str) -> Result<Option<T>> {
+        let Some((text, origin)) = self.value() else {
+            return Ok(None);
+        };
+        match text.parse() {
+            Ok(value) => Ok(Some(value)),
+            Err(_) => Err(self.wrong(origin, format!("{text:?} is not {wanted}"))),
+        }
+    }
+
+    fn required<T>(&self, value: Option<T>) -> Result<T> {
+        value.ok_or_else(|| {
+            let reason = format!("missing: give {} or set {}", self.flag, self.variable);
+            self.wrong("nowhere", reason)
+        })
+    }
+
+    /// A name: letters, digits, dots, dashes and underscores.
+    fn name(&self) -> Result<String> {
+        let (text, origin) = self.required(self.value())?;
+        let fits = !text.is_empty()
+            && text.len() <= NAME_LIMIT
+            && text
+                .chars()
+                .all(|c| c.is_ascii_alphanumeric() || "._-".contains(c));
+        if !fits {
+            let reason =
+                format!("{text:?} is not 1 to {NAME_LIMIT} letters, digits, '.', '-' or '_'");
+            return Err(self.wrong(origin, reason));
+        }
+        Ok(text)
+    }
+
+    fn address(&self) -> Result<Option<SocketAddr>> {
+        self.parse("an IP address with a port, such as 127.0.0.1:8080")
+    }
+
+    fn seconds(&self, default: Duration) -> Result<Duration> {
+        let Some(seconds) = self.parse::<f64>("a number of seconds")? else {
+            return Ok(default);
+        };
+        if !(0.0..=DRAIN_LIMIT_SECONDS).contains(&seconds) {
+            let origin = self.value().map_or(self.flag, |(_, origin)| origin);
+            return Err(self.wrong(
+                origin,
+                format!("{seconds} is not within 0 to {DRAIN_LIMIT_SECONDS} s"),
+            ));
+        }
+        Ok(Duration::from_secs_f64(seconds))
+    }
+}
+
+macro_rules! setting {
+    ($flags:ident . $field:ident, $flag:literal, $variable:literal) => {
+        Setting {
+            flag: $flag,
+            variable: concat!("GREENGAGECLEAT_", $variable),
+            given: $flags.$field.clone(),
+        }
+    };
+}
+
+/// The settings of a host.
+pub(crate) fn settings(flags: &Serve) -> Result<Settings> {
+    let listen = setting!(flags.listen, "--listen", "LISTEN");
+    let peer_listen = setting!(flags.peer_listen, "--peer-listen", "PEER_LISTEN");
+    let admin_listen = setting!(flags.admin_listen, "--admin-listen", "ADMIN_LISTEN");
+    let platform = setting!(flags.platform, "--platform", "PLATFORM");
+    let settings = Settings {
+        name: name::Host::from(setting!(flags.name, "--name", "NAME").name()?),
+        region: name::Region::from(setting!(flags.region, "--region", "REGION").name()?),
+        domain: name::Domain::from(setting!(flags.domain, "--domain", "DOMAIN").name()?),
+        listen: listen.required(listen.address()?)?,
+        peer_listen: peer_listen.required(peer_listen.address()?)?,
+        advertise: setting!(flags.advertise, "--advertise", "ADVERTISE").address()?,
+        peer_advertise: setting!(flags.peer_advertise, "--peer-advertise", "PEER_ADVERTISE")
+            .address()?,
+        admin_listen: admin_listen.required(admin_listen.address()?)?,
+        platform: platform.required(platform.address()?)?,
+        peer_secret: peer_secret(flags)?,
+        drain_limit: setting!(flags.drain_limit, "--drain-limit", "DRAIN_LIMIT")
+            .seconds(Duration::from_secs(120))?,
+        drain_grace: setting!(flags.drain_grace, "--drain-grace", "DRAIN_GRACE")
+            .seconds(Duration::from_secs(3))?,
+        body_limit: body_limit(flags)?,
+    };
+    Ok(settings)
+}
+
+fn peer_secret(flags: &Serve) -> Result<String> {
+    let setting = setting!(flags.peer_secret, "--peer-secret", "PEER_SECRET");
+    let Some((secret, origin)) = setting.value() else {
+        return Ok(String::new());
+    };
+    if !secret.chars().all(|c| c.is_ascii_graphic()) {
+        return Err(setting.wrong(origin, "must be printable ASCII without spaces"));
+    }
+    Ok(secret)
+}
+
+fn body_limit(flags: &Serve) -> Result<usize> {
+    let setting = setting!(flags.body_limit, "--body-limit", "BODY_LIMIT");
+    let Some(limit) = setting.parse::<usize>("a number of bytes")? else {
+        return Ok(4 * 1024 * 1024);
+    };
+    if !BODY_LIMIT.contains(&limit) {
+        let origin = setting.value().map_or(setting.flag, |(_, origin)| origin);
+        let reason = format!(
+            "{limit} is not within {} to {} bytes",
+            BODY_LIMIT.start(),
+            BODY_LIMIT.end()
+        );
+        return Err(setting.wrong(origin, reason));
+    }
+    Ok(limit)
+}
+
+/// How the daemon logs.
+pub(crate) fn log(flags: &Serve) -> Result<Log> {
+    let format = setting!(flags.log_format, "--log-format", "LOG_FORMAT");
+    let json = match format.value() {
+        None => false,
+        Some((text, _)) if text == "human" => false,
+        Some((text, _)) if text == "json" => true,
+        Some((text, origin)) => {
+            return Err(format.wrong(origin, format!("{text:?} is neither human nor json")));
+        }
+    };
+    let filter = setting!(flags.log_filter, "--log-filter", "LOG_FILTER");
+    let (text, origin) = filter.value().unwrap_or(("info".into(), filter.flag));
+    let filter = text
+        .parse()
+        .map_err(|_| filter.wrong(origin, format!("{text:?} is no log filter, such as info")))?;
+    Ok(Log { json, filter })
+}
--- /dev/null
+++ b/src/bin/greengagecleat/status.rs
@@ -0,0 +1,107 @@
+//! `greengagecleat status`: a host's view as a table.
+
+use {
+    crate::{USAGE, arguments::Status},
+    bytes::Bytes,
+    greengagecleat::upstream::Client,
+    http::Request,
+    http_body_util::Full,
+    serde_json::Value,
+    std::{net::SocketAddr, process::ExitCode, time::Duration},
+    tokio::time::timeout,
+};
+
+/// Longest time to wait for the host.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Asks the host and prints its view.
+pub(crate) fn run(flags: &Status) -> ExitCode {
+    let Ok(address) = flags.address.parse::<SocketAddr>() else {
+        eprintln!(
+            "greengagecleat: {:?} is not an IP address with a port",
+            flags.address
+        );
+        return ExitCode::from(USAGE);
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("greengagecleat: starting the runtime: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(timeout(ANSWER_TIMEOUT, ask(address))) {
+        Ok(Ok(status)) => {
+            print(&status);
+            ExitCode::SUCCESS
+        }
+        Ok(Err(error)) => {
+            eprintln!("greengagecleat: asking {address}: {error}");
+            ExitCode::FAILURE
+        }
+        Err(_) => {
+            eprintln!("greengagecleat: asking {address}: timed out");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn ask(address: SocketAddr) -> Result<Value, Box<dyn std::error::Error>> {
+    let request = Request::get("/status")
+        .header("host", address.to_string())
+        .body(Full::new(Bytes::new()))?;
+    let mut body = Client::new()
+        .send(address, request, true)
+        .await?
+        .into_body();
+    let mut bytes = Vec::new();
+    while let Some(piece) = body.next().await? {
+        bytes.extend_from_slice(&piece);
+    }
+    Ok(serde_json::from_slice(&bytes)?)
+}
+
+/// Prints scalars as `name value` and lists of objects as tables.
+fn print(status: &Value) {
+    let Some(fields) = status.as_object() else {
+        return println!("{status}");
+    };
+    for (name, value) in fields {
+        match value {
+            Value::Array(rows) => rows_of(name, rows),
+            Value::Object(inner) => {
+                println!("{name}");
+                inner
+                    .iter()
+                    .for_each(|(name, value)| println!("  {name:<14}{}", plain(value)));
+            }
+            _ => println!("{name:<16}{}", plain(value)),
+        }
+    }
+}
+
+fn rows_of(name: &str, rows: &[Value]) {
+    println!("{name}");
+    for row in rows {
+        let Some(row) = row.as_object() else {
+            println!("  {}", plain(row));
+            continue;
+        };
+        let cells: Vec<_> = row
+            .values()
+            .map(|value| format!("{:<22}", plain(value)))
+            .collect();
+        println!("  {}", cells.join(" ").trim_end());
+    }
+}
+
+fn plain(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        Value::Null => "-".into(),
+        _ => value.to_string(),
+    }
+}
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,211 @@
+//! An entry host: the services of one process, wired together.
+
+mod admin;
+mod documents;
+mod listing;
+
+use {
+    crate::{
+        Error, Result,
+        clock::Clock,
+        gateway::{Gateway, Parts},
+        kernel::Kernel,
+        link::{self, Identity, Mailboxes, Peers, exchange},
+        listen,
+        metric::Metrics,
+        platform::http::Platform,
+        settings::Settings,
+        upstream,
+    },
+    std::{
+        net::SocketAddr,
+        sync::{Arc, Mutex, PoisonError},
+        time::Duration,
+    },
+    tokio::{
+        net::TcpListener,
+        sync::watch,
+        time::{Instant, sleep, timeout_at},
+    },
+};
+
+/// Largest message on an exchange connection: a body with room for the rest of the call.
+const EXCHANGE_ROOM: usize = 64 * 1024;
+/// How often a draining host looks whether its work has ended.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+/// Where a host is in its life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Phase {
+    /// It serves.
+    Running,
+    /// It still serves, and tells callers and peers to go elsewhere.
+    Leaving,
+    /// It takes no new call and ends the running ones.
+    Closed,
+}
+
+/// A running entry host.
+#[derive(Debug)]
+pub struct Entry<C: Clock> {
+    settings: Settings,
+    addresses: Addresses,
+    phase: watch::Sender<Phase>,
+    stop: Mutex<Option<watch::Sender<()>>>,
+    metrics: Metrics,
+    gateway: Gateway<C>,
+    kernel: Mutex<Option<Kernel>>,
+}
+
+/// The addresses that a host is bound to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Addresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For other hosts.
+    pub peers: SocketAddr,
+    /// For operators.
+    pub admin: SocketAddr,
+}
+
+impl<C: Clock> Entry<C> {
+    /// Binds the addresses and starts every service.
+    pub async fn start(settings: Settings, clock: C) -> Result<Self> {
+        let callers = bind("callers' address", settings.listen).await?;
+        let peers = bind("peers' address", settings.peer_listen).await?;
+        let admin = bind("admin address", settings.admin_listen).await?;
+        let addresses = Addresses {
+            callers: local("callers' address", &callers)?,
+            peers: local("peers' address", &peers)?,
+            admin: local("admin address", &admin)?,
+        };
+        let metrics = Metrics::new();
+        let (stop, stopped) = watch::channel(());
+        let (phase, phases) = watch::channel(Phase::Running);
+        let mut kernel = Kernel::new();
+
+        let platform = Platform::new(settings.platform);
+        let book = Peers::default();
+        let documents = documents::start(&mut kernel, platform.clone(), stopped.clone());
+        let listing = listing::start(
+            &mut kernel,
+            platform,
+            book.clone(),
+            &settings,
+            stopped.clone(),
+        );
+
+        let identity = Identity {
+            host: settings.name.clone(),
+            secret: Arc::from(settings.peer_secret.as_str()),
+            message_limit: settings.body_limit + EXCHANGE_ROOM,
+        };
+        let link = link::Handle::new(identity.clone(), book.clone());
+        kernel.publish("link", link.clone());
+        let gateway = Gateway::new(Parts {
+            settings: settings.clone(),
+            clock: clock.clone(),
+            config: documents.snapshot.clone(),
+            listing: listing.clone(),
+            phase: phases.clone(),
+            upstreams: upstream::Client::new(),
+            exchanges: exchange::Client::new(identity.clone()),
+            peers: book,
+            metrics: metrics.clone(),
+        });
+        kernel.spawn(
+            "link",
+            link::serve(
+                peers,
+                identity,
+                Mailboxes::default(),
+                link,
+                clock,
+                gateway.clone(),
+                stopped.clone(),
+            ),
+        );
+        let view = admin::View {
+            settings: settings.clone(),
+            metrics: metrics.clone(),
+            phase: phases,
+            documents,
+            listing,
+        };
+        kernel.spawn(
+            "admin",
+            listen::serve(admin, view.router(), stopped.clone()),
+        );
+        kernel.spawn("gateway", listen::serve(callers, gateway.router(), stopped));
+        tracing::info!(host = %settings.name, callers = %addresses.callers, peers = %addresses.peers, admin = %addresses.admin, "host started");
+        Ok(Self {
+            settings,
+            addresses,
+            phase,
+            stop: Mutex::new(Some(stop)),
+            metrics,
+            gateway,
+            kernel: Mutex::new(Some(kernel)),
+        })
+    }
+
+    /// The addresses that the host is bound to.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// The gateway, for embedders that serve requests without a socket.
+    pub fn gateway(&self) -> &Gateway<C> {
+        &self.gateway
+    }
+
+    /// Calls that run now.
+    pub fn running(&self) -> usize {
+        usize::try_from(self.metrics.running.get()).unwrap_or(0)
+    }
+
+    /// Leaves: tells everyone, serves on for the grace time, then takes no new call and waits for
+    /// the running ones, up to the drain limit. Returns how many were cut.
+    pub async fn drain(&self) -> usize {
+        let limit = Instant::now() + self.settings.drain_limit;
+        tracing::info!(running = self.running(), "draining");
+        self.phase.send_replace(Phase::Leaving);
+        sleep(self.settings.drain_grace).await;
+        self.phase.send_replace(Phase::Closed);
+        while self.running() > 0 && Instant::now() < limit {
+            sleep(DRAIN_POLL).await;
+        }
+        self.stop
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .take();
+        let kernel = self
+            .kernel
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .take();
+        if let Some(kernel) = kernel {
+            timeout_at(limit, kernel.join()).await.ok();
+        }
+        self.running()
+    }
+}
+
+async fn bind(step: &'static str, address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|source| Error::Io {
+            step,
+            peer: address.to_string(),
+            source,
+        })
+}
+
+fn local(step: &'static str, listener: &TcpListener) -> Result<SocketAddr> {
+    listener.local_addr().map_err(|source| Error::Io {
+        step,
+        peer: "the listener".into(),
+        source,
+    })
+}
--- /dev/null
+++ b/src/gateway/call.rs
@@ -0,0 +1,90 @@
+//! One call on its way through this host.
+
+use {
+    super::model::Ask,
+    crate::{
+        config::{
+            Snapshot,
+            table::{Customer, Kind, Route},
+        },
+        failure::{Code, Failure},
+        key, name, wire,
+    },
+    bytes::Bytes,
+    std::{collections::BTreeSet, sync::Arc, time::Duration},
+};
+
+/// A call that has been authenticated and routed.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// The request id.
+    pub request: String,
+    /// The configuration under which it was taken.
+    pub snapshot: Arc<Snapshot>,
+    /// The route that serves it.
+    pub route: name::Route,
+    /// Whose key came with it.
+    pub customer: Option<name::Customer>,
+    /// Digest of that key.
+    pub digest: Option<key::Digest>,
+    /// Method for the upstream.
+    pub method: http::Method,
+    /// Path and query for the upstream.
+    pub target: String,
+    /// Headers for the upstream.
+    pub headers: Vec<wire::Header>,
+    /// Body for the upstream.
+    pub body: Bytes,
+    /// What a model call asks for.
+    pub ask: Option<Ask>,
+    /// When its answer must have ended, on this host's clock.
+    pub deadline: Duration,
+    /// Regions visited before this host's.
+    pub visited: Vec<name::Region>,
+    /// Hosts visited before this one.
+    pub hosts: Vec<name::Host>,
+    /// How often it may still be forwarded.
+    pub hops: u8,
+}
+
+impl Call {
+    /// The row of the routes table.
+    pub fn route(&self) -> Result<&Route, Failure> {
+        self.snapshot
+            .routes
+            .get(&self.route)
+            .ok_or_else(|| Failure::not_run(Code::RouteUnknown, "the route is not in the table"))
+    }
+
+    /// The customer's row.
+    pub fn customer(&self) -> Option<&Customer> {
+        self.snapshot.customers.get(self.customer.as_ref()?)
+    }
+
+    /// The regions in which it may be served; empty for all.
+    pub fn residency(&self) -> BTreeSet<name::Region> {
+        self.customer()
+            .map(|customer| customer.residency.clone())
+            .unwrap_or_default()
+    }
+
+    /// Whether it may be sent again when it is not known to have run.
+    pub fn repeatable(&self) -> bool {
+        self.route()
+            .is_ok_and(|route| route.kind == Kind::Model || route.idempotent)
+    }
+
+    /// Whether its answer is a stream of events.
+    pub fn streams(&self) -> bool {
+        self.ask.as_ref().is_some_and(|ask| ask.stream)
+    }
+
+    /// Whether the key that came with it is still its customer's in `snapshot`.
+    pub fn key_holds(&self, snapshot: &Snapshot) -> bool {
+        let Some(digest) = &self.digest else {
+            return true;
+        };
+        let owner = snapshot.customer(digest).map(|row| &row.name);
+        owner == self.customer.as_ref()
+    }
+}
--- /dev/null
+++ b/src/gateway/inbound.rs
@@ -0,0 +1,218 @@
+//! From a caller's HTTP request to a call: body, key, route.
+
+use {
+    super::{Call, Gateway, headers, model},
+    crate::{
+        clock::Clock,
+        config::{
+            Snapshot,
+            table::{Customer, Kind, Route},
+        },
+        entry::Phase,
+        failure::{Code, Failure},
+        key::Digest,
+    },
+    bytes::Bytes,
+    http::{HeaderMap, Uri, header},
+    http_body_util::BodyExt,
+    std::{sync::Arc, time::Duration},
+    tokio::time::timeout,
+    viz::{Body, Request},
+};
+
+/// Longest pause between two pieces of a request's body.
+const BODY_PAUSE: Duration = Duration::from_secs(10);
+/// How often a call may be forwarded.
+const HOPS: u8 = 2;
+/// When to come back to a host that has no configuration yet or is closing.
+const NOT_READY_RETRY: Duration = Duration::from_secs(1);
+/// The paths of model calls.
+const MODEL_PATHS: [&str; 2] = ["/v1/chat/completions", "/v1/completions"];
+
+/// The key that came with a request, and whose it is.
+struct Caller<'a> {
+    key: Option<&'a str>,
+    digest: Option<Digest>,
+    customer: Option<&'a Customer>,
+}
+
+impl<C: Clock> Gateway<C> {
+    /// The configuration in force.
+    pub(super) fn snapshot(&self) -> Result<Arc<Snapshot>, Failure> {
+        if *self.parts().phase.borrow() == Phase::Closed {
+            let message = "this host is shutting down: ask /v1/hosts of another";
+            return Err(Failure::not_run(Code::NotReady, message).retry_after(NOT_READY_RETRY));
+        }
+        let snapshot = self.parts().config.borrow().clone();
+        snapshot.ok_or_else(|| {
+            Failure::not_run(Code::NotReady, "this host has no configuration yet")
+                .retry_after(NOT_READY_RETRY)
+        })
+    }
+
+    /// Reads, authenticates and routes a request.
+    pub(super) async fn inbound(&self, id: &str, request: Request) -> Result<Call, Failure> {
+        let arrived = self.parts().clock.now();
+        let snapshot = self.snapshot()?;
+        let (head, body) = request.into_parts();
+        let caller = caller(&snapshot, &head.headers);
+        let is_model = MODEL_PATHS.contains(&head.uri.path());
+        if !is_model {
+            let route = plain_route(&snapshot, &head.uri)?;
+            permit(route, &caller)?;
+        } else if caller.customer.is_none() && !snapshot.routes.values().any(|row| row.open) {
+            return Err(unknown_key());
+        }
+        let body = self.body(body).await?;
+        let ask = is_model.then(|| model::parse(&body)).transpose()?;
+        let route = match &ask {
+            Some(ask) => model_route(&snapshot, &ask.model, &caller)?,
+            None => plain_route(&snapshot, &head.uri)?,
+        };
+        permit(route, &caller)?;
+        keep_key_in(&caller, &head.uri, &body)?;
+        let customer = if caller.customer.is_some_and(|row| may_use(route, row)) {
+            caller.customer
+        } else {
+            None
+        };
+        Ok(Call {
+            request: id.into(),
+            route: route.name.clone(),
+            customer: customer.map(|row| row.name.clone()),
+            digest: customer.and(caller.digest),
+            method: head.method,
+            target: target(&head.uri),
+            headers: headers::to_upstream(&head.headers, caller.key),
+            body: ask.as_ref().map_or(body, |ask| ask.body.clone()),
+            ask,
+            deadline: arrived + Duration::from_millis(route.deadline_ms),
+            visited: Vec::new(),
+            hosts: Vec::new(),
+            hops: HOPS,
+            snapshot: snapshot.clone(),
+        })
+    }
+
+    /// The whole body, within the limit and without long pauses.
+    async fn body(&self, mut body: Body) -> Result<Bytes, Failure> {
+        let limit = self.parts().settings.body_limit;
+        let mut whole = Vec::new();
+        loop {
+            let frame = timeout(BODY_PAUSE, body.frame())
+                .await
+                .map_err(|_| Failure::not_run(Code::BodyIncomplete, "the body stopped half way"))?;
+            let Some(frame) = frame else {
+                return Ok(whole.into());
+            };
+            let frame = frame.map_err(|error| {
+                Failure::not_run(Code::BodyIncomplete, format!("the body broke off: {error}"))
+            })?;
+            let Ok(piece) = frame.into_data() else {
+                continue;
+            };
+            if whole.len() + piece.len() > limit {
+                let message = format!("the body is larger than {limit} bytes");
+                return Err(Failure::not_run(Code::BodyTooLarge, message));
+            }
+            whole.extend_from_slice(&piece);
+        }
+    }
+
+    /// The models that the caller of a request may use, in the OpenAI-compatible form.
+    pub(super) fn models(&self, headers: &HeaderMap) -> Result<serde_json::Value, Failure> {
+        let snapshot = self.snapshot()?;
+        let caller = caller(&snapshot, headers);
+        let rows: Vec<_> = snapshot
+            .routes
+            .values()
+            .filter(|route| permit(route, &caller).is_ok())
+            .filter_map(|route| route.model.as_ref())
+            .map(|model| serde_json::json!({"id": model, "object": "model", "created": 0, "owned_by": "greengagecleat"}))
+            .collect();
+        if rows.is_empty() && caller.customer.is_none() {
+            return Err(unknown_key());
+        }
+        Ok(serde_json::json!({"object": "list", "data": rows}))
+    }
+}
+
+/// Who sent a request with these headers.
+fn caller<'a>(snapshot: &'a Snapshot, headers: &'a HeaderMap) -> Caller<'a> {
+    let key = headers
+        .get(header::AUTHORIZATION)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.split_once(' '))
+        .filter(|(scheme, _)| scheme.eq_ignore_ascii_case("bearer"))
+        .map(|(_, key)| key.trim());
+    let digest = key.map(|key| Digest::of(key.as_bytes()));
+    Caller {
+        key,
+        digest,
+        customer: digest.and_then(|digest| snapshot.customer(&digest)),
+    }
+}
+
+fn model_route<'a>(
+    snapshot: &'a Snapshot,
+    model: &str,
+    caller: &Caller<'_>,
+) -> Result<&'a Route, Failure> {
+    let Some(route) = snapshot.model_route(model) else {
+        // Without a key a caller is not told which models exist.
+        if caller.customer.is_none() {
+            return Err(unknown_key());
+        }
+        let message = "no route serves this model: see GET /v1/models";
+        return Err(Failure::not_run(Code::RouteUnknown, message));
+    };
+    Ok(route)
+}
+
+fn plain_route<'a>(snapshot: &'a Snapshot, uri: &Uri) -> Result<&'a Route, Failure> {
+    snapshot
+        .plain_route(uri.path())
+        .filter(|route| route.kind == Kind::Plain)
+        .ok_or_else(|| Failure::not_run(Code::RouteUnknown, "no route has this path"))
+}
+
+/// Whether the caller may use the route.
+fn permit(route: &Route, caller: &Caller<'_>) -> Result<(), Failure> {
+    if route.open {
+        return Ok(());
+    }
+    let customer = caller.customer.ok_or_else(unknown_key)?;
+    if may_use(route, customer) {
+        return Ok(());
+    }
+    let message = "this route is not for your customer";
+    Err(Failure::not_run(Code::RouteForbidden, message))
+}
+
+fn may_use(route: &Route, customer: &Customer) -> bool {
+    route.customers.is_empty() || route.customers.contains(&customer.name)
+}
+
+/// Refuses a request whose path, query or body holds the key, since those go to the upstream.
+fn keep_key_in(caller: &Caller<'_>, uri: &Uri, body: &[u8]) -> Result<(), Failure> {
+    let Some(key) = caller.key.filter(|_| caller.customer.is_some()) else {
+        return Ok(());
+    };
+    if headers::holds(target(uri).as_bytes(), key.as_bytes())
+        || headers::holds(body, key.as_bytes())
+    {
+        let message = "the key stands in the path, the query or the body: send it in the Authorization header only";
+        return Err(Failure::not_run(Code::BadRequest, message));
+    }
+    Ok(())
+}
+
+fn target(uri: &Uri) -> String {
+    uri.path_and_query()
+        .map_or_else(|| "/".into(), |target| target.as_str().into())
+}
+
+fn unknown_key() -> Failure {
+    let message = "no key, or one that is not known: send Authorization: Bearer KEY";
+    Failure::not_run(Code::KeyUnknown, message)
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,105 @@
+//! The way of a request: authenticate, route, choose, send or forward, relay.
+
+mod call;
+mod forward;
+mod headers;
+mod inbound;
+mod model;
+mod pick;
+mod relay;
+mod reply;
+
+pub use {call::Call, model::Ask, relay::Flow};
+
+use {
+    crate::{
+        clock::Clock,
+        config::Snapshot,
+        entry::Phase,
+        failure::Failure,
+        link::{Peers, exchange},
+        metric::{Failed, Metrics},
+        platform::Listing,
+        settings::Settings,
+        upstream,
+    },
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::SystemTime,
+    },
+    tokio::sync::watch,
+};
+
+/// Serves callers and other hosts.
+#[derive(Debug, Clone)]
+pub struct Gateway<C>(Arc<Shared<C>>);
+
+/// What the gateway uses: the handles of the services it found at start-up.
+#[derive(Debug)]
+pub struct Parts<C> {
+    /// This host's settings.
+    pub settings: Settings,
+    /// The time.
+    pub clock: C,
+    /// The configuration in force; `None` until there is one.
+    pub config: watch::Receiver<Option<Arc<Snapshot>>>,
+    /// The host list.
+    pub listing: watch::Receiver<Arc<Listing>>,
+    /// Whether this host is draining.
+    pub phase: watch::Receiver<Phase>,
+    /// Calls to upstreams.
+    pub upstreams: upstream::Client,
+    /// Calls forwarded to other hosts.
+    pub exchanges: exchange::Client,
+    /// Where peers are reached.
+    pub peers: Peers,
+    /// Counters.
+    pub metrics: Metrics,
+}
+
+#[derive(Debug)]
+struct Shared<C> {
+    parts: Parts<C>,
+    balance: pick::Balance,
+    boot: u64,
+    sequence: AtomicU64,
+}
+
+impl<C: Clock> Gateway<C> {
+    /// A gateway over these parts.
+    pub fn new(parts: Parts<C>) -> Self {
+        let boot = parts
+            .clock
+            .wall()
+            .duration_since(SystemTime::UNIX_EPOCH)
+            .map_or(0, |since| since.as_millis() as u64);
+        Self(Arc::new(Shared {
+            parts,
+            balance: pick::Balance::default(),
+            boot,
+            sequence: AtomicU64::new(0),
+        }))
+    }
+
+    fn parts(&self) -> &Parts<C> {
+        &self.0.parts
+    }
+
+    /// A request id, unique over hosts and restarts.
+    fn request_id(&self) -> String {
+        let sequence = self.0.sequence.fetch_add(1, Ordering::Relaxed);
+        format!(
+            "{}-{:x}-{sequence:x}",
+            self.parts().settings.name,
+            self.0.boot
+        )
+    }
+
+    fn count_failure(&self, failure: &Failure) {
+        let label = Failed { code: failure.code };
+        self.parts().metrics.failed.get_or_create(&label).inc();
+    }
+}
--- /dev/null
+++ b/src/gateway/model.rs
@@ -0,0 +1,121 @@
+//! The body of a chat or completions call, as far as the gateway must know it.
+
+use {
+    crate::failure::{Code, Failure},
+    bytes::Bytes,
+    serde_json::{Map, Value},
+    sha2::{Digest, Sha256},
+};
+
+/// Tokens of the answer where the caller sets no bound.
+const ANSWER_DEFAULT: u64 = 1024;
+/// Largest bound of an answer, in tokens.
+const ANSWER_LIMIT: u64 = 1 << 20;
+/// Bytes of the prompt whose hash stands for its shared prefix.
+const PREFIX_BYTES: usize = 256;
+
+/// What a model call asks for.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Ask {
+    /// The model.
+    pub model: String,
+    /// Whether the answer is a stream of events.
+    pub stream: bool,
+    /// Most tokens that the prompt can be: one for each byte of its text.
+    pub prompt_tokens: u64,
+    /// Most tokens of the answer.
+    pub answer_tokens: u64,
+    /// Hash of the beginning of the prompt.
+    pub prefix: u64,
+    /// The body for the upstream, with the bound of the answer in it.
+    pub body: Bytes,
+}
+
+/// Reads the body of a chat or completions call.
+pub(crate) fn parse(body: &Bytes) -> Result<Ask, Failure> {
+    let value: Value = serde_json::from_slice(body)
+        .map_err(|error| invalid(format!("the body is not JSON: {error}")))?;
+    let Value::Object(mut object) = value else {
+        return Err(invalid("the body is not a JSON object"));
+    };
+    let model = object
+        .get("model")
+        .and_then(Value::as_str)
+        .ok_or_else(|| invalid("the body names no model"))?
+        .to_owned();
+    let prompt = prompt(&object)?;
+    let stream = flag(&object, "stream")?;
+    let bound = bound(&object)?;
+    let body = match bound {
+        Some(_) => body.clone(),
+        None => {
+            object.insert("max_tokens".into(), ANSWER_DEFAULT.into());
+            serde_json::to_vec(&object)
+                .expect("a JSON object can be written")
+                .into()
+        }
+    };
+    let choices = object.get("n").and_then(Value::as_u64).unwrap_or(1).max(1);
+    Ok(Ask {
+        model,
+        stream,
+        prompt_tokens: prompt.len() as u64,
+        answer_tokens: bound.unwrap_or(ANSWER_DEFAULT).saturating_mul(choices),
+        prefix: prefix(&prompt),
+        body,
+    })
+}
+
+/// The text of the prompt or of all messages.
+fn prompt(object: &Map<String, Value>) -> Result<String, Failure> {
+    let source = object
+        .get("messages")
+        .or_else(|| object.get("prompt"))
+        .ok_or_else(|| invalid("the body has neither messages nor a prompt"))?;
+    let mut text = String::new();
+    gather(source, &mut text);
+    Ok(text)
+}
+
+/// Appends every string of a value, in order.
+fn gather(value: &Value, text: &mut String) {
+    match value {
+        Value::String(part) => text.push_str(part),
+        Value::Array(parts) => parts.iter().for_each(|part| gather(part, text)),
+        Value::Object(parts) => parts.values().for_each(|part| gather(part, text)),
+        Value::Null | Value::Bool(_) | Value::Number(_) => {}
+    }
+}
+
+fn flag(object: &Map<String, Value>, name: &str) -> Result<bool, Failure> {
+    match object.get(name) {
+        None | Some(Value::Null) => Ok(false),
+        Some(Value::Bool(flag)) => Ok(*flag),
+        Some(_) => Err(invalid(format!("{name} is neither true nor false"))),
+    }
+}
+
+/// The caller's bound on each choice of the answer, in tokens.
+fn bound(object: &Map<String, Value>) -> Result<Option<u64>, Failure> {
+    let names = ["max_completion_tokens", "max_tokens"];
+    let Some(value) = names.iter().find_map(|name| object.get(*name)) else {
+        return Ok(None);
+    };
+    match value.as_u64() {
+        Some(tokens) if (1..=ANSWER_LIMIT).contains(&tokens) => Ok(Some(tokens)),
+        _ => Err(invalid(format!(
+            "max_tokens is not within 1 to {ANSWER_LIMIT}"
+        ))),
+    }
+}
+
+fn prefix(prompt: &str) -> u64 {
+    let bytes = prompt.as_bytes();
+    let digest = Sha256::digest(&bytes[..bytes.len().min(PREFIX_BYTES)]);
+    let (first, _) = digest.split_at(size_of::<u64>());
+    u64::from_be_bytes(first.try_into().expect("a digest is longer than a number"))
+}
+
+fn invalid(message: impl Into<String>) -> Failure {
+    Failure::not_run(Code::BadRequest, message)
+}
--- /dev/null
+++ b/src/gateway/relay.rs
@@ -0,0 +1,115 @@
+//! An answer's body on its way to the caller or to the host that forwarded the call.
+
+use {
+    super::{Call, Gateway, pick::Outstanding},
+    crate::{
+        clock::Clock,
+        config::Snapshot,
+        failure::{Code, Failure, Ran},
+        link::exchange,
+        upstream,
+    },
+    bytes::Bytes,
+    std::{sync::Arc, time::Duration},
+    tokio::{sync::watch, time::timeout},
+};
+
+/// Longest pause between two pieces of a stream.
+const STREAM_PAUSE: Duration = Duration::from_secs(20);
+
+/// Where the body comes from.
+#[derive(Debug)]
+pub(super) enum Source {
+    Upstream(upstream::Body),
+    Peer(Box<exchange::Body>),
+}
+
+impl Source {
+    async fn next(&mut self) -> Result<Option<Bytes>, Failure> {
+        match self {
+            Self::Upstream(body) => body.next().await,
+            Self::Peer(body) => body.next().await,
+        }
+    }
+}
+
+/// A body being relayed. It is pulled piece by piece, so that a slow reader slows the upstream;
+/// dropping it cancels the work.
+#[derive(Debug)]
+pub struct Flow<C: Clock> {
+    gateway: Gateway<C>,
+    call: Call,
+    source: Source,
+    config: watch::Receiver<Option<Arc<Snapshot>>>,
+    _outstanding: Option<Outstanding>,
+}
+
+impl<C: Clock> Flow<C> {
+    pub(super) fn new(
+        gateway: &Gateway<C>,
+        call: Call,
+        source: Source,
+        outstanding: Option<Outstanding>,
+    ) -> Self {
+        gateway.parts().metrics.running.inc();
+        Self {
+            config: gateway.parts().config.clone(),
+            gateway: gateway.clone(),
+            call,
+            source,
+            _outstanding: outstanding,
+        }
+    }
+
+    /// The call that is answered.
+    pub fn call(&self) -> &Call {
+        &self.call
+    }
+
+    /// The next piece, or `None` at the end of a whole body. Ends with a failure at the deadline,
+    /// after a long pause, and when the key is withdrawn.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, Failure> {
+        let left = self
+            .gateway
+            .remaining(&self.call)
+            .map_err(|failure| Failure {
+                ran: Ran::Yes,
+                ..failure
+            })?;
+        let limit = left.min(STREAM_PAUSE);
+        tokio::select! {
+            biased;
+            failure = withdrawn(&mut self.config, &self.call) => Err(failure),
+            piece = timeout(limit, self.source.next()) => match piece {
+                Ok(piece) => piece,
+                Err(_) => {
+                    let message = "the upstream was silent for too long";
+                    Err(Failure::new(Code::UpstreamFailed, Ran::Unknown, message))
+                }
+            },
+        }
+    }
+}
+
+impl<C: Clock> Drop for Flow<C> {
+    fn drop(&mut self) {
+        self.gateway.parts().metrics.running.dec();
+    }
+}
+
+/// Waits until the call's key is withdrawn.
+async fn withdrawn(config: &mut watch::Receiver<Option<Arc<Snapshot>>>, call: &Call) -> Failure {
+    loop {
+        let holds = match &*config.borrow_and_update() {
+            Some(snapshot) => call.key_holds(snapshot),
+            None => true,
+        };
+        if !holds {
+            let message = "the key was withdrawn while the work ran";
+            return Failure::new(Code::KeyWithdrawn, Ran::Yes, message);
+        }
+        if config.changed().await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/reply.rs
@@ -0,0 +1,182 @@
+//! From an answer or a failure to the HTTP response that the caller reads.
+
+use {
+    super::{Flow, Gateway, headers},
+    crate::{clock::Clock, failure::Failure, link::exchange::Head, metric::Answered},
+    bytes::Bytes,
+    futures::stream,
+    http::{HeaderValue, StatusCode, header},
+    std::{convert::Infallible, io},
+    viz::{Body, IntoResponse, Request, Response, Router},
+};
+
+/// The longest answer to `GET /v1/hosts` holds, in seconds.
+const HOSTS_HOLD_SECONDS: u64 = 10;
+
+impl<C: Clock> Gateway<C> {
+    /// The callers' HTTP surface.
+    pub fn router(&self) -> Router {
+        let calls = self.clone();
+        let models = self.clone();
+        let hosts = self.clone();
+        Router::new()
+            .get("/v1/models", move |request: Request| {
+                let gateway = models.clone();
+                async move { Ok::<_, viz::Error>(gateway.models_reply(&request)) }
+            })
+            .get("/v1/hosts", move |_: Request| {
+                let gateway = hosts.clone();
+                async move { Ok::<_, viz::Error>(gateway.hosts_reply()) }
+            })
+            .any("/*", move |request: Request| {
+                let gateway = calls.clone();
+                async move { Ok::<_, viz::Error>(gateway.answer(request).await) }
+            })
+    }
+
+    /// Answers one caller's request.
+    pub async fn answer(&self, request: Request) -> Response {
+        let arrived = self.parts().clock.now();
+        let id = self.request_id();
+        let call = match self.inbound(&id, request).await {
+            Ok(call) => call,
+            Err(failure) => return self.refuse(&id, &failure),
+        };
+        match self.run(call).await {
+            Ok((head, flow)) => {
+                let took = self.parts().clock.now().saturating_sub(arrived);
+                self.parts()
+                    .metrics
+                    .head_seconds
+                    .observe(took.as_secs_f64());
+                self.reply(&id, &head, flow)
+            }
+            Err(failure) => self.refuse(&id, &failure),
+        }
+    }
+
+    fn models_reply(&self, request: &Request) -> Response {
+        match self.models(request.headers()) {
+            Ok(models) => json(StatusCode::OK, &models),
+            Err(failure) => self.refuse(&self.request_id(), &failure),
+        }
+    }
+
+    fn hosts_reply(&self) -> Response {
+        let listing = self.parts().listing.borrow().clone();
+        let here = &self.parts().settings.region;
+        let mut hosts: Vec<_> = listing
+            .hosts
+            .iter()
+            .filter(|host| host.kind == crate::platform::Kind::Entry)
+            .filter(|host| host.state == crate::platform::State::Live)
+            .collect();
+        hosts.sort_by_key(|host| (host.region != *here, host.name.clone()));
+        let rows: Vec<_> = hosts
+            .iter()
+            .map(|host| serde_json::json!({"name": host.name, "address": host.address, "region": host.region}))
+            .collect();
+        json(
+            StatusCode::OK,
+            &serde_json::json!({"hosts": rows, "valid_for_seconds": HOSTS_HOLD_SECONDS}),
+        )
+    }
+
+    fn refuse(&self, id: &str, failure: &Failure) -> Response {
+        self.count_failure(failure);
+        tracing::info!(request = id, code = %failure.code, ran = %failure.ran, reason = failure.message, "refused");
+        let status = StatusCode::from_u16(failure.code.status()).expect("a valid status");
+        let mut response = json(status, &failure.json(id));
+        if let Some(wait) = failure.retry_after {
+            let seconds = wait.as_secs_f64().ceil() as u64;
+            response
+                .headers_mut()
+                .insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+        }
+        set_id(&mut response, id);
+        response
+    }
+
+    fn reply(&self, id: &str, head: &Head, flow: Flow<C>) -> Response {
+        let label = Answered {
+            route: flow.call().route.to_string(),
+            status: head.status,
+        };
+        self.parts().metrics.answered.get_or_create(&label).inc();
+        let body = if flow.call().streams() {
+            Body::from_stream(stream::unfold(Some(flow), event_piece))
+        } else {
+            Body::from_stream(stream::unfold(Some(flow), plain_piece))
+        };
+        let mut response = Response::new(body);
+        *response.status_mut() =
+            StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
+        headers::add(response.headers_mut(), &head.headers);
+        set_id(&mut response, id);
+        response
+    }
+}
+
+/// The next piece of a plain body. A break becomes an error of the connection, so that the body
+/// is visibly not whole.
+async fn plain_piece<C: Clock>(
+    flow: Option<Flow<C>>,
+) -> Option<(io::Result<Bytes>, Option<Flow<C>>)> {
+    let mut flow = flow?;
+    match flow.next().await {
+        Ok(Some(bytes)) => Some((Ok(bytes), Some(flow))),
+        Ok(None) => None,
+        Err(failure) => {
+            flow.log_break(&failure);
+            Some((Err(io::Error::other(failure)), None))
+        }
+    }
+}
+
+/// The next piece of a stream of events. A break becomes a last event that says so, without the
+/// mark of a whole answer.
+async fn event_piece<C: Clock>(
+    flow: Option<Flow<C>>,
+) -> Option<(Result<Bytes, Infallible>, Option<Flow<C>>)> {
+    let mut flow = flow?;
+    match flow.next().await {
+        Ok(Some(bytes)) => Some((Ok(bytes), Some(flow))),
+        Ok(None) => None,
+        Err(failure) => {
+            flow.log_break(&failure);
+            let event = format!(
+                "\n\nevent: error\ndata: {}\n\n",
+                failure.json(&flow.call().request)
+            );
+            Some((Ok(event.into()), None))
+        }
+    }
+}
+
+impl<C: Clock> Flow<C> {
+    fn log_break(&self, failure: &Failure) {
+        tracing::info!(
+            request = self.call().request,
+            code = %failure.code,
+            ran = %failure.ran,
+            reason = failure.message,
+            "answer broken off"
+        );
+    }
+}
+
+fn json(status: StatusCode, value: &serde_json::Value) -> Response {
+    let mut response = value.to_string().into_response();
+    *response.status_mut() = status;
+    response.headers_mut().insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("application/json"),
+    );
+    response
+}
+
+fn set_id(response: &mut Response, id: &str) {
+    if let Ok(value) = HeaderValue::from_str(id) {
+        response.headers_mut().insert("x-request-id", value);
+    }
+}
--- /dev/null
+++ b/src/kernel.rs
@@ -0,0 +1,66 @@
+//! The micro-kernel: starts services, lets them find each other by name at start-up, and waits
+//! for them to end. After start-up a service uses the handles that it found; nothing is looked up
+//! for a request.
+
+use {
+    derive_more::{Display, Error},
+    std::{any::Any, collections::BTreeMap, future::Future},
+    tokio::task::JoinSet,
+};
+
+/// A service that could not be found.
+#[derive(Debug, Display, Error)]
+#[display("service {name} is not published with the expected handle")]
+pub struct Missing {
+    /// The name that was looked for.
+    pub name: &'static str,
+}
+
+/// The services of one process.
+#[derive(Debug, Default)]
+pub struct Kernel {
+    handles: BTreeMap<&'static str, Box<dyn Any + Send + Sync>>,
+    tasks: JoinSet<&'static str>,
+}
+
+impl Kernel {
+    /// A kernel without services.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Publishes a service's handle, usually the sender of its mailbox, under its name. A later
+    /// handle of the same name replaces the earlier one.
+    pub fn publish<H: Clone + Send + Sync + 'static>(&mut self, name: &'static str, handle: H) {
+        self.handles.insert(name, Box::new(handle));
+    }
+
+    /// A copy of the handle that the service of this name published.
+    pub fn find<H: Clone + Send + Sync + 'static>(&self, name: &'static str) -> Result<H, Missing> {
+        self.handles
+            .get(name)
+            .and_then(|handle| handle.downcast_ref::<H>())
+            .cloned()
+            .ok_or(Missing { name })
+    }
+
+    /// Runs a service's task. It ends by itself when its mailbox closes.
+    pub fn spawn(&mut self, name: &'static str, task: impl Future<Output = ()> + Send + 'static) {
+        self.tasks.spawn(async move {
+            task.await;
+            name
+        });
+    }
+
+    /// Drops the published handles, so that mailboxes can close, and waits until every task has
+    /// ended. A task that panicked is logged.
+    pub async fn join(mut self) {
+        self.handles.clear();
+        while let Some(ended) = self.tasks.join_next().await {
+            match ended {
+                Ok(name) => tracing::debug!(service = name, "service ended"),
+                Err(error) => tracing::error!(%error, "service panicked"),
+            }
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,11 +6,22 @@
 pub mod attempt;
 pub mod clock;
 pub mod config;
+pub mod entry;
 pub mod error;
+pub mod failure;
+pub mod gateway;
+pub mod kernel;
 pub mod key;
+pub mod link;
+pub mod listen;
 pub mod machine;
+pub mod metric;
 pub mod name;
+pub mod platform;
 pub mod queue;
 pub mod route;
+pub mod settings;
+pub mod upstream;
+pub mod wire;
 
 pub use error::{Error, Result};
--- /dev/null
+++ b/src/link/control.rs
@@ -0,0 +1,190 @@
+//! Control messages: each peer has a bounded outbox and one connection, opened when there is
+//! something to say. A message that finds the outbox full or the peer out of reach is lost; the
+//! services are built for that.
+
+use {
+    super::socket::{Identity, Purpose, Socket},
+    crate::{clock::Clock, name, wire},
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        sync::{Arc, Mutex, PoisonError},
+        time::Duration,
+    },
+    tokio::{
+        sync::mpsc::{self, Receiver, Sender, error::TrySendError},
+        time::{sleep, timeout},
+    },
+};
+
+/// Messages that wait for one peer.
+const OUTBOX: usize = 256;
+/// A connection without traffic for this long is closed.
+const IDLE_LIMIT: Duration = Duration::from_secs(60);
+/// Shortest time between two attempts to connect to a peer.
+const RECONNECT_AFTER: Duration = Duration::from_millis(500);
+/// Longest time to hand one message to the system.
+const SEND_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Where peers are reached, as far as is known. Shared by the services that learn addresses and
+/// the link.
+#[derive(Debug, Clone, Default)]
+pub struct Peers(Arc<Mutex<BTreeMap<name::Host, SocketAddr>>>);
+
+impl Peers {
+    /// Learns a peer's address.
+    pub fn insert(&self, host: name::Host, address: SocketAddr) {
+        self.lock().insert(host, address);
+    }
+
+    /// Forgets every peer for which `keep` is false.
+    pub fn retain(&self, keep: impl Fn(&name::Host) -> bool) {
+        self.lock().retain(|host, _| keep(host));
+    }
+
+    /// A peer's address.
+    pub fn get(&self, host: &name::Host) -> Option<SocketAddr> {
+        self.lock().get(host).copied()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<name::Host, SocketAddr>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// One message that arrived for a service.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Received<M> {
+    /// The peer that sent it.
+    pub from: name::Host,
+    /// What it says.
+    pub message: M,
+}
+
+/// The mailboxes of the services that take control messages. A full mailbox loses the message.
+#[derive(Debug, Clone, Default)]
+pub struct Mailboxes {
+    /// Every message besides, for tests and for services without a mailbox of their own.
+    pub tap: Option<Tap>,
+}
+
+/// A mailbox for every message.
+pub type Tap = Sender<Received<wire::Message>>;
+
+impl Mailboxes {
+    fn deliver(&self, from: name::Host, message: wire::Message) {
+        if let Some(tap) = &self.tap {
+            tap.try_send(Received { from, message }).ok();
+        }
+    }
+}
+
+/// Sends control messages.
+#[derive(Debug, Clone)]
+pub struct Handle {
+    identity: Identity,
+    peers: Peers,
+    outboxes: Arc<Mutex<BTreeMap<name::Host, Sender<wire::Message>>>>,
+}
+
+impl Handle {
+    /// A sender towards `peers` as `identity`.
+    pub fn new(identity: Identity, peers: Peers) -> Self {
+        Self {
+            identity,
+            peers,
+            outboxes: Arc::default(),
+        }
+    }
+
+    /// Where peers are reached.
+    pub fn peers(&self) -> &Peers {
+        &self.peers
+    }
+
+    /// Sends a message to a peer if that can be done; never blocks.
+    pub fn send(&self, to: &name::Host, message: wire::Message) {
+        let mut outboxes = self.outboxes.lock().unwrap_or_else(PoisonError::into_inner);
+        let message = match outboxes.get(to) {
+            None => message,
+            Some(outbox) => match outbox.try_send(message) {
+                Ok(()) => return,
+                Err(TrySendError::Full(_)) => return tracing::debug!(peer = %to, "outbox full"),
+                Err(TrySendError::Closed(message)) => message,
+            },
+        };
+        let (outbox, mailbox) = mpsc::channel(OUTBOX);
+        outbox.try_send(message).ok();
+        outboxes.insert(to.clone(), outbox);
+        tokio::spawn(write(
+            to.clone(),
+            mailbox,
+            self.identity.clone(),
+            self.peers.clone(),
+        ));
+    }
+}
+
+/// Writes a peer's outbox to its connection until nothing was said for a while.
+async fn write(
+    to: name::Host,
+    mut outbox: Receiver<wire::Message>,
+    identity: Identity,
+    peers: Peers,
+) {
+    let mut socket = None;
+    while let Ok(Some(message)) = timeout(IDLE_LIMIT, outbox.recv()).await {
+        if socket.is_none() {
+            socket = connect(&to, &identity, &peers).await;
+        }
+        let Some(open) = &mut socket else {
+            sleep(RECONNECT_AFTER).await;
+            while outbox.try_recv().is_ok() {}
+            continue;
+        };
+        let frame = wire::Frame {
+            from: identity.host.clone(),
+            message,
+        };
+        if !matches!(timeout(SEND_TIMEOUT, open.send(&frame)).await, Ok(Ok(()))) {
+            tracing::debug!(peer = %to, "control connection lost");
+            socket = None;
+        }
+    }
+}
+
+async fn connect(to: &name::Host, identity: &Identity, peers: &Peers) -> Option<Socket> {
+    let address = peers.get(to)?;
+    match Socket::connect(address, Purpose::Control, identity).await {
+        Ok(socket) => Some(socket),
+        Err(error) => {
+            tracing::debug!(peer = %to, %error, "control connection failed");
+            None
+        }
+    }
+}
+
+/// Reads a peer's control connection until it closes.
+pub(super) async fn read<C: Clock>(
+    mut socket: Socket,
+    from: name::Host,
+    mailboxes: Mailboxes,
+    handle: Handle,
+    clock: C,
+) {
+    loop {
+        let frame: wire::Frame = match socket.receive().await {
+            Ok(Some(frame)) => frame,
+            Ok(None) => return,
+            Err(error) => return tracing::debug!(peer = %from, %error, "control connection ended"),
+        };
+        match frame.message {
+            wire::Message::Probe(probe) => handle.send(&from, wire::Message::Echo(probe)),
+            wire::Message::Echo(probe) => {
+                let round_trip = clock.now().saturating_sub(probe.sent);
+                tracing::debug!(peer = %from, ?round_trip, "round trip");
+                mailboxes.deliver(frame.from, wire::Message::Echo(probe));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/link/socket.rs
@@ -0,0 +1,270 @@
+//! Web socket plumbing that control connections and exchanges share.
+
+use {
+    crate::{Error, Result, name, wire},
+    bytes::Bytes,
+    futures::{SinkExt, StreamExt},
+    serde::{Serialize, de::DeserializeOwned},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    subtle::ConstantTimeEq,
+    tokio::{
+        net::TcpStream,
+        time::{Instant, sleep_until, timeout},
+    },
+    tokio_tungstenite::{
+        WebSocketStream, accept_hdr_async_with_config, client_async_with_config,
+        tungstenite::{
+            Message,
+            handshake::server::{ErrorResponse, Request, Response},
+            http::{HeaderMap, StatusCode},
+            protocol::WebSocketConfig,
+        },
+    },
+};
+
+/// Longest time to connect and shake hands.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a connection may be silent before a ping asks for a sign of life.
+const PING_AFTER: Duration = Duration::from_secs(3);
+/// How long it may be silent before it is abandoned.
+const SILENCE_LIMIT: Duration = Duration::from_secs(9);
+/// Read buffer of a connection, in bytes.
+const READ_BUFFER: usize = 8 * 1024;
+/// Header that names the connecting host.
+const HOST_HEADER: &str = "x-peer-host";
+/// Header that holds the fleet's secret.
+const SECRET_HEADER: &str = "x-peer-secret";
+
+/// Who this host is towards its peers.
+#[derive(Debug, Clone)]
+pub struct Identity {
+    /// This host.
+    pub host: name::Host,
+    /// The fleet's secret.
+    pub secret: Arc<str>,
+    /// Largest message taken, in bytes.
+    pub message_limit: usize,
+}
+
+/// What a connection is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Purpose {
+    Control,
+    Exchange,
+}
+
+impl Purpose {
+    fn path(self) -> &'static str {
+        match self {
+            Self::Control => "/control",
+            Self::Exchange => "/exchange",
+        }
+    }
+
+    fn of(path: &str) -> Option<Self> {
+        [Self::Control, Self::Exchange]
+            .into_iter()
+            .find(|purpose| purpose.path() == path)
+    }
+}
+
+/// One open connection to a peer.
+#[derive(Debug)]
+pub(super) struct Socket {
+    stream: WebSocketStream<TcpStream>,
+    peer: String,
+}
+
+/// An accepted connection: who opened it and what for.
+#[derive(Debug)]
+pub(super) struct Accepted {
+    pub(super) socket: Socket,
+    pub(super) from: name::Host,
+    pub(super) purpose: Purpose,
+}
+
+impl Socket {
+    /// Connects to a peer.
+    pub(super) async fn connect(
+        address: SocketAddr,
+        purpose: Purpose,
+        identity: &Identity,
+    ) -> Result<Self> {
+        let peer = address.to_string();
+        let connecting = async {
+            let tcp = TcpStream::connect(address)
+                .await
+                .map_err(|source| Error::Io {
+                    step: "connecting to a peer",
+                    peer: peer.clone(),
+                    source,
+                })?;
+            tcp.set_nodelay(true).ok();
+            let request = http::Request::builder()
+                .uri(format!("ws://{address}{}", purpose.path()))
+                .header("host", &peer)
+                .header("connection", "upgrade")
+                .header("upgrade", "websocket")
+                .header("sec-websocket-version", "13")
+                .header(
+                    "sec-websocket-key",
+                    tokio_tungstenite::tungstenite::handshake::client::generate_key(),
+                )
+                .header(HOST_HEADER, identity.host.as_str())
+                .header(SECRET_HEADER, &*identity.secret)
+                .body(())
+                .expect("the parts of the request are valid");
+            let config = Some(config(identity.message_limit));
+            let (stream, _) = client_async_with_config(request, tcp, config)
+                .await
+                .map_err(|error| protocol("opening a peer connection", &peer, error))?;
+            Ok(stream)
+        };
+        let stream = timeout(CONNECT_TIMEOUT, connecting)
+            .await
+            .map_err(|_| Error::Timeout {
+                step: "connecting to a peer",
+                peer: peer.clone(),
+            })??;
+        Ok(Self { stream, peer })
+    }
+
+    /// Shakes hands with a connecting peer; one that does not know the secret is refused.
+    pub(super) async fn accept(tcp: TcpStream, identity: &Identity) -> Result<Accepted> {
+        let peer = tcp
+            .peer_addr()
+            .map_or_else(|_| "a peer".into(), |address| address.to_string());
+        tcp.set_nodelay(true).ok();
+        let mut seen = None;
+        #[allow(
+            clippy::result_large_err,
+            reason = "the callback's type is the library's"
+        )]
+        let check = |request: &Request, response: Response| {
+            seen = admit(request, identity);
+            match &seen {
+                Some(_) => Ok(response),
+                None => Err(refusal()),
+            }
+        };
+        let config = Some(config(identity.message_limit));
+        let stream = timeout(
+            CONNECT_TIMEOUT,
+            accept_hdr_async_with_config(tcp, check, config),
+        )
+        .await
+        .map_err(|_| Error::Timeout {
+            step: "accepting a peer connection",
+            peer: peer.clone(),
+        })?
+        .map_err(|error| protocol("accepting a peer connection", &peer, error))?;
+        let (from, purpose) = seen.ok_or_else(|| Error::Protocol {
+            step: "accepting a peer connection",
+            peer: peer.clone(),
+            reason: "no handshake".into(),
+        })?;
+        Ok(Accepted {
+            socket: Self { stream, peer },
+            from,
+            purpose,
+        })
+    }
+
+    /// Sends one message whole. After an error the peer has not received it, since a message that
+    /// was not handed over whole can't be decoded.
+    pub(super) async fn send<M: Serialize>(&mut self, message: &M) -> Result<()> {
+        let bytes = wire::encode(message);
+        self.stream
+            .send(Message::Binary(bytes))
+            .await
+            .map_err(|error| protocol("sending to a peer", &self.peer, error))
+    }
+
+    /// The next message; `None` when the peer closed. A peer that stays silent through a ping is
+    /// a timeout.
+    pub(super) async fn receive<M: DeserializeOwned>(&mut self) -> Result<Option<M>> {
+        let Some(bytes) = self.receive_bytes().await? else {
+            return Ok(None);
+        };
+        wire::decode(&bytes, &self.peer).map(Some)
+    }
+
+    async fn receive_bytes(&mut self) -> Result<Option<Bytes>> {
+        let mut heard = Instant::now();
+        let mut pinged = false;
+        loop {
+            let wake = heard + if pinged { SILENCE_LIMIT } else { PING_AFTER };
+            let message = tokio::select! {
+                message = self.stream.next() => message,
+                () = sleep_until(wake) => {
+                    if pinged {
+                        return Err(Error::Timeout { step: "waiting for a peer", peer: self.peer.clone() });
+                    }
+                    pinged = true;
+                    self.ping().await?;
+                    continue;
+                }
+            };
+            match message {
+                None | Some(Ok(Message::Close(_))) => return Ok(None),
+                Some(Ok(Message::Binary(bytes))) => return Ok(Some(bytes)),
+                Some(Ok(_)) => {
+                    heard = Instant::now();
+                    pinged = false;
+                }
+                Some(Err(error)) => {
+                    return Err(protocol("receiving from a peer", &self.peer, error));
+                }
+            }
+        }
+    }
+
+    async fn ping(&mut self) -> Result<()> {
+        let ping = self.stream.send(Message::Ping(Bytes::new()));
+        match timeout(PING_AFTER, ping).await {
+            Ok(sent) => sent.map_err(|error| protocol("pinging a peer", &self.peer, error)),
+            Err(_) => Err(Error::Timeout {
+                step: "pinging a peer",
+                peer: self.peer.clone(),
+            }),
+        }
+    }
+}
+
+fn config(message_limit: usize) -> WebSocketConfig {
+    WebSocketConfig::default()
+        .read_buffer_size(READ_BUFFER)
+        .write_buffer_size(0)
+        .max_message_size(Some(message_limit))
+        .max_frame_size(Some(message_limit))
+}
+
+/// The host and purpose that a handshake names, if it knows the secret.
+fn admit(request: &Request, identity: &Identity) -> Option<(name::Host, Purpose)> {
+    let secret = text(request.headers(), SECRET_HEADER).unwrap_or_default();
+    let known: bool = secret.as_bytes().ct_eq(identity.secret.as_bytes()).into();
+    if !known {
+        return None;
+    }
+    let host = text(request.headers(), HOST_HEADER)?;
+    let purpose = Purpose::of(request.uri().path())?;
+    Some((host.into(), purpose))
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn refusal() -> ErrorResponse {
+    let mut response = ErrorResponse::new(Some("not a peer of this fleet".into()));
+    *response.status_mut() = StatusCode::FORBIDDEN;
+    response
+}
+
+fn protocol(step: &'static str, peer: &str, error: impl ToString) -> Error {
+    Error::Protocol {
+        step,
+        peer: peer.into(),
+        reason: error.to_string(),
+    }
+}
--- a/src/main.rs
+++ /dev/null
@@ -1,3 +0,0 @@
-//! The daemon's command line.
-
-fn main() {}
--- /dev/null
+++ b/src/metric.rs
@@ -0,0 +1,122 @@
+//! Metrics, in the format of Prometheus.
+
+use {
+    crate::failure::Code,
+    prometheus_client::{
+        encoding::{EncodeLabelSet, EncodeLabelValue, LabelValueEncoder, text},
+        metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+        registry::Registry,
+    },
+    std::{
+        fmt::{self, Write},
+        sync::{Arc, Mutex, PoisonError},
+    },
+};
+
+/// Upper bounds of the latency buckets, in seconds.
+const LATENCY_BUCKETS: [f64; 14] = [
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 15.0, 60.0,
+];
+
+/// Labels of a call that was answered.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Answered {
+    /// The route.
+    pub route: String,
+    /// HTTP status of the answer.
+    pub status: u16,
+}
+
+/// Label of a call that got no answer.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Failed {
+    /// Why.
+    pub code: Code,
+}
+
+impl EncodeLabelValue for Code {
+    fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> fmt::Result {
+        write!(encoder, "{self}")
+    }
+}
+
+/// Every metric of a host.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    registry: Arc<Mutex<Registry>>,
+    /// Calls answered, by route and status.
+    pub answered: Family<Answered, Counter>,
+    /// Calls that got no answer, by code.
+    pub failed: Family<Failed, Counter>,
+    /// Calls forwarded to a host of another region.
+    pub forwarded: Counter,
+    /// Calls taken from other hosts.
+    pub taken: Counter,
+    /// Calls running.
+    pub running: Gauge,
+    /// Answers that carried another exchange's id and were dropped.
+    pub crossed: Counter,
+    /// Seconds from a call's arrival to the head of its answer.
+    pub head_seconds: Histogram,
+}
+
+impl Metrics {
+    /// All metrics at zero.
+    pub fn new() -> Self {
+        let metrics = Self {
+            registry: Arc::new(Mutex::new(Registry::with_prefix("greengagecleat"))),
+            answered: Family::default(),
+            failed: Family::default(),
+            forwarded: Counter::default(),
+            taken: Counter::default(),
+            running: Gauge::default(),
+            crossed: Counter::default(),
+            head_seconds: Histogram::new(LATENCY_BUCKETS),
+        };
+        metrics.register(|registry| {
+            registry.register("answered", "Calls answered", metrics.answered.clone());
+            registry.register("failed", "Calls that got no answer", metrics.failed.clone());
+            registry.register(
+                "forwarded",
+                "Calls forwarded to another region",
+                metrics.forwarded.clone(),
+            );
+            registry.register(
+                "taken",
+                "Calls taken from other hosts",
+                metrics.taken.clone(),
+            );
+            registry.register("running", "Calls running", metrics.running.clone());
+            registry.register(
+                "crossed",
+                "Answers of another exchange, dropped",
+                metrics.crossed.clone(),
+            );
+            registry.register(
+                "head_seconds",
+                "From arrival to the answer's head",
+                metrics.head_seconds.clone(),
+            );
+        });
+        metrics
+    }
+
+    /// Lets a service register metrics of its own.
+    pub fn register(&self, add: impl FnOnce(&mut Registry)) {
+        add(&mut self.registry.lock().unwrap_or_else(PoisonError::into_inner));
+    }
+
+    /// The text that a scraper reads.
+    pub fn render(&self) -> String {
+        let mut page = String::new();
+        let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        text::encode(&mut page, &registry).expect("writing to memory does not fail");
+        page
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/src/platform/http.rs
@@ -0,0 +1,161 @@
+//! The platform over HTTP: configuration documents with a revision and a waiting watch, the host
+//! list and the client directory.
+
+use {
+    super::{Clients, Directory, Documents, Hosts, Listing, Revised},
+    crate::{Error, Result, config::Document, upstream},
+    bytes::Bytes,
+    http::{Request, Response, StatusCode},
+    http_body_util::Full,
+    serde::de::DeserializeOwned,
+    std::{net::SocketAddr, time::Duration},
+    tokio::time::timeout,
+};
+
+/// Longest time for an answer that is due at once.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest value that the service holds, in bytes, with room for the list of all hosts.
+const VALUE_LIMIT: usize = 4 * 1024 * 1024;
+/// Header that holds a document's revision.
+const REVISION_HEADER: &str = "x-revision";
+
+/// The platform at one address.
+#[derive(Debug, Clone)]
+pub struct Platform {
+    address: SocketAddr,
+    client: upstream::Client,
+}
+
+impl Platform {
+    /// The platform at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            client: upstream::Client::new(),
+        }
+    }
+
+    async fn get(&self, step: &'static str, target: &str, wait: Duration) -> Result<Reply> {
+        let request = Request::get(target)
+            .header("host", self.address.to_string())
+            .body(Full::new(Bytes::new()))
+            .map_err(|error| self.wrong(step, error))?;
+        let reading = async {
+            let response = self
+                .client
+                .send(self.address, request, true)
+                .await
+                .map_err(|failure| self.wrong(step, failure))?;
+            self.collect(step, response).await
+        };
+        timeout(wait + ANSWER_TIMEOUT, reading)
+            .await
+            .map_err(|_| Error::Timeout {
+                step,
+                peer: self.address.to_string(),
+            })?
+    }
+
+    async fn collect(
+        &self,
+        step: &'static str,
+        response: Response<upstream::Body>,
+    ) -> Result<Reply> {
+        let (head, mut body) = response.into_parts();
+        let mut bytes = Vec::new();
+        while let Some(piece) = body
+            .next()
+            .await
+            .map_err(|failure| self.wrong(step, failure))?
+        {
+            if bytes.len() + piece.len() > VALUE_LIMIT {
+                return Err(self.wrong(step, "the value is too large"));
+            }
+            bytes.extend_from_slice(&piece);
+        }
+        let revision = head
+            .headers
+            .get(REVISION_HEADER)
+            .and_then(|value| value.to_str().ok()?.parse().ok());
+        Ok(Reply {
+            status: head.status,
+            revision,
+            bytes,
+        })
+    }
+
+    async fn document(
+        &self,
+        step: &'static str,
+        target: &str,
+        wait: Duration,
+    ) -> Result<Option<Revised>> {
+        let reply = self.get(step, target, wait).await?;
+        match reply.status {
+            StatusCode::OK => {}
+            StatusCode::NOT_FOUND | StatusCode::NOT_MODIFIED => return Ok(None),
+            status => return Err(self.wrong(step, format!("status {status}"))),
+        }
+        let revision = reply
+            .revision
+            .ok_or_else(|| self.wrong(step, "no revision"))?;
+        let text = String::from_utf8(reply.bytes).map_err(|error| self.wrong(step, error))?;
+        Ok(Some(Revised { revision, text }))
+    }
+
+    async fn json<T: DeserializeOwned>(&self, step: &'static str, target: &str) -> Result<T> {
+        let reply = self.get(step, target, Duration::ZERO).await?;
+        if reply.status != StatusCode::OK {
+            return Err(self.wrong(step, format!("status {}", reply.status)));
+        }
+        serde_json::from_slice(&reply.bytes).map_err(|error| self.wrong(step, error))
+    }
+
+    fn wrong(&self, step: &'static str, reason: impl ToString) -> Error {
+        Error::Protocol {
+            step,
+            peer: self.address.to_string(),
+            reason: reason.to_string(),
+        }
+    }
+}
+
+struct Reply {
+    status: StatusCode,
+    revision: Option<u64>,
+    bytes: Vec<u8>,
+}
+
+impl Documents for Platform {
+    async fn read(&self, document: Document) -> Result<Option<Revised>> {
+        let target = format!("/v1/documents/{document}");
+        self.document("reading a document", &target, Duration::ZERO)
+            .await
+    }
+
+    async fn watch(
+        &self,
+        document: Document,
+        after: u64,
+        wait: Duration,
+    ) -> Result<Option<Revised>> {
+        let target = format!(
+            "/v1/documents/{document}?after={after}&wait={}",
+            wait.as_secs()
+        );
+        self.document("watching a document", &target, wait).await
+    }
+}
+
+impl Hosts for Platform {
+    async fn hosts(&self) -> Result<Listing> {
+        self.json("reading the host list", "/v1/hosts").await
+    }
+}
+
+impl Clients for Platform {
+    async fn clients(&self) -> Result<Directory> {
+        self.json("reading the client directory", "/v1/clients")
+            .await
+    }
+}
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,254 @@
+//! A small fleet in one process: entry hosts over stand-ins on ephemeral loopback ports.
+
+#![allow(dead_code, reason = "each test binary uses its part")]
+
+use {
+    greengagecleat::{
+        clock::Monotonic,
+        entry::{Addresses, Entry},
+        key::Digest,
+        settings::Settings,
+    },
+    std::{net::SocketAddr, time::Duration},
+    testbed::{
+        client::{Answer, Call, Caller},
+        engine, plain,
+        platform::{self, Host, Hosts, Kind, Platform, State},
+    },
+    tokio::time::sleep,
+};
+
+/// An ephemeral loopback port.
+pub(crate) const EPHEMERAL: SocketAddr =
+    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+/// How often a condition is looked at.
+const POLL: Duration = Duration::from_millis(10);
+/// Looks at a condition before a test gives up; far above what any needs.
+const POLLS: usize = 3000;
+/// The key of customer `kollam`.
+pub(crate) const KOLLAM: &str = "test-key-kollam";
+/// The key of customer `thrissur`, whose residency is the north.
+pub(crate) const THRISSUR: &str = "test-key-thrissur";
+
+/// Stand-ins of the platform and the upstreams, and the entry hosts over them.
+pub(crate) struct Bed {
+    pub(crate) platform: platform::Running,
+    pub(crate) engine: engine::Running,
+    pub(crate) plain: plain::Running,
+    pub(crate) caller: Caller,
+    hosts: Vec<Host>,
+}
+
+/// One entry host.
+pub(crate) struct Running {
+    pub(crate) entry: Entry<Monotonic>,
+    pub(crate) addresses: Addresses,
+}
+
+impl Bed {
+    /// One engine and one plain service, both in the south, and tables that route to them.
+    pub(crate) async fn start() -> Self {
+        Self::with(engine::Settings::instant(), plain::Settings::default()).await
+    }
+
+    pub(crate) async fn with(engine: engine::Settings, plain: plain::Settings) -> Self {
+        let engine = engine::Engine::start(engine).await.expect("engine");
+        let plain = plain::Service::start(plain).await.expect("plain service");
+        let platform = Platform::start(platform::Settings {
+            host_lag: Duration::ZERO,
+            ..platform::Settings::default()
+        })
+        .await
+        .expect("platform");
+        platform.publish("routes", ROUTES);
+        platform.publish("pools", &pools(engine.address, plain.address));
+        platform.publish("customers", &customers(&[KOLLAM], &[THRISSUR]));
+        Self {
+            platform,
+            engine,
+            plain,
+            caller: Caller::new(None),
+            hosts: Vec::new(),
+        }
+    }
+
+    /// Starts an entry host and lists it.
+    pub(crate) async fn host(&mut self, name: &str, region: &str) -> Running {
+        let settings = settings(name, region, self.platform.address);
+        let entry = Entry::start(settings, Monotonic::new())
+            .await
+            .expect("entry host");
+        let addresses = entry.addresses();
+        self.hosts.push(Host {
+            name: name.into(),
+            kind: Kind::Entry,
+            address: addresses.callers,
+            peer_address: Some(addresses.peers),
+            region: region.into(),
+            domain: format!("{region}-1"),
+            pool: None,
+            state: State::Live,
+        });
+        self.platform.hosts(Hosts {
+            hosts: self.hosts.clone(),
+        });
+        Running { entry, addresses }
+    }
+
+    /// Waits until a host is ready and knows every listed host.
+    pub(crate) async fn ready(&self, host: &Running) {
+        until(async || {
+            let ready = self.get(host.addresses.admin, "/readyz").await;
+            let status = self.get(host.addresses.admin, "/status").await.json();
+            let known = status["hosts"].as_array().map_or(0, Vec::len);
+            ready.status == 200 && known == self.hosts.len()
+        })
+        .await;
+    }
+
+    pub(crate) async fn get(&self, to: SocketAddr, target: &str) -> Answer {
+        self.caller
+            .whole(to, &Call::get(target))
+            .await
+            .expect("an answer")
+    }
+
+    /// Sends a call with a key.
+    pub(crate) async fn send(&self, host: &Running, key: &str, call: Call) -> Answer {
+        let call = call.header("authorization", &format!("Bearer {key}"));
+        self.caller
+            .whole(host.addresses.callers, &call)
+            .await
+            .expect("an answer")
+    }
+}
+
+/// Waits until a condition holds.
+pub(crate) async fn until(mut condition: impl AsyncFnMut() -> bool) {
+    for _ in 0..POLLS {
+        if condition().await {
+            return;
+        }
+        sleep(POLL).await;
+    }
+    panic!("the condition never held");
+}
+
+pub(crate) fn settings(name: &str, region: &str, platform: SocketAddr) -> Settings {
+    Settings {
+        name: name.into(),
+        region: region.into(),
+        domain: format!("{region}-1").into(),
+        listen: EPHEMERAL,
+        peer_listen: EPHEMERAL,
+        advertise: None,
+        peer_advertise: None,
+        admin_listen: EPHEMERAL,
+        platform,
+        peer_secret: "a test's secret".into(),
+        drain_limit: Duration::from_secs(30),
+        drain_grace: Duration::from_millis(50),
+        body_limit: 64 * 1024,
+    }
+}
+
+/// A chat call.
+pub(crate) fn chat(prompt: &str, max_tokens: u32, stream: bool) -> Call {
+    Call::post(
+        "/v1/chat/completions",
+        &serde_json::json!({
+            "model": "small",
+            "stream": stream,
+            "max_tokens": max_tokens,
+            "messages": [{"role": "user", "content": prompt}],
+        }),
+    )
+}
+
+pub(crate) const ROUTES: &str = r#"
+[[route]]
+name = "chat"
+kind = "model"
+model = "small"
+pools = ["engines"]
+
+[[route]]
+name = "receipts"
+kind = "plain"
+path = "/receipts"
+pools = ["plain"]
+
+[[route]]
+name = "lookups"
+kind = "plain"
+path = "/lookups"
+pools = ["plain"]
+idempotent = true
+open = true
+
+[[route]]
+name = "private"
+kind = "plain"
+path = "/private"
+pools = ["plain"]
+customers = ["thrissur"]
+"#;
+
+pub(crate) fn pools(engine: SocketAddr, plain: SocketAddr) -> String {
+    format!(
+        r#"
+[[pool]]
+name = "engines"
+region = "south"
+resume = true
+fencing = "checked"
+
+[[pool.upstream]]
+name = "engine-1"
+address = "{engine}"
+domain = "south-1"
+
+[[pool]]
+name = "plain"
+region = "south"
+
+[[pool.upstream]]
+name = "plain-1"
+address = "{plain}"
+domain = "south-1"
+
+[[pool]]
+name = "far"
+region = "north"
+"#
+    )
+}
+
+/// The customers document with these keys.
+pub(crate) fn customers(kollam: &[&str], thrissur: &[&str]) -> String {
+    let digests = |keys: &[&str]| {
+        let texts: Vec<_> = keys
+            .iter()
+            .map(|key| Digest::of(key.as_bytes()).to_string())
+            .collect();
+        format!("{texts:?}")
+    };
+    format!(
+        r#"
+[[customer]]
+name = "kollam"
+keys = {}
+rate = 1000000
+burst = 1000000
+
+[[customer]]
+name = "thrissur"
+keys = {}
+rate = 1000000
+burst = 1000000
+residency = ["north"]
+"#,
+        digests(kollam),
+        digests(thrissur)
+    )
+}
