Split the gateway by step, so that each part is wired at its own seam

Cause: the choice, sending, forwarding and taking stood in one file that every part would change. Change: choose (routing and the queue), run (charging, then attempts), send, forward, taken, relay (settling and resuming). `run_charged` is where a caller's call is charged; a forwarded call enters at `run`. Behaviour is unchanged: the gateway's tests pass as before.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -11,7 +11,7 @@
         key, name, wire,
     },
     bytes::Bytes,
-    std::{collections::BTreeSet, sync::Arc, time::Duration},
+    std::{sync::Arc, time::Duration},
 };
 
 /// A call that has been authenticated and routed.
@@ -61,11 +61,12 @@
         self.snapshot.customers.get(self.customer.as_ref()?)
     }
 
-    /// The regions in which it may be served; empty for all.
-    pub fn residency(&self) -> BTreeSet<name::Region> {
-        self.customer()
-            .map(|customer| customer.residency.clone())
-            .unwrap_or_default()
+    /// Whether residency allows a region.
+    pub fn allowed(&self, region: &name::Region) -> bool {
+        let Some(customer) = self.customer() else {
+            return true;
+        };
+        customer.residency.is_empty() || customer.residency.contains(region)
     }
 
     /// Whether it may be sent again when it is not known to have run.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! The way of a request: authenticate, route, choose, send or forward, relay.
 
 mod call;
+mod choose;
 mod forward;
 mod headers;
 mod inbound;
@@ -8,6 +9,9 @@
 mod pick;
 mod relay;
 mod reply;
+mod run;
+mod send;
+mod taken;
 
 pub use {call::Call, model::Ask, relay::Flow};
 
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -42,7 +42,7 @@
             Ok(call) => call,
             Err(failure) => return self.refuse(&id, &failure),
         };
-        match self.run(call).await {
+        match self.run_charged(call).await {
             Ok((head, flow)) => {
                 let took = self.parts().clock.now().saturating_sub(arrived);
                 self.parts()
