Pass the network in, like the clock

Cause: a golden session must be the same bytes every run, which real sockets under paused time are not: the runtime skips to the next timer while a socket is still on its way. Ruled out: a second type parameter through every service, for one enum that is matched statically does the same. Change: `net::Network` is TCP in the daemon and memory where a whole host is driven in one process.

--- a/src/bin/greengagecleat/status.rs
+++ b/src/bin/greengagecleat/status.rs
@@ -3,7 +3,7 @@
 use {
     crate::{USAGE, arguments::Status},
     bytes::Bytes,
-    greengagecleat::upstream::Client,
+    greengagecleat::{net::Network, upstream::Client},
     http::Request,
     http_body_util::Full,
     serde_json::Value,
@@ -53,7 +53,7 @@
     let request = Request::get("/status")
         .header("host", address.to_string())
         .body(Full::new(Bytes::new()))?;
-    let mut body = Client::new()
+    let mut body = Client::new(Network::Tcp)
         .send(address, request, true)
         .await?
         .into_body();
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -13,6 +13,7 @@
         link::{self, Identity, Mailboxes, Peers, exchange},
         listen,
         metric::Metrics,
+        net::{Listener, Network},
         platform::http::Platform,
         settings::Settings,
         upstream,
@@ -23,7 +24,6 @@
         time::Duration,
     },
     tokio::{
-        net::TcpListener,
         sync::watch,
         time::{Instant, sleep, timeout_at},
     },
@@ -72,9 +72,14 @@
 impl<C: Clock> Entry<C> {
     /// Binds the addresses and starts every service.
     pub async fn start(settings: Settings, clock: C) -> Result<Self> {
-        let callers = bind("callers' address", settings.listen).await?;
-        let peers = bind("peers' address", settings.peer_listen).await?;
-        let admin = bind("admin address", settings.admin_listen).await?;
+        Self::start_on(Network::Tcp, settings, clock).await
+    }
+
+    /// Binds the addresses on this network and starts every service.
+    pub async fn start_on(network: Network, settings: Settings, clock: C) -> Result<Self> {
+        let callers = bind(&network, "callers' address", settings.listen).await?;
+        let peers = bind(&network, "peers' address", settings.peer_listen).await?;
+        let admin = bind(&network, "admin address", settings.admin_listen).await?;
         let addresses = Addresses {
             callers: local("callers' address", &callers)?,
             peers: local("peers' address", &peers)?,
@@ -85,7 +90,7 @@
         let (phase, phases) = watch::channel(Phase::Running);
         let mut kernel = Kernel::new();
 
-        let platform = Platform::new(settings.platform);
+        let platform = Platform::new(network.clone(), settings.platform);
         let book = Peers::default();
         let documents = documents::start(&mut kernel, platform.clone(), stopped.clone());
         let listing = listing::start(
@@ -100,6 +105,7 @@
             host: settings.name.clone(),
             secret: Arc::from(settings.peer_secret.as_str()),
             message_limit: settings.body_limit + EXCHANGE_ROOM,
+            network: network.clone(),
         };
         let link = link::Handle::new(identity.clone(), book.clone());
         kernel.publish("link", link.clone());
@@ -109,7 +115,7 @@
             config: documents.snapshot.clone(),
             listing: listing.clone(),
             phase: phases.clone(),
-            upstreams: upstream::Client::new(),
+            upstreams: upstream::Client::new(network),
             exchanges: exchange::Client::new(identity.clone()),
             peers: book,
             metrics: metrics.clone(),
@@ -192,17 +198,15 @@
     }
 }
 
-async fn bind(step: &'static str, address: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|source| Error::Io {
-            step,
-            peer: address.to_string(),
-            source,
-        })
+async fn bind(network: &Network, step: &'static str, address: SocketAddr) -> Result<Listener> {
+    network.bind(address).await.map_err(|source| Error::Io {
+        step,
+        peer: address.to_string(),
+        source,
+    })
 }
 
-fn local(step: &'static str, listener: &TcpListener) -> Result<SocketAddr> {
+fn local(step: &'static str, listener: &Listener) -> Result<SocketAddr> {
     listener.local_addr().map_err(|source| Error::Io {
         step,
         peer: "the listener".into(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod machine;
 pub mod metric;
 pub mod name;
+pub mod net;
 pub mod platform;
 pub mod queue;
 pub mod route;
--- a/src/link/server.rs
+++ b/src/link/server.rs
@@ -7,13 +7,16 @@
         exchange::Head,
         socket::{Accepted, Identity, Purpose, Socket},
     },
-    crate::{clock::Clock, failure::Failure, name, wire},
-    bytes::Bytes,
-    std::future::Future,
-    tokio::{
-        net::{TcpListener, TcpStream},
-        sync::watch,
+    crate::{
+        clock::Clock,
+        failure::Failure,
+        name,
+        net::{Listener, Stream},
+        wire,
     },
+    bytes::Bytes,
+    std::{future::Future, net::SocketAddr},
+    tokio::sync::watch,
 };
 
 /// Serves forwarded calls.
@@ -47,7 +50,7 @@
 
 /// Accepts peers until `stop` closes.
 pub async fn serve<C: Clock, H: Handler>(
-    listener: TcpListener,
+    mut listener: Listener,
     identity: Identity,
     mailboxes: Mailboxes,
     handle: Handle,
@@ -65,8 +68,8 @@
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((tcp, _)) => {
-                    tokio::spawn(connection(tcp, context.clone(), stop.clone()));
+                Ok((stream, address)) => {
+                    tokio::spawn(connection(stream, address, context.clone(), stop.clone()));
                 }
                 Err(error) => {
                     tracing::warn!(%error, "accepting a peer");
@@ -79,7 +82,8 @@
 }
 
 async fn connection<C: Clock, H: Handler>(
-    tcp: TcpStream,
+    stream: Stream,
+    address: SocketAddr,
     context: Context<C, H>,
     mut stop: watch::Receiver<()>,
 ) {
@@ -87,7 +91,7 @@
         socket,
         from,
         purpose,
-    } = match Socket::accept(tcp, &context.identity).await {
+    } = match Socket::accept(stream, address, &context.identity).await {
         Ok(accepted) => accepted,
         Err(error) => return tracing::debug!(%error, "peer refused"),
     };
--- a/src/link/socket.rs
+++ b/src/link/socket.rs
@@ -1,16 +1,17 @@
 //! Web socket plumbing that control connections and exchanges share.
 
 use {
-    crate::{Error, Result, name, wire},
+    crate::{
+        Error, Result, name,
+        net::{Network, Stream},
+        wire,
+    },
     bytes::Bytes,
     futures::{SinkExt, StreamExt},
     serde::{Serialize, de::DeserializeOwned},
     std::{net::SocketAddr, sync::Arc, time::Duration},
     subtle::ConstantTimeEq,
-    tokio::{
-        net::TcpStream,
-        time::{Instant, sleep_until, timeout},
-    },
+    tokio::time::{Instant, sleep_until, timeout},
     tokio_tungstenite::{
         WebSocketStream, accept_hdr_async_with_config, client_async_with_config,
         tungstenite::{
@@ -44,6 +45,8 @@
     pub secret: Arc<str>,
     /// Largest message taken, in bytes.
     pub message_limit: usize,
+    /// Where connections are made.
+    pub network: Network,
 }
 
 /// What a connection is for.
@@ -71,7 +74,7 @@
 /// One open connection to a peer.
 #[derive(Debug)]
 pub(super) struct Socket {
-    stream: WebSocketStream<TcpStream>,
+    stream: WebSocketStream<Stream>,
     peer: String,
 }
 
@@ -92,14 +95,15 @@
     ) -> Result<Self> {
         let peer = address.to_string();
         let connecting = async {
-            let tcp = TcpStream::connect(address)
+            let stream = identity
+                .network
+                .connect(address)
                 .await
                 .map_err(|source| Error::Io {
                     step: "connecting to a peer",
                     peer: peer.clone(),
                     source,
                 })?;
-            tcp.set_nodelay(true).ok();
             let request = http::Request::builder()
                 .uri(format!("ws://{address}{}", purpose.path()))
                 .header("host", &peer)
@@ -115,7 +119,7 @@
                 .body(())
                 .expect("the parts of the request are valid");
             let config = Some(config(identity.message_limit));
-            let (stream, _) = client_async_with_config(request, tcp, config)
+            let (stream, _) = client_async_with_config(request, stream, config)
                 .await
                 .map_err(|error| protocol("opening a peer connection", &peer, error))?;
             Ok(stream)
@@ -130,11 +134,12 @@
     }
 
     /// Shakes hands with a connecting peer; one that does not know the secret is refused.
-    pub(super) async fn accept(tcp: TcpStream, identity: &Identity) -> Result<Accepted> {
-        let peer = tcp
-            .peer_addr()
-            .map_or_else(|_| "a peer".into(), |address| address.to_string());
-        tcp.set_nodelay(true).ok();
+    pub(super) async fn accept(
+        stream: Stream,
+        from: SocketAddr,
+        identity: &Identity,
+    ) -> Result<Accepted> {
+        let peer = from.to_string();
         let mut seen = None;
         #[allow(
             clippy::result_large_err,
@@ -150,7 +155,7 @@
         let config = Some(config(identity.message_limit));
         let stream = timeout(
             CONNECT_TIMEOUT,
-            accept_hdr_async_with_config(tcp, check, config),
+            accept_hdr_async_with_config(stream, check, config),
         )
         .await
         .map_err(|_| Error::Timeout {
@@ -158,14 +163,14 @@
             peer: peer.clone(),
         })?
         .map_err(|error| protocol("accepting a peer connection", &peer, error))?;
-        let (from, purpose) = seen.ok_or_else(|| Error::Protocol {
+        let (host, purpose) = seen.ok_or_else(|| Error::Protocol {
             step: "accepting a peer connection",
             peer: peer.clone(),
             reason: "no handshake".into(),
         })?;
         Ok(Accepted {
             socket: Self { stream, peer },
-            from,
+            from: host,
             purpose,
         })
     }
--- a/src/listen.rs
+++ b/src/listen.rs
@@ -2,6 +2,7 @@
 //! take, and ends connections gracefully.
 
 use {
+    crate::net::{Listener, Stream},
     hyper::server::conn::http1,
     hyper_util::{
         rt::{TokioIo, TokioTimer},
@@ -9,7 +10,6 @@
     },
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
-        net::TcpListener,
         sync::{OwnedSemaphorePermit, Semaphore, watch},
         time::sleep,
     },
@@ -29,7 +29,7 @@
 
 /// Serves HTTP until `stop` closes; then takes no more connections, lets running answers end and
 /// returns when every connection has.
-pub async fn serve(listener: TcpListener, router: Router, mut stop: watch::Receiver<()>) {
+pub async fn serve(mut listener: Listener, router: Router, mut stop: watch::Receiver<()>) {
     let tree: Arc<Tree> = Arc::new(router.into());
     let graceful = GracefulShutdown::new();
     let permits = Arc::new(Semaphore::new(CONNECTIONS_LIMIT));
@@ -39,9 +39,8 @@
         };
         tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((tcp, address)) => {
-                    tcp.set_nodelay(true).ok();
-                    connection(tcp, address, tree.clone(), &graceful, permit);
+                Ok((stream, address)) => {
+                    connection(stream, address, tree.clone(), &graceful, permit);
                 }
                 Err(error) => {
                     tracing::warn!(%error, "accepting a connection");
@@ -56,7 +55,7 @@
 }
 
 fn connection(
-    tcp: tokio::net::TcpStream,
+    stream: Stream,
     address: SocketAddr,
     tree: Arc<Tree>,
     graceful: &GracefulShutdown,
@@ -67,7 +66,7 @@
         .header_read_timeout(HEAD_TIMEOUT)
         .max_buf_size(READ_BUFFER)
         .max_headers(HEADERS_LIMIT)
-        .serve_connection(TokioIo::new(tcp), Responder::new(tree, Some(address)));
+        .serve_connection(TokioIo::new(stream), Responder::new(tree, Some(address)));
     let serving = graceful.watch(serving);
     tokio::spawn(async move {
         if let Err(error) = serving.await {
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -3,7 +3,7 @@
 
 use {
     super::{Clients, Directory, Documents, Hosts, Listing, Revised},
-    crate::{Error, Result, config::Document, upstream},
+    crate::{Error, Result, config::Document, net::Network, upstream},
     bytes::Bytes,
     http::{Request, Response, StatusCode},
     http_body_util::Full,
@@ -28,10 +28,10 @@
 
 impl Platform {
     /// The platform at `address`.
-    pub fn new(address: SocketAddr) -> Self {
+    pub fn new(network: Network, address: SocketAddr) -> Self {
         Self {
             address,
-            client: upstream::Client::new(),
+            client: upstream::Client::new(network),
         }
     }
 
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -2,7 +2,10 @@
 //! whether a failed call ran is kept exact: only a call that never left is `ran: "no"`.
 
 use {
-    crate::failure::{Code, Failure, Ran},
+    crate::{
+        failure::{Code, Failure, Ran},
+        net::Network,
+    },
     bytes::Bytes,
     http::{Request, Response},
     http_body_util::{BodyExt, Full},
@@ -17,10 +20,7 @@
         sync::{Arc, Mutex, PoisonError},
         time::Duration,
     },
-    tokio::{
-        net::TcpStream,
-        time::{Instant, timeout},
-    },
+    tokio::time::{Instant, timeout},
 };
 
 /// Longest time to connect.
@@ -40,8 +40,9 @@
 type Sender = SendRequest<Full<Bytes>>;
 
 /// Sends calls and keeps idle connections.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct Client {
+    network: Network,
     idle: Arc<Mutex<BTreeMap<SocketAddr, Vec<Idle>>>>,
 }
 
@@ -63,8 +64,11 @@
 
 impl Client {
     /// A client without connections.
-    pub fn new() -> Self {
-        Self::default()
+    pub fn new(network: Network) -> Self {
+        Self {
+            network,
+            idle: Arc::default(),
+        }
     }
 
     /// Sends a request to the upstream at `address` and waits for the head of the answer.
@@ -87,7 +91,7 @@
                 Err(Unsent { failure, .. }) => return Err(failure),
             }
         }
-        let sender = connect(address).await?;
+        let sender = connect(&self.network, address).await?;
         self.send_on(address, sender, request)
             .await
             .map_err(|unsent| unsent.failure)
@@ -176,22 +180,21 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<Sender, Failure> {
+async fn connect(network: &Network, address: SocketAddr) -> Result<Sender, Failure> {
     let unreachable = |reason: String| {
         Failure::not_run(
             Code::Unreachable,
             format!("connecting to the upstream: {reason}"),
         )
     };
-    let tcp = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+    let stream = timeout(CONNECT_TIMEOUT, network.connect(address))
         .await
         .map_err(|_| unreachable("timed out".into()))?
         .map_err(|error| unreachable(error.to_string()))?;
-    tcp.set_nodelay(true).ok();
     let (sender, connection) = http1::Builder::new()
         .max_headers(HEADERS_LIMIT)
         .max_buf_size(READ_BUFFER)
-        .handshake(TokioIo::new(tcp))
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(|error| unreachable(error.to_string()))?;
     tokio::spawn(async move {
