Add the demo: three regions of real hosts under mixed work, judged from both ends

Cause: what the operators measure (cost, tails, share sent elsewhere, the worst-served customer, refusals within the rate) can't be seen from one host, and a newcomer needs one command.

Ruled out: a cargo alias or a script that builds first, because the README's command must work as it stands; one host list for all regions, because then relays could not stand between regions.

--- /dev/null
+++ b/testbed/src/command/demo.rs
@@ -0,0 +1,147 @@
+//! `testbed demo`: a whole deployment on loopback under mixed work.
+
+use {
+    argh::FromArgs,
+    std::{fs, io, path::PathBuf, process::ExitCode, sync::Arc, time::Duration},
+    testbed::{
+        deployment::Deployment,
+        fleet::{self, Fleet, daemon, incident::Incident},
+        run, workload,
+    },
+    tokio::signal::ctrl_c,
+};
+
+/// run three regions of entry hosts with stand-ins of everything else on loopback, send them mixed
+/// work, and print what the operators measure
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "demo")]
+pub(crate) struct Arguments {
+    /// kerala (Vartha Serve) or egypt (Balloonfind) [default: kerala]
+    #[argh(option, default = "\"kerala\".to_owned()")]
+    deployment: String,
+
+    /// length of the run, which is also the length of a day [default: 20]
+    #[argh(option, default = "20")]
+    seconds: u64,
+
+    /// seed of the work [default: 1]
+    #[argh(option, default = "1")]
+    seed: u64,
+
+    /// factor on the rate of the work [default: 1]
+    #[argh(option, default = "1.0")]
+    scale: f64,
+
+    /// a fault as NAME@SECOND or NAME@SECOND+SECONDS; may be given several times; see
+    /// docs/testbed.md for the names
+    #[argh(option)]
+    fault: Vec<String>,
+
+    /// leave the hosts up until Ctrl-C and print curl lines that reach them
+    #[argh(switch)]
+    keep: bool,
+
+    /// write the result as JSON to this file
+    #[argh(option)]
+    json: Option<PathBuf>,
+
+    /// the daemon's program [default: built from this workspace]
+    #[argh(option)]
+    daemon: Option<PathBuf>,
+
+    /// what hosts log [default: info]
+    #[argh(option, default = "\"info\".to_owned()")]
+    log_filter: String,
+}
+
+pub(crate) async fn run(arguments: Arguments) -> io::Result<ExitCode> {
+    let deployment = Deployment::named(&arguments.deployment).ok_or_else(|| {
+        io::Error::other(format!(
+            "no deployment {}: name kerala or egypt",
+            arguments.deployment
+        ))
+    })?;
+    let incidents = incidents(&arguments.fault)?;
+    let program = match arguments.daemon.clone() {
+        Some(program) => program,
+        None => daemon::build().await?,
+    };
+    let logs = std::env::temp_dir().join(format!("greengagecleat-demo-{}", std::process::id()));
+    fs::create_dir_all(&logs)?;
+    println!(
+        "starting {} hosts; their logs are in {}",
+        deployment.regions.len() * 3,
+        logs.display()
+    );
+    let mut fleet = Fleet::start(fleet::Settings {
+        deployment: deployment.clone(),
+        program,
+        logs,
+        log_filter: arguments.log_filter.clone(),
+    })
+    .await?;
+    let length = Duration::from_secs(arguments.seconds);
+    let items = workload::schedule(&deployment, arguments.seed, length, arguments.scale);
+    let items = Arc::new(items);
+    println!(
+        "sending {} requests over {} s",
+        items.len(),
+        arguments.seconds
+    );
+    let outcomes = run::run(&mut fleet, &items, &incidents).await?;
+    let mut report = run::judge(&fleet, &items, &outcomes, length);
+    report.seed = arguments.seed;
+    report.faults = arguments.fault;
+    println!("\n{report}");
+    if let Some(path) = &arguments.json {
+        fs::write(path, serde_json::to_vec_pretty(&report)?)?;
+    }
+    if arguments.keep {
+        keep(&fleet).await?;
+    }
+    Ok(if report.violations.is_empty() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
+
+fn incidents(texts: &[String]) -> io::Result<Vec<Incident>> {
+    texts
+        .iter()
+        .map(|text| text.parse().map_err(io::Error::other))
+        .collect()
+}
+
+/// Prints how to reach the hosts and waits for Ctrl-C.
+async fn keep(fleet: &Fleet) -> io::Result<()> {
+    let deployment = &fleet.deployment;
+    let host = &fleet.hosts[0];
+    let key = deployment.customers[0].key();
+    let entry = host.listen;
+    println!("\nThe hosts stay up until Ctrl-C. Try:\n");
+    println!("  curl -s http://{entry}/v1/hosts");
+    println!("  curl -s http://{entry}/v1/models -H 'Authorization: Bearer {key}'");
+    println!(
+        "  curl -sN http://{entry}/v1/chat/completions -H 'Authorization: Bearer {key}' -H 'Content-Type: application/json' \\\n    -d '{{\"model\": \"{}\", \"stream\": true, \"max_tokens\": 16, \"messages\": [{{\"role\": \"user\", \"content\": \"Which branch meets today?\"}}]}}'",
+        deployment.model
+    );
+    println!(
+        "  curl -s http://{entry}{}/today -X POST -H 'Authorization: Bearer {key}' -H 'Idempotency-Key: mine-1' -d '{{}}'",
+        deployment.posts
+    );
+    println!(
+        "  curl -s http://{entry}{}/17 -H 'Authorization: Bearer {key}'",
+        deployment.lookups
+    );
+    println!("  curl -s http://{}/status", host.admin);
+    println!("  curl -s http://{}/metrics", host.admin);
+    println!("\nCallers, peers and operators reach the hosts at:");
+    for host in &fleet.hosts {
+        println!(
+            "  {:<14} {}  {}  {}",
+            host.settings.name, host.listen, host.peer, host.admin
+        );
+    }
+    ctrl_c().await
+}
--- a/testbed/src/command/mod.rs
+++ b/testbed/src/command/mod.rs
@@ -1,5 +1,6 @@
 //! The commands.
 
+mod demo;
 mod standin;
 
 use {
@@ -17,12 +18,14 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Demo(demo::Arguments),
     Standin(standin::Arguments),
 }
 
 /// Runs a command.
 pub(crate) async fn run(arguments: Arguments) -> io::Result<ExitCode> {
     match arguments.command {
+        Command::Demo(arguments) => demo::run(arguments).await,
         Command::Standin(arguments) => standin::run(arguments).await,
     }
 }
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -4,13 +4,17 @@
 //! gives a handle with its address and its switches, and dropping the handle ends it.
 
 pub mod client;
+pub mod deployment;
 pub mod engine;
 pub mod fault;
+pub mod fleet;
 mod millis;
 pub mod plain;
 pub mod platform;
+pub mod run;
 pub mod seen;
 pub mod serve;
 pub mod text;
 pub mod wan;
 pub mod weights;
+pub mod workload;
--- /dev/null
+++ b/testbed/src/run/attempt.rs
@@ -0,0 +1,267 @@
+//! One request as its caller makes it: a host, a call, and a look at the answer.
+
+use {
+    super::{
+        Directory,
+        outcome::{Outcome, Status},
+    },
+    crate::{
+        client::{Call, Caller, Events},
+        deployment::Deployment,
+        fleet::Fleet,
+        plain::Receipt,
+        workload::{Item, Kind},
+    },
+    bytes::Bytes,
+    http_body_util::BodyExt,
+    hyper::{Response, body::Incoming},
+    serde_json::Value,
+    std::{io, net::SocketAddr, time::Duration},
+    tokio::time::{Instant, timeout_at},
+};
+
+/// Hosts that a caller tries.
+const TRIES: u32 = 3;
+
+/// Longest wait of a caller for each kind of answer.
+const DIGEST_PATIENCE: Duration = Duration::from_secs(65);
+const ANSWER_PATIENCE: Duration = Duration::from_secs(35);
+
+/// The callers of a fleet.
+#[derive(Debug)]
+pub struct Sender {
+    deployment: Deployment,
+    places: Vec<Vec<Place>>,
+}
+
+/// The callers of one customer in one region.
+#[derive(Debug)]
+struct Place {
+    caller: Caller,
+    directory: Directory,
+}
+
+/// How one try ended.
+#[derive(Debug)]
+struct End {
+    status: Status,
+    code: String,
+    ran: Option<String>,
+    first: Option<Instant>,
+}
+
+impl Sender {
+    /// The callers of a fleet, each knowing the hosts of its region.
+    pub async fn start(fleet: &Fleet) -> Self {
+        let deployment = fleet.deployment.clone();
+        let mut places = Vec::new();
+        for region in 0..deployment.regions.len() {
+            let mut row = Vec::new();
+            for customer in 0..deployment.customers.len() {
+                let caller = Caller::new(Some(deployment.caller(region, customer)));
+                let known = fleet.entries(region);
+                let directory = Directory::start(caller.clone(), known).await;
+                row.push(Place { caller, directory });
+            }
+            places.push(row);
+        }
+        Self { deployment, places }
+    }
+
+    /// Makes the request, going to another host where that can do no harm.
+    pub async fn send(&self, item: &Item, start: Instant) -> Outcome {
+        let place = &self.places[item.region][item.customer];
+        let call = item.call(&self.deployment);
+        let patience = if item.kind == Kind::Digest {
+            DIGEST_PATIENCE
+        } else {
+            ANSWER_PATIENCE
+        };
+        let due = start + item.at;
+        let hosts = place.directory.hosts();
+        let mut tries = 0;
+        let end = loop {
+            let host = hosts[tries as usize % hosts.len()];
+            tries += 1;
+            let end = attempt(&place.caller, host, item, &call, due + patience).await;
+            if tries == TRIES || !end.elsewhere(item) {
+                break end;
+            }
+        };
+        Outcome {
+            number: item.number,
+            at: item.at,
+            kind: item.kind,
+            customer: item.customer,
+            status: end.status,
+            code: end.code,
+            ran: end.ran,
+            first: end.first.map(|at| at - due),
+            whole: due.elapsed(),
+            tries,
+        }
+    }
+}
+
+impl End {
+    fn broken(code: impl Into<String>, first: Option<Instant>) -> Self {
+        Self {
+            status: Status::Failed,
+            code: code.into(),
+            ran: None,
+            first,
+        }
+    }
+
+    /// Whether the caller goes to another host: when the host could not be reached, and with a
+    /// post, which carries an idempotency key, when its connection broke; or when the host says
+    /// that it is not ready.
+    fn elsewhere(&self, item: &Item) -> bool {
+        match self.code.as_str() {
+            "connect" | "not_ready" => true,
+            "broken" => matches!(item.kind, Kind::Post | Kind::Lookup),
+            _ => false,
+        }
+    }
+}
+
+async fn attempt(
+    caller: &Caller,
+    host: SocketAddr,
+    item: &Item,
+    call: &Call,
+    deadline: Instant,
+) -> End {
+    let trying = async {
+        match caller.send(host, call).await {
+            Ok(response) => read(item, response).await,
+            Err(error) if is_connect(&error) => End::broken("connect", None),
+            Err(_) => End::broken("broken", None),
+        }
+    };
+    let ended = timeout_at(deadline, trying).await;
+    ended.unwrap_or_else(|_| End::broken("no-answer", None))
+}
+
+/// Whether the connection could not even be opened.
+fn is_connect(error: &io::Error) -> bool {
+    let inner = error.get_ref();
+    inner
+        .and_then(|inner| inner.downcast_ref::<hyper_util::client::legacy::Error>())
+        .is_some_and(hyper_util::client::legacy::Error::is_connect)
+}
+
+async fn read(item: &Item, response: Response<Incoming>) -> End {
+    if response.status().is_success() && item.kind.streams() {
+        return stream(item, response.into_body()).await;
+    }
+    let status = response.status();
+    let first = Some(Instant::now());
+    let Ok(body) = response.into_body().collect().await else {
+        return End::broken("broken", first);
+    };
+    let body = body.to_bytes();
+    if !status.is_success() {
+        return refused(&body, status.as_u16());
+    }
+    if is_answer(item, &body) {
+        return End::whole(first);
+    }
+    End {
+        status: Status::Wrong,
+        ..End::broken("not the answer", first)
+    }
+}
+
+impl End {
+    /// A refusal after the first token is a failure.
+    fn begun(self) -> Self {
+        let status = if self.first.is_some() {
+            Status::Failed
+        } else {
+            self.status
+        };
+        Self { status, ..self }
+    }
+
+    fn whole(first: Option<Instant>) -> Self {
+        Self {
+            status: Status::Whole,
+            ..Self::broken("", first)
+        }
+    }
+}
+
+/// An error as the gateway words it.
+fn refused(body: &Bytes, status: u16) -> End {
+    let error: Value = serde_json::from_slice(body).unwrap_or_default();
+    let text = |name: &str| error.get(name).and_then(Value::as_str).map(str::to_owned);
+    let ran = text("ran");
+    let status_of = if ran.as_deref() == Some("no") {
+        Status::Refused
+    } else {
+        Status::Failed
+    };
+    End {
+        status: status_of,
+        ran,
+        ..End::broken(
+            text("code").unwrap_or_else(|| format!("status-{status}")),
+            None,
+        )
+    }
+}
+
+/// Whether a body is the whole answer to the item.
+fn is_answer(item: &Item, body: &Bytes) -> bool {
+    match item.kind {
+        Kind::Post => serde_json::from_slice::<Receipt>(body)
+            .is_ok_and(|receipt| receipt.key.as_deref() == Some(&item.key)),
+        Kind::Lookup => serde_json::from_slice::<Receipt>(body)
+            .is_ok_and(|receipt| receipt.target.ends_with(&item.key)),
+        _ => serde_json::from_slice::<Value>(body)
+            .is_ok_and(|body| body["choices"][0]["message"]["content"] == item.answer()),
+    }
+}
+
+/// Reads a stream to its end mark, its error event, or its break.
+async fn stream(item: &Item, mut body: Incoming) -> End {
+    let mut events = Events::default();
+    let mut text = String::new();
+    let mut first = None;
+    let mut ended = false;
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            return End::broken("broken", first);
+        };
+        let Some(piece) = frame.data_ref() else {
+            continue;
+        };
+        for data in events.push(piece) {
+            if data == "[DONE]" {
+                ended = true;
+                continue;
+            }
+            let chunk: Value = serde_json::from_str(&data).unwrap_or_default();
+            if chunk.get("ran").is_some() {
+                return End {
+                    first,
+                    ..refused(&data.into(), 0)
+                }
+                .begun();
+            }
+            if let Some(token) = chunk["choices"][0]["delta"]["content"].as_str() {
+                first.get_or_insert_with(Instant::now);
+                text.push_str(token);
+            }
+        }
+    }
+    match ended {
+        true if text == item.answer() => End::whole(first),
+        true => End {
+            status: Status::Wrong,
+            ..End::broken("not the answer", first)
+        },
+        false => End::broken("broken", first),
+    }
+}
--- /dev/null
+++ b/testbed/src/run/judge.rs
@@ -0,0 +1,369 @@
+//! Judges a run: from what callers saw and what the upstreams did.
+
+use {
+    super::{
+        outcome::{Outcome, Status},
+        result::{Cost, Ends, Engines, Latency, Report, Second, Share, Worst},
+    },
+    crate::{
+        deployment::{Deployment, ON_DEMAND_PRICE},
+        fleet::{Fleet, Replica},
+        text,
+        workload::{Item, Kind},
+    },
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
+};
+
+/// Lines of broken properties of one kind that are told.
+const TOLD: usize = 5;
+
+/// What the upstreams did.
+#[derive(Debug)]
+struct Ledger {
+    /// Regions in which each prompt ran, by the prompt's hash, one entry for each run.
+    prompts: BTreeMap<u64, Vec<usize>>,
+    /// Regions in which each idempotency key ran, one entry for each run.
+    posts: BTreeMap<String, Vec<usize>>,
+}
+
+impl Ledger {
+    fn of(fleet: &Fleet) -> Self {
+        let mut prompts: BTreeMap<u64, Vec<usize>> = BTreeMap::new();
+        for engine in &fleet.engines {
+            for (prompt, runs) in engine.runs() {
+                let places = std::iter::repeat_n(engine.region, runs as usize);
+                prompts.entry(prompt).or_default().extend(places);
+            }
+        }
+        let mut posts: BTreeMap<String, Vec<usize>> = BTreeMap::new();
+        for (region, service) in fleet.services.iter().enumerate() {
+            for (key, runs) in service.executions().keyed {
+                let places = std::iter::repeat_n(region, runs as usize);
+                posts.entry(key).or_default().extend(places);
+            }
+        }
+        Self { prompts, posts }
+    }
+
+    /// Regions in which an item ran.
+    fn runs(&self, item: &Item) -> &[usize] {
+        let runs = match item.kind {
+            Kind::Post => self.posts.get(&item.key),
+            Kind::Lookup => None,
+            _ => self.prompts.get(&text::hash(&item.prompt)),
+        };
+        runs.map_or(&[], Vec::as_slice)
+    }
+}
+
+/// Judges what came of the items sent to a fleet.
+pub fn judge(fleet: &Fleet, items: &[Item], outcomes: &[Outcome], length: Duration) -> Report {
+    let deployment = &fleet.deployment;
+    let ledger = Ledger::of(fleet);
+    let within = within_rate(deployment, items, outcomes);
+    let customers = customers(deployment, items, outcomes, &within, length);
+    let mut ends = Ends::default();
+    for outcome in outcomes {
+        ends.count(outcome, within.contains(&outcome.number));
+    }
+    Report {
+        deployment: deployment.name.to_owned(),
+        seconds: length.as_secs_f64(),
+        ends,
+        kinds: kinds(outcomes),
+        worst: worst(deployment, &customers),
+        elsewhere_share: elsewhere(items, outcomes, &ledger),
+        cost: cost(fleet, items, outcomes),
+        engines: engines(fleet, items),
+        codes: codes(outcomes),
+        timeline: timeline(outcomes, length),
+        violations: violations(fleet, items, outcomes, &ledger, &customers),
+        customers,
+        ..Report::default()
+    }
+}
+
+fn kinds(outcomes: &[Outcome]) -> BTreeMap<String, Latency> {
+    let latency = |kind: Kind| Latency::of(outcomes.iter().filter(|it| it.kind == kind));
+    Kind::ALL
+        .iter()
+        .map(|kind| (kind.name().to_owned(), latency(*kind)))
+        .collect()
+}
+
+/// Numbers of the requests that were within their customer's rate and burst when they were due. A
+/// bucket for each customer is charged with what its answered requests really used.
+fn within_rate(deployment: &Deployment, items: &[Item], outcomes: &[Outcome]) -> BTreeSet<u64> {
+    let mut within = BTreeSet::new();
+    for (customer, member) in deployment.customers.iter().enumerate() {
+        let (mut level, mut then) = (member.burst, Duration::ZERO);
+        for outcome in outcomes.iter().filter(|it| it.customer == customer) {
+            let waited = outcome.at.saturating_sub(then).as_secs_f64();
+            level = (level + waited * member.rate).min(member.burst);
+            then = outcome.at;
+            let tokens = f64::from(items[outcome.number as usize].tokens());
+            if level < tokens {
+                continue;
+            }
+            within.insert(outcome.number);
+            if outcome.status != Status::Refused {
+                level -= tokens;
+            }
+        }
+    }
+    within
+}
+
+fn customers(
+    deployment: &Deployment,
+    items: &[Item],
+    outcomes: &[Outcome],
+    within: &BTreeSet<u64>,
+    length: Duration,
+) -> BTreeMap<String, Share> {
+    let share = |customer: usize| {
+        let own = || outcomes.iter().filter(move |it| it.customer == customer);
+        let member = &deployment.customers[customer];
+        let mut ends = Ends::default();
+        own().for_each(|it| ends.count(it, within.contains(&it.number)));
+        let used: f64 = own()
+            .filter(|it| it.status == Status::Whole)
+            .map(|it| f64::from(items[it.number as usize].tokens()))
+            .sum();
+        let entitled = own().filter(|it| within.contains(&it.number));
+        let (served, all) = entitled.fold((0_u64, 0_u64), |(served, all), it| {
+            (served + u64::from(it.status == Status::Whole), all + 1)
+        });
+        Share {
+            ends,
+            used_of_rate: used / (member.rate * length.as_secs_f64() + member.burst),
+            served: ratio(served as f64, all as f64),
+            streams: Latency::of(own().filter(|it| it.kind.streams())),
+            digests: Latency::of(own().filter(|it| it.kind == Kind::Digest)),
+        }
+    };
+    (0..deployment.customers.len())
+        .map(|customer| {
+            (
+                deployment.customers[customer].name.to_owned(),
+                share(customer),
+            )
+        })
+        .collect()
+}
+
+fn worst(deployment: &Deployment, customers: &BTreeMap<String, Share>) -> Worst {
+    let ordinary = deployment.customers.iter().filter(|it| it.times <= 1.0);
+    let worst = ordinary
+        .map(|member| (member.name, customers[member.name]))
+        .min_by(|(_, one), (_, other)| {
+            let first = |share: &Share| share.streams.first.p95;
+            let served = one.served.total_cmp(&other.served);
+            served.then(first(other).total_cmp(&first(one)))
+        });
+    worst.map_or_else(Worst::default, |(name, share)| Worst {
+        customer: name.to_owned(),
+        served: share.served,
+        first_p95: share.streams.first.p95,
+    })
+}
+
+fn elsewhere(items: &[Item], outcomes: &[Outcome], ledger: &Ledger) -> f64 {
+    let answered = outcomes
+        .iter()
+        .filter(|it| it.kind.is_model() && it.status == Status::Whole);
+    let (away, all) = answered.fold((0_u64, 0_u64), |(away, all), outcome| {
+        let item = &items[outcome.number as usize];
+        let left = ledger
+            .runs(item)
+            .iter()
+            .any(|region| *region != item.region);
+        (away + u64::from(left), all + 1)
+    });
+    ratio(away as f64, all as f64)
+}
+
+fn is_on_demand(engine: &Replica) -> bool {
+    engine.pool.ends_with("on-demand")
+}
+
+fn computed(engine: &Replica) -> u64 {
+    let count = engine.count();
+    count.prompt_tokens + count.tokens
+}
+
+fn cost(fleet: &Fleet, items: &[Item], outcomes: &[Outcome]) -> Cost {
+    let tokens = |on_demand: bool| -> u64 {
+        let engines = fleet.engines.iter();
+        engines
+            .filter(|engine| is_on_demand(engine) == on_demand)
+            .map(computed)
+            .sum()
+    };
+    let on_demand_tokens = tokens(true);
+    let on_demand_cost = on_demand_tokens as f64 * ON_DEMAND_PRICE / 1e6;
+    let useful: u64 = outcomes
+        .iter()
+        .filter(|it| it.kind.is_model() && it.status == Status::Whole)
+        .map(|it| u64::from(items[it.number as usize].tokens()))
+        .sum();
+    Cost {
+        paid_tokens: tokens(false),
+        on_demand_tokens,
+        on_demand_cost,
+        on_demand_cost_per_million: ratio(on_demand_cost * 1e6, useful as f64),
+    }
+}
+
+fn engines(fleet: &Fleet, items: &[Item]) -> Engines {
+    let counts: Vec<_> = fleet.engines.iter().map(Replica::count).collect();
+    let prompt: u64 = counts.iter().map(|count| count.prompt_tokens).sum();
+    let cached: u64 = counts.iter().map(|count| count.cached_tokens).sum();
+    let requests: u64 = counts.iter().map(|count| count.requests).sum();
+    let paid: Vec<_> = fleet
+        .engines
+        .iter()
+        .filter(|engine| !is_on_demand(engine))
+        .map(|engine| computed(engine) as f64)
+        .collect();
+    let mean = ratio(paid.iter().sum(), paid.len() as f64);
+    let hottest = paid.iter().copied().fold(0.0, f64::max);
+    let asked = items.iter().filter(|item| item.kind.is_model()).count();
+    Engines {
+        cached_share: ratio(cached as f64, prompt as f64),
+        hottest_over_mean: ratio(hottest, mean),
+        runs_per_request: ratio(requests as f64, asked as f64),
+    }
+}
+
+fn codes(outcomes: &[Outcome]) -> BTreeMap<String, u64> {
+    let mut codes = BTreeMap::new();
+    for outcome in outcomes.iter().filter(|it| it.status != Status::Whole) {
+        *codes.entry(outcome.code.clone()).or_default() += 1;
+    }
+    codes
+}
+
+fn timeline(outcomes: &[Outcome], length: Duration) -> Vec<Second> {
+    let second = |second: u64| {
+        let mut row = Second::default();
+        let due = || outcomes.iter().filter(move |it| it.at.as_secs() == second);
+        for outcome in due() {
+            match outcome.status {
+                Status::Whole => row.whole += 1,
+                Status::Refused => row.refused += 1,
+                Status::Failed | Status::Wrong => row.failed += 1,
+            }
+        }
+        row.first_p95 = Latency::of(due().filter(|it| it.kind.streams())).first.p95;
+        row
+    };
+    (0..length.as_secs()).map(second).collect()
+}
+
+/// Properties that did not hold.
+fn violations(
+    fleet: &Fleet,
+    items: &[Item],
+    outcomes: &[Outcome],
+    ledger: &Ledger,
+    customers: &BTreeMap<String, Share>,
+) -> Vec<String> {
+    let deployment = &fleet.deployment;
+    let name = |item: &Item| format!("{} {}", item.kind.name(), item.key);
+    let mut lines = Vec::new();
+    let mut tell = |what: &str, found: Vec<String>| {
+        if found.is_empty() {
+            return;
+        }
+        let told = found[..found.len().min(TOLD)].join("; ");
+        lines.push(format!("{what}, {} times: {told}", found.len()));
+    };
+    let outcome_of = |choose: &dyn Fn(&Outcome, &Item) -> bool| -> Vec<String> {
+        outcomes
+            .iter()
+            .map(|outcome| (outcome, &items[outcome.number as usize]))
+            .filter(|(outcome, item)| choose(outcome, item))
+            .map(|(_, item)| name(item))
+            .collect()
+    };
+    let item_of = |choose: &dyn Fn(&Item) -> bool| -> Vec<String> {
+        items.iter().filter(|item| choose(item)).map(name).collect()
+    };
+    if outcomes.len() < items.len() {
+        tell(
+            "requests that never ended",
+            vec![format!(
+                "{} of {}",
+                items.len() - outcomes.len(),
+                items.len()
+            )],
+        );
+    }
+    tell(
+        "answer that looks whole and is not the answer",
+        outcome_of(&|outcome, _| outcome.status == Status::Wrong),
+    );
+    tell(
+        "post run more than once",
+        item_of(&|item| item.kind == Kind::Post && ledger.runs(item).len() > 1),
+    );
+    tell(
+        "post answered and not run",
+        outcome_of(&|outcome, item| {
+            let answered = outcome.status == Status::Whole;
+            item.kind == Kind::Post && answered && ledger.runs(item).is_empty()
+        }),
+    );
+    tell(
+        "refused as not run and run",
+        outcome_of(&|outcome, item| {
+            let refused = outcome.ran.as_deref() == Some("no") && outcome.tries == 1;
+            refused && !ledger.runs(item).is_empty()
+        }),
+    );
+    tell(
+        "run outside its residency",
+        item_of(&|item| {
+            let member = &deployment.customers[item.customer];
+            member.bound
+                && ledger
+                    .runs(item)
+                    .iter()
+                    .any(|region| *region != member.home)
+        }),
+    );
+    let leaks = fleet.engines.iter().filter(|engine| engine.leaked());
+    tell(
+        "key seen by an upstream",
+        leaks
+            .map(|engine| engine.name.clone())
+            .chain(services_leaked(fleet))
+            .collect(),
+    );
+    let over = customers
+        .iter()
+        .filter(|(_, share)| share.used_of_rate > 1.0);
+    tell(
+        "customer got more than its rate and burst",
+        over.map(|(name, share)| format!("{name} {:.2} of it", share.used_of_rate))
+            .collect(),
+    );
+    lines
+}
+
+fn services_leaked(fleet: &Fleet) -> impl Iterator<Item = String> {
+    let services = fleet.services.iter().enumerate();
+    let leaked = services.filter(|(_, service)| {
+        let seen = service.seen();
+        seen.iter().any(crate::seen::Seen::holds_key)
+    });
+    leaked.map(|(region, _)| format!("records of {}", fleet.deployment.regions[region]))
+}
+
+fn ratio(part: f64, whole: f64) -> f64 {
+    if whole == 0.0 { 0.0 } else { part / whole }
+}
--- a/testbed/src/seen.rs
+++ b/testbed/src/seen.rs
@@ -15,6 +15,9 @@
 /// Bytes of a body that are kept.
 const KEPT_BODY_BYTES: usize = 4096;
 
+/// What every key of the demo's callers begins with.
+pub const KEY_MARK: &str = "demo-key-of-";
+
 /// One request as it came.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Seen {
@@ -28,6 +31,14 @@
     pub body: String,
 }
 
+impl Seen {
+    /// Whether a key of the demo's callers is anywhere in the request.
+    pub fn holds_key(&self) -> bool {
+        let found = |text: &String| text.contains(KEY_MARK);
+        found(&self.target) || found(&self.body) || self.headers.values().any(found)
+    }
+}
+
 /// The last requests that a stand-in saw.
 #[derive(Debug, Default)]
 pub struct Journal(Mutex<VecDeque<Seen>>);
