--- a/src/route/load.rs
+++ b/src/route/load.rs
@@ -112,3 +112,25 @@
         }
     }
 }
+
+/// Prompt tokens that this host sent to a replica and that it has probably not yet taken in. They
+/// run off at the replica's usual speed.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Prefill {
+    tokens: f64,
+    at: Duration,
+}
+
+impl Prefill {
+    /// A prompt has been sent.
+    pub fn add(&mut self, now: Duration, tokens: u32, rate: f64) {
+        self.tokens = self.left(now, rate) + f64::from(tokens);
+        self.at = now;
+    }
+
+    /// The tokens left.
+    pub fn left(&self, now: Duration, rate: f64) -> f64 {
+        let elapsed = now.saturating_sub(self.at).as_secs_f64();
+        (self.tokens - elapsed * rate).max(0.0)
+    }
+}
--- a/src/route/options.rs
+++ b/src/route/options.rs
@@ -10,6 +10,8 @@
     pub subset: usize,
     /// Prompt tokens that a replica takes in a second, to price a prefix that isn't cached.
     pub prefill_tokens_per_s: f64,
+    /// How much a prompt token counts beside its own time, for it delays the whole batch.
+    pub prefill_weight: f64,
     /// How much a full batch lengthens an answer, as a share of the answer's time.
     pub batch_slowdown: f64,
     /// The mean time of an answer before any has been seen.
@@ -55,6 +57,7 @@
         Self {
             subset: 32,
             prefill_tokens_per_s: 8_000.0,
+            prefill_weight: 6.0,
             batch_slowdown: 1.0,
             service: Duration::from_secs(2),
             load_bound: 1.25,
@@ -78,6 +81,13 @@
     }
 }
 
+impl Options {
+    /// What taking in prompt tokens costs, in seconds.
+    pub fn prefill(&self, tokens: f64) -> f64 {
+        self.prefill_weight * tokens / self.prefill_tokens_per_s
+    }
+}
+
 /// A deliberate fault by which tests show that they would see it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fault {
--- a/src/route/replica.rs
+++ b/src/route/replica.rs
@@ -4,7 +4,7 @@
     super::{
         affinity,
         eject::{Health, Standing},
-        load::{Load, Report},
+        load::{Load, Prefill, Report},
         options::{Fault, Options},
     },
     crate::name,
@@ -14,6 +14,10 @@
 
 /// The least part of its capacity that a cold replica is given.
 const LEAST_RAMP: f64 = 0.05;
+/// The weight of the newest answer in a replica's mean time.
+const SERVICE_GAIN: f64 = 0.02;
+/// How much slower or faster than its pool a replica is taken to be at most.
+const MOST_PACE: f64 = 4.0;
 
 /// One upstream as the tables and the host list name it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -45,8 +49,11 @@
     pub hash: u64,
     /// Its load.
     pub load: Load,
+    /// Prompts on their way into it.
+    pub prefill: Prefill,
     /// Its standing.
     pub health: Health,
+    service_s: f64,
     state: State,
     slots: u32,
     models: Vec<name::Model>,
@@ -55,13 +62,21 @@
 }
 
 impl Replica {
-    /// A replica seen for the first time, cold from `cold_since` on.
-    pub fn new(listed: &Listed, slots: u32, cold_since: Option<Duration>) -> Self {
+    /// A replica seen for the first time, in a pool whose answers take `service`, cold from
+    /// `cold_since` on.
+    pub fn new(
+        listed: &Listed,
+        slots: u32,
+        service: Duration,
+        cold_since: Option<Duration>,
+    ) -> Self {
         Self {
             name: listed.name.clone(),
             hash: affinity::hash(listed.name.as_str().as_bytes()),
             load: Load::default(),
+            prefill: Prefill::default(),
             health: Health::default(),
+            service_s: service.as_secs_f64(),
             state: listed.state,
             slots: slots.max(1),
             models: Vec::new(),
@@ -139,9 +154,23 @@
         self.outstanding(now, options) / self.capacity(now, options)
     }
 
-    /// How long one more request is held up by those in it, where an answer alone takes `service`.
+    /// How long one more request is held up by those in it, in seconds, where an answer alone takes
+    /// `service`.
     pub fn delay(&self, now: Duration, service: Duration, options: &Options) -> f64 {
-        delay(self.utilization(now, options), service, options)
+        let tokens = self.prefill.left(now, options.prefill_tokens_per_s);
+        let wait = delay(self.utilization(now, options), service, options);
+        (wait + options.prefill(tokens)) * self.pace(service)
+    }
+
+    /// How much slower it answers than the pool.
+    fn pace(&self, service: Duration) -> f64 {
+        let pace = self.service_s / service.as_secs_f64();
+        pace.clamp(1.0 / MOST_PACE, MOST_PACE)
+    }
+
+    /// Takes note of the time of an answer.
+    pub fn answered(&mut self, took: Duration) {
+        self.service_s += (took.as_secs_f64() - self.service_s) * SERVICE_GAIN;
     }
 }
 
--- a/src/route/request.rs
+++ b/src/route/request.rs
@@ -19,6 +19,8 @@
     pub customer: Option<&'a table::Customer>,
     /// The start of its prompt, which others may share.
     pub prefix: Option<Prefix>,
+    /// Its whole prompt's estimated length in tokens.
+    pub prompt_tokens: u32,
     /// Its estimated size in bytes, there and back.
     pub bytes: u64,
     /// When its answer must have ended.
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -103,7 +103,7 @@
                         replica.relist(now, listed);
                         replica
                     }
-                    None => Replica::new(listed, slots, cold_since),
+                    None => Replica::new(listed, slots, before.service, cold_since),
                 })
                 .collect();
             for listed in &followed {
@@ -211,15 +211,18 @@
     }
 
     /// A request has been sent to an upstream.
-    pub fn sent(&mut self, now: Duration, upstream: &name::Upstream, prefix: Option<u64>) {
+    pub fn sent(&mut self, now: Duration, upstream: &name::Upstream, request: &Request<'_>) {
+        let hash = affinity::hash(upstream.as_str().as_bytes());
+        let tokens = self.missing(now, hash, request);
+        let rate = self.options.prefill_tokens_per_s;
         let Some((replica, _)) = self.replica(upstream) else {
             return;
         };
         replica.load.sent(now);
         replica.health.sent(now);
-        let hash = replica.hash;
-        if let Some(prefix) = prefix {
-            self.hints.held(now, prefix, hash);
+        replica.prefill.add(now, tokens, rate);
+        if let Some(prefix) = request.prefix {
+            self.hints.held(now, prefix.hash, hash);
         }
     }
 
@@ -229,6 +232,7 @@
             return;
         };
         replica.load.ended(now);
+        replica.answered(took);
         if replica.health.succeeded() {
             replica.warm_up(now);
         }
@@ -253,6 +257,16 @@
         }
     }
 
+    /// Tokens of the prompt that a replica isn't believed to hold.
+    fn missing(&self, now: Duration, replica: u64, request: &Request<'_>) -> u32 {
+        let life = self.options.hint_life;
+        let held = request
+            .prefix
+            .filter(|prefix| self.hints.holds(now, prefix.hash, replica, life));
+        let cached = held.map_or(0, |prefix| prefix.tokens);
+        request.prompt_tokens.saturating_sub(cached)
+    }
+
     fn replica(&mut self, upstream: &name::Upstream) -> Option<(&mut Replica, &mut Duration)> {
         let members = self.pools.get_mut(self.places.get(upstream)?)?;
         let at = members.find(upstream)?;
--- a/src/route/select.rs
+++ b/src/route/select.rs
@@ -172,7 +172,7 @@
         Candidate {
             at,
             reason: if probe { Reason::Probe } else { Reason::Load },
-            cost: replica::delay(utilization, self.members.service, self.options),
+            cost: replica.delay(self.now, self.members.service, self.options),
             weight: self
                 .prefix
                 .map_or(0, |prefix| affinity::weight(prefix.hash, replica.hash)),
@@ -192,7 +192,7 @@
         let mut kept = [usize::MAX; SAMPLED + RANKED];
         kept[..SAMPLED].copy_from_slice(&sampled);
         self.ranked(prefix, out, &mut kept[SAMPLED..]);
-        let missing = f64::from(prefix.tokens) / self.options.prefill_tokens_per_s;
+        let missing = self.options.prefill(f64::from(prefix.tokens));
         for (place, candidate) in out.iter_mut().enumerate() {
             let replica = &self.members.replicas[candidate.at];
             let life = self.options.hint_life;
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -104,6 +104,7 @@
         route,
         customer: None,
         prefix: None,
+        prompt_tokens: 500,
         bytes: 4_000,
         deadline: 60 * SECOND,
         visited: &[],
@@ -233,8 +234,7 @@
                     .unwrap();
                 continue;
             };
-            let prefix = request.prefix.map(|prefix| prefix.hash);
-            self.routers[at].sent(self.now, &upstream, prefix);
+            self.routers[at].sent(self.now, &upstream, &request);
             let listed = self.lists[at].iter().find(|one| one.name == upstream);
             return listed.is_some_and(|one| one.state == State::Live);
         }
@@ -296,7 +296,7 @@
         let route = open_route();
         let each = (0..100).map(|_| {
             let choice = router.choose(SECOND, &ask(&route)).unwrap();
-            router.sent(SECOND, choice.upstream.as_ref().unwrap(), None);
+            router.sent(SECOND, choice.upstream.as_ref().unwrap(), &ask(&route));
             choice
         });
         each.collect()
@@ -328,7 +328,7 @@
     let mut count: BTreeMap<name::Upstream, u32> = BTreeMap::new();
     for _ in 0..32 {
         let upstream = router.choose(SECOND, &request).unwrap().upstream.unwrap();
-        router.sent(SECOND, &upstream, Some(request.prefix.unwrap().hash));
+        router.sent(SECOND, &upstream, &request);
         *count.entry(upstream).or_default() += 1;
     }
     assert_eq!(count.len(), REPLICAS, "{count:?}");
@@ -345,8 +345,9 @@
         ..Report::default()
     };
     router.report(SECOND, &upstream, &report(5_000, 1));
-    router.sent(2 * SECOND, &upstream, None);
-    router.sent(4 * SECOND, &upstream, None);
+    let route = open_route();
+    router.sent(2 * SECOND, &upstream, &ask(&route));
+    router.sent(4 * SECOND, &upstream, &ask(&route));
     // Taken three seconds after the first, so before the second request was sent, and late.
     router.report(5 * SECOND, &upstream, &report(7_000, 2));
     let summary = router.summary(5 * SECOND).pools["north"];
@@ -357,11 +358,11 @@
 fn failing_replica_is_ejected_probed_once_and_taken_back_slowly() {
     let mut router = router("north", Options::default());
     let failing = name::Upstream::from("north-1");
+    let route = open_route();
     for _ in 0..3 {
-        router.sent(SECOND, &failing, None);
+        router.sent(SECOND, &failing, &ask(&route));
         router.failed(SECOND, &failing);
     }
-    let route = open_route();
     let chosen = |router: &mut Router, now| {
         let choice = router.choose(now, &ask(&route)).unwrap();
         choice.upstream.unwrap()
@@ -370,7 +371,7 @@
 
     let later = 4 * SECOND;
     assert!((0..200).any(|_| chosen(&mut router, later) == failing));
-    router.sent(later, &failing, None);
+    router.sent(later, &failing, &ask(&route));
     assert!((0..200).all(|_| chosen(&mut router, later) != failing));
     let before = router.summary(later).pools["north"].capacity;
     router.finished(later, &failing, SECOND);
@@ -383,14 +384,14 @@
 #[test]
 fn ejections_are_ignored_when_most_of_a_pool_fails() {
     let mut router = router("north", Options::default());
+    let route = open_route();
     for at in 0..REPLICAS {
         let upstream = listed("north", at, State::Live).name;
         for _ in 0..3 {
-            router.sent(SECOND, &upstream, None);
+            router.sent(SECOND, &upstream, &ask(&route));
             router.failed(SECOND, &upstream);
         }
     }
-    let route = open_route();
     let request = Request {
         hops: 0,
         ..ask(&route)
