Add the limit: standing parts, a leased pool and expiring loans

A customer's rate and burst must hold over the sum of all hosts with no shared store. Gossiped counts admit too much in their lag; dividing by one's own view of the fleet admits too much while views differ; one owner by hash has two owners while views differ.

Change: a pure state machine. A plan cuts each quota between failure domains; within a domain each process has a standing part and the holder of a majority lease has the rest; hosts lend each other what they don't need, for terms that end on the borrower's clock from when it asked. Refunds are bounded by what the bucket has not spilled since the charge.

A lender that has lent more than it still has renews nothing now.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod gateway;
 pub mod kernel;
 pub mod key;
+pub mod limit;
 pub mod link;
 pub mod listen;
 pub mod machine;
--- /dev/null
+++ b/src/limit/account.rs
@@ -0,0 +1,237 @@
+//! One customer's capacity at one host: a token bucket whose rate and depth change with loans.
+
+use {
+    super::{demand::Demand, plan::Quota},
+    crate::name,
+    serde::{Deserialize, Serialize},
+    std::time::Duration,
+};
+
+/// A part of a customer's capacity.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct Share {
+    /// Tokens a second.
+    pub rate: f64,
+    /// Depth of bucket, in tokens.
+    pub depth: f64,
+}
+
+impl Share {
+    pub(super) fn plus(self, other: Self) -> Self {
+        Self {
+            rate: self.rate + other.rate,
+            depth: self.depth + other.depth,
+        }
+    }
+
+    /// What is left without `other`, never below nothing.
+    pub(super) fn minus(self, other: Self) -> Self {
+        Self {
+            rate: (self.rate - other.rate).max(0.0),
+            depth: (self.depth - other.depth).max(0.0),
+        }
+    }
+
+    pub(super) fn min(self, other: Self) -> Self {
+        Self {
+            rate: self.rate.min(other.rate),
+            depth: self.depth.min(other.depth),
+        }
+    }
+
+    pub(super) fn scaled(self, factor: f64) -> Self {
+        Self {
+            rate: self.rate * factor,
+            depth: self.depth * factor,
+        }
+    }
+}
+
+/// An admitted request, to be settled at its end.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Ticket {
+    /// Whose tokens were charged.
+    pub customer: name::Customer,
+    /// Tokens charged.
+    pub charged: f64,
+    epoch: u64,
+    scale: f64,
+}
+
+/// Headroom over its demand that a host tries to have while its bucket is low.
+const LOW_HEADROOM: f64 = 1.25;
+/// The same while it isn't.
+const HEADROOM: f64 = 1.05;
+/// Part of its depth below which a bucket counts as low.
+const LOW: f64 = 0.5;
+/// Requests of the largest size that a host tries to have room for.
+const LARGEST_REQUESTS: f64 = 2.0;
+/// Seconds of demand that a host tries to have room for.
+const DEMAND_SECONDS: f64 = 1.0;
+
+/// Time within which a host that refuses a request tries to have its tokens.
+const SHORT_SECONDS: f64 = 0.5;
+/// What sums of loans may be off by.
+const ROUNDING: f64 = 1e-6;
+
+/// One customer's capacity at one host.
+///
+/// Tokens that were charged and may yet be refunded are `pending`; `level + pending` never passes
+/// the depth. So a refund never gives a customer tokens that a bucket which had been charged the
+/// settled amount from the start would have spilled.
+#[derive(Debug, Clone)]
+pub(super) struct Account {
+    pub(super) quota: Quota,
+    pub(super) own: Share,
+    pub(super) lent: Share,
+    pub(super) borrowed: Share,
+    pub(super) demand: Demand,
+    pub(super) level: f64,
+    pending: f64,
+    /// Grows whenever nothing pending is left to refund.
+    epoch: u64,
+    /// By how much pending refunds have shrunk in this epoch.
+    scale: f64,
+    at: Duration,
+}
+
+impl Account {
+    pub(super) fn new(now: Duration, quota: Quota) -> Self {
+        Self {
+            quota,
+            own: Share::default(),
+            lent: Share::default(),
+            borrowed: Share::default(),
+            demand: Demand::default(),
+            level: 0.0,
+            pending: 0.0,
+            epoch: 0,
+            scale: 1.0,
+            at: now,
+        }
+    }
+
+    /// What this host may use now.
+    pub(super) fn held(&self) -> Share {
+        self.own.plus(self.borrowed).minus(self.lent)
+    }
+
+    /// Adds what the time since the last call brings. `drift` slows the refill so that no clock
+    /// refills faster than true time.
+    pub(super) fn refill(&mut self, now: Duration, drift: f64) {
+        let elapsed = now.saturating_sub(self.at).as_secs_f64();
+        self.at = self.at.max(now);
+        self.level += self.held().rate * elapsed / (1.0 + drift);
+        self.clip();
+    }
+
+    /// Brings the level and what is pending back under the depth.
+    pub(super) fn clip(&mut self) {
+        let depth = self.held().depth;
+        self.level = self.level.min(depth);
+        let room = depth - self.level;
+        if self.pending <= room {
+            return;
+        }
+        if room <= 0.0 {
+            self.forget();
+            return;
+        }
+        self.scale *= room / self.pending;
+        self.pending = room;
+    }
+
+    /// Empties the bucket, refunds included.
+    pub(super) fn empty(&mut self) {
+        self.level = 0.0;
+        self.forget();
+    }
+
+    fn forget(&mut self) {
+        self.pending = 0.0;
+        self.scale = 1.0;
+        self.epoch += 1;
+    }
+
+    pub(super) fn charge(&mut self, customer: &name::Customer, tokens: f64) -> Option<Ticket> {
+        if tokens > self.level {
+            return None;
+        }
+        self.level -= tokens;
+        self.pending += tokens;
+        Some(Ticket {
+            customer: customer.clone(),
+            charged: tokens,
+            epoch: self.epoch,
+            scale: self.scale,
+        })
+    }
+
+    /// Gives back what the ticket's request didn't use, as far as the bucket hasn't spilled it.
+    pub(super) fn refund(&mut self, ticket: &Ticket, used: f64) {
+        let unused = (ticket.charged - used.max(0.0)).max(0.0);
+        self.demand.refund(unused);
+        if ticket.epoch != self.epoch {
+            return;
+        }
+        let left = (ticket.charged * self.scale / ticket.scale).min(self.pending);
+        self.pending -= left;
+        self.level += unused.min(left);
+        self.clip();
+    }
+
+    /// What this host would like to hold, by its demand.
+    pub(super) fn need(&self, headroom: f64) -> Share {
+        let depth = LARGEST_REQUESTS * self.demand.largest + DEMAND_SECONDS * self.demand.rate;
+        Share {
+            rate: (headroom * self.demand.rate).min(self.quota.rate),
+            depth: (headroom * depth).min(self.quota.burst),
+        }
+    }
+
+    /// What this host would like to borrow.
+    pub(super) fn want(&self) -> Share {
+        let held = self.held();
+        let low = self.level < LOW * held.depth;
+        let headroom = if low { LOW_HEADROOM } else { HEADROOM };
+        let mut want = self.need(headroom).minus(held);
+        if self.demand.short > self.level {
+            let room = (self.quota.burst - held.depth).max(0.0);
+            want.depth = want.depth.max(self.demand.short).min(room);
+            let room = (self.quota.rate - held.rate).max(0.0);
+            want.rate = want.rate.max(self.demand.short / SHORT_SECONDS).min(room);
+        }
+        want
+    }
+
+    /// What this host can lend of its own.
+    pub(super) fn spare(&self) -> Share {
+        let kept = self.need(HEADROOM).minus(self.borrowed);
+        let mut spare = self.own.minus(self.lent).minus(kept);
+        spare.depth = spare.depth.min((self.held().depth - self.pending).max(0.0));
+        spare
+    }
+
+    /// Whether more is lent than the configuration still gives this host.
+    pub(super) fn overdrawn(&self) -> bool {
+        let allowed = self.own.scaled(1.0 + ROUNDING);
+        self.lent.rate > allowed.rate + ROUNDING || self.lent.depth > allowed.depth + ROUNDING
+    }
+
+    /// Whether loans of this customer run.
+    pub(super) fn busy(&self) -> bool {
+        let loans = self.lent.plus(self.borrowed);
+        loans.rate > ROUNDING || loans.depth > ROUNDING
+    }
+
+    /// Takes out the tokens that go with `depth` of the bucket.
+    pub(super) fn take(&mut self, depth: f64) -> f64 {
+        let held = self.held().depth;
+        if held <= 0.0 {
+            return 0.0;
+        }
+        let tokens = self.level * (depth / held).clamp(0.0, 1.0);
+        self.level -= tokens;
+        tokens
+    }
+}
--- /dev/null
+++ b/src/limit/event.rs
@@ -0,0 +1,143 @@
+//! What goes into the limit's state machine and what comes out.
+
+use {
+    super::{
+        account::Ticket,
+        message::Message,
+        plan::{Plan, Quota, Timing, Way},
+    },
+    crate::name,
+    derive_more::Display,
+    serde::{Deserialize, Serialize},
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// What one run of a process starts with.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Setup {
+    /// This host.
+    pub host: name::Host,
+    /// Its failure domain.
+    pub domain: name::Domain,
+    /// A number that no other run of any host has: random at start.
+    pub incarnation: u64,
+    /// What the fleet runs.
+    pub way: Way,
+    /// The fleet's times.
+    pub timing: Timing,
+    /// A deliberate fault, for tests of the tests.
+    pub fault: Option<Fault>,
+}
+
+/// A deliberate fault that breaks the bound, so that tests can show that they catch it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Fault {
+    /// A lender keeps using what it lent.
+    ReclaimAtOnce,
+    /// Admission doesn't look at the clock, so that a loan outlives a pause.
+    SkipFence,
+    /// A grant that comes twice counts twice.
+    AcceptTwice,
+    /// A return that comes twice counts twice.
+    ReturnTwice,
+    /// A process starts with a full bucket.
+    FullStart,
+    /// A process uses its part as soon as it starts.
+    SkipQuarantine,
+    /// A voter votes for everyone.
+    VoteTwice,
+    /// A borrower counts a loan's term from the grant's arrival.
+    CountFromReceipt,
+    /// A refund fills the bucket without regard to what has been spilled.
+    TrustRefund,
+    /// A part that a new plan enlarges is used at once.
+    SkipHold,
+}
+
+/// What happened.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Event {
+    /// Time has passed; comes about ten times a second.
+    Tick,
+    /// A message came.
+    Received {
+        /// Who sent it.
+        from: name::Host,
+        /// What it says.
+        message: Message,
+    },
+    /// The live hosts, this one left out, with their failure domains.
+    Members(BTreeMap<name::Host, name::Domain>),
+    /// The configuration in force.
+    Configured {
+        /// How capacity is cut.
+        plan: Plan,
+        /// The customers.
+        quotas: BTreeMap<name::Customer, Quota>,
+    },
+    /// This host leaves: it gives back what it holds and asks for nothing more.
+    Drain,
+}
+
+/// What the shell must do.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Action {
+    /// Send a message; it may be lost.
+    Send {
+        /// To whom.
+        to: name::Host,
+        /// What.
+        message: Message,
+    },
+    /// Log and count it.
+    Report(Report),
+}
+
+/// A change that operators may want to see.
+#[derive(Debug, Clone, PartialEq, Display, Serialize, Deserialize)]
+pub enum Report {
+    /// The quarantine is over: this process uses its standing part.
+    #[display("in service with its standing part")]
+    Seated,
+    /// The plan has no room for this process: it lives on loans.
+    #[display(
+        "no standing part: {running} processes run in the failure domain and the plan has {hosts}"
+    )]
+    Crowded {
+        /// Processes that run in the failure domain, this one counted.
+        running: usize,
+        /// How many the plan allows.
+        hosts: u32,
+    },
+    /// The process slept, and starts anew.
+    #[display("slept for {} ms: starts anew with a quarantine", slept.as_millis())]
+    Woke {
+        /// For how long.
+        slept: Duration,
+    },
+    /// This host holds the lease of its domain's pool.
+    #[display("holds the lease of the failure domain's pool")]
+    Leased,
+    /// This host no longer holds the lease.
+    #[display("no longer holds the lease of the failure domain's pool")]
+    Unleased,
+}
+
+/// The answer to a request for admission.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Verdict {
+    /// Admitted; settle the ticket at the request's end.
+    Admitted(Ticket),
+    /// Not now.
+    Refused {
+        /// When it may be worth trying again.
+        retry_after: Duration,
+    },
+    /// Larger than the customer's burst: never.
+    TooLarge {
+        /// The customer's burst, in tokens.
+        burst: f64,
+    },
+    /// No such customer in the configuration.
+    Unknown,
+}
--- /dev/null
+++ b/src/limit/lend.rs
@@ -0,0 +1,185 @@
+//! The lender's side: what is lent is gone until the loan has surely ended.
+
+use {
+    super::{
+        account::Share,
+        event::{Action, Fault},
+        loan::Loan,
+        machine::Limit,
+        message::{Ask, Grant, Id, Item, Message, Return, Want},
+        plan::Way,
+    },
+    crate::name,
+    std::time::Duration,
+};
+
+/// Smallest part of what is wanted that is worth a loan.
+const SMALLEST_PART: f64 = 0.001;
+/// Kept between the end of a holder's loans and the end of its lease.
+const LEASE_MARGIN: Duration = Duration::from_millis(2);
+
+impl Limit {
+    pub(super) fn lend(&mut self, now: Duration, from: name::Host, ask: Ask) -> Vec<Action> {
+        if self.setup.way == Way::Static || self.lent.contains_key(&ask.id) {
+            return Vec::new();
+        }
+        let term = self.term(now);
+        let until = now + self.setup.timing.outlast(term);
+        let renewed: Vec<Id> = ask
+            .renew
+            .into_iter()
+            .filter(|id| self.renew(id, &from, until))
+            .collect();
+        let items: Vec<Item> = ask
+            .wants
+            .into_iter()
+            .filter_map(|want| self.give(now, want))
+            .collect();
+        if !items.is_empty() {
+            let loan = Loan {
+                peer: from.clone(),
+                until,
+                returned: 0,
+                items: items.clone(),
+            };
+            self.lent.insert(ask.id, loan);
+        }
+        let holder = match self.lease.until {
+            Some(_) => Some(self.setup.host.clone()),
+            None => self.lease.promised(now).cloned(),
+        };
+        let grant = Grant {
+            id: ask.id,
+            term,
+            renewed,
+            items,
+            holder,
+        };
+        vec![Action::Send {
+            to: from,
+            message: Message::Grant(grant),
+        }]
+    }
+
+    /// How long a loan of now may run: a holder's loans end before its lease.
+    fn term(&self, now: Duration) -> Duration {
+        let longest = self.setup.timing.term;
+        let Some(end) = self.lease.until else {
+            return longest;
+        };
+        let remaining = end.saturating_sub(now + LEASE_MARGIN);
+        longest.min(self.setup.timing.within(remaining))
+    }
+
+    fn renew(&mut self, id: &Id, from: &name::Host, until: Duration) -> bool {
+        let Some(loan) = self.lent.get_mut(id).filter(|loan| loan.peer == *from) else {
+            return false;
+        };
+        let short = loan.items.iter().any(|item| {
+            self.accounts
+                .get(&item.customer)
+                .is_none_or(|account| account.pressed())
+        });
+        if short {
+            return false;
+        }
+        loan.until = loan.until.max(until);
+        true
+    }
+
+    fn give(&mut self, now: Duration, want: Want) -> Option<Item> {
+        if self.draining && !self.seated {
+            return None;
+        }
+        let drift = self.setup.timing.drift;
+        let keeps = self.fault() == Some(Fault::ReclaimAtOnce);
+        let account = self.accounts.get_mut(&want.customer)?;
+        account.refill(now, drift);
+        account.demand.decay(now);
+        let asked = Share {
+            rate: want.rate.max(0.0),
+            depth: want.depth.max(0.0),
+        };
+        let given = account.spare().min(asked);
+        let small = asked.scaled(SMALLEST_PART);
+        if given.rate <= small.rate && given.depth <= small.depth {
+            return None;
+        }
+        let tokens = account.take(given.depth);
+        if !keeps {
+            account.lent = account.lent.plus(given);
+        }
+        account.clip();
+        Some(Item {
+            customer: want.customer,
+            rate: given.rate,
+            depth: given.depth,
+            tokens,
+        })
+    }
+
+    /// Takes back what a borrower returned, if the loan still runs.
+    pub(super) fn regain(&mut self, now: Duration, from: name::Host, given: Return) -> Vec<Action> {
+        let Some(mut loan) = self.lent.remove(&given.id) else {
+            return Vec::new();
+        };
+        if loan.peer != from {
+            self.lent.insert(given.id, loan);
+            return Vec::new();
+        }
+        let late = given.sequence <= loan.returned;
+        if late && self.fault() != Some(Fault::ReturnTwice) {
+            self.lent.insert(given.id, loan);
+            return Vec::new();
+        }
+        loan.returned = given.sequence;
+        for item in &mut loan.items {
+            let back = given
+                .items
+                .iter()
+                .find(|back| back.customer == item.customer);
+            if let Some(back) = back {
+                let part = back.share().min(item.share());
+                self.restore(now, &item.customer, part, back.tokens);
+                *item = item.clone().without(part);
+            }
+        }
+        loan.items.retain(|item| !item.is_empty());
+        if !loan.items.is_empty() {
+            self.lent.insert(given.id, loan);
+        }
+        Vec::new()
+    }
+
+    /// Takes back the loans that have surely ended on the borrowers' clocks.
+    pub(super) fn end_lent(&mut self, due: Duration) {
+        let ended: Vec<Id> = self
+            .lent
+            .iter()
+            .filter(|(_, loan)| loan.until <= due)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in ended {
+            let Some(loan) = self.lent.remove(&id) else {
+                continue;
+            };
+            for item in &loan.items {
+                self.restore(due, &item.customer, item.share(), 0.0);
+            }
+        }
+    }
+
+    fn restore(&mut self, now: Duration, customer: &name::Customer, part: Share, tokens: f64) {
+        if self.fault() == Some(Fault::ReclaimAtOnce) {
+            return;
+        }
+        let drift = self.setup.timing.drift;
+        let Some(account) = self.accounts.get_mut(customer) else {
+            return;
+        };
+        account.refill(now, drift);
+        account.lent = account.lent.minus(part);
+        account.level += tokens.clamp(0.0, part.depth);
+        account.clip();
+    }
+}
--- /dev/null
+++ b/src/limit/mod.rs
@@ -0,0 +1,28 @@
+//! Rate and burst of every customer over the whole fleet.
+//!
+//! A customer's rate and burst are cut between the failure domains by the [`Plan`], and within a
+//! failure domain into a standing part for each process and a pooled part for whichever process
+//! holds the domain's lease. Hosts lend each other what they don't need, for a bounded term. The
+//! note `docs/design/limit.md` has the proof and the ways that were weighed.
+
+mod account;
+mod borrow;
+mod demand;
+mod elect;
+mod event;
+mod lease;
+mod lend;
+mod loan;
+mod machine;
+mod message;
+mod plan;
+
+pub use {
+    account::{Share, Ticket},
+    event::{Action, Event, Fault, Report, Setup, Verdict},
+    lease::Lease,
+    loan::Loan,
+    machine::Limit,
+    message::{Ask, Grant, Id, Item, Message, Poll, Return, Vote, Want},
+    plan::{Part, Plan, Quota, Timing, Way},
+};
--- /dev/null
+++ b/tests/limit/net.rs
@@ -0,0 +1,416 @@
+//! A fake network under the limit's state machines: clocks that drift, processes that pause,
+//! messages that are lost, doubled, delayed and reordered, cuts, and host lists that differ.
+
+use {
+    greengagecleat::{
+        limit::{
+            Action, Event, Fault, Limit, Message, Part, Plan, Quota, Setup, Ticket, Timing,
+            Verdict, Way,
+        },
+        machine::Machine,
+        name,
+    },
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
+};
+
+/// One step of true time.
+pub(crate) const SLICE: Duration = Duration::from_millis(20);
+/// Local time between ticks.
+const TICK: Duration = Duration::from_millis(100);
+/// Local time at which every process's clock starts, so that a slow clock isn't negative.
+const ORIGIN: Duration = Duration::from_secs(100);
+
+/// How the network treats messages.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Weather {
+    /// Fraction lost.
+    pub(crate) loss: f64,
+    /// Fraction that comes twice, the second time up to ten times later.
+    pub(crate) duplicate: f64,
+    /// Extra delay, uniform up to this; it reorders.
+    pub(crate) jitter: Duration,
+}
+
+/// Within this time a new plan reaches all processes; short, so that schedules see its end.
+const HOLD: Duration = Duration::from_secs(8);
+
+/// One process.
+pub(crate) struct Process {
+    pub(crate) name: name::Host,
+    pub(crate) domain: usize,
+    pub(crate) limit: Limit,
+    pub(crate) alive: bool,
+    pub(crate) paused: bool,
+    /// The plan changed while it was paused.
+    stale: bool,
+    rate: f64,
+    started: Duration,
+    next_tick: Duration,
+    inbox: Vec<(name::Host, Message)>,
+    tickets: Vec<usize>,
+}
+
+impl Process {
+    fn local(&self, now: Duration) -> Duration {
+        ORIGIN + (now - self.started).mul_f64(self.rate)
+    }
+
+    pub(crate) fn runs(&self) -> bool {
+        self.alive && !self.paused
+    }
+}
+
+/// One admission, in true time.
+pub(crate) struct Admission {
+    pub(crate) at: Duration,
+    pub(crate) customer: name::Customer,
+    pub(crate) tokens: f64,
+    ticket: Option<Ticket>,
+}
+
+/// What the machines did.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Counts {
+    pub(crate) messages: u64,
+    pub(crate) bytes: u64,
+    pub(crate) admitted: u64,
+    pub(crate) refused: u64,
+    pub(crate) admitted_tokens: f64,
+    pub(crate) offered_tokens: f64,
+}
+
+pub(crate) struct Net {
+    pub(crate) now: Duration,
+    pub(crate) processes: Vec<Process>,
+    pub(crate) plan: Plan,
+    pub(crate) quotas: BTreeMap<name::Customer, Quota>,
+    pub(crate) weather: Weather,
+    pub(crate) admissions: Vec<Admission>,
+    pub(crate) counts: Counts,
+    /// Whether messages are encoded to count their bytes.
+    pub(crate) weigh: bool,
+    /// Pairs of domains that don't hear each other.
+    pub(crate) cut: BTreeSet<(usize, usize)>,
+    /// Processes that no other hears.
+    pub(crate) alone: BTreeSet<usize>,
+    domains: Vec<name::Domain>,
+    setup: (Way, Timing, Option<Fault>),
+    rng: StdRng,
+    queue: BTreeMap<(Duration, u64), (usize, name::Host, Message)>,
+    configs: BTreeSet<(Duration, usize)>,
+    by_name: BTreeMap<name::Host, usize>,
+    sequence: u64,
+}
+
+/// Delay within a domain and between domains.
+const NEAR: Duration = Duration::from_millis(1);
+const FAR: Duration = Duration::from_millis(50);
+/// Hosts of every other domain that a host knows.
+const KNOWN_AFAR: usize = 3;
+
+impl Net {
+    pub(crate) fn new(seed: u64, way: Way, fault: Option<Fault>, domains: &[(u32, f64)]) -> Self {
+        let names: Vec<name::Domain> = (0..domains.len())
+            .map(|at| name::Domain::from(format!("d{at:03}")))
+            .collect();
+        let parts = domains
+            .iter()
+            .map(|&(hosts, weight)| Part { hosts, weight });
+        let plan = Plan {
+            domains: names.iter().cloned().zip(parts).collect(),
+        };
+        let timing = Timing {
+            hold: HOLD,
+            ..Timing::default()
+        };
+        Self {
+            now: Duration::ZERO,
+            processes: Vec::new(),
+            plan,
+            quotas: BTreeMap::new(),
+            weather: Weather {
+                loss: 0.0,
+                duplicate: 0.0,
+                jitter: Duration::ZERO,
+            },
+            admissions: Vec::new(),
+            counts: Counts::default(),
+            weigh: false,
+            cut: BTreeSet::new(),
+            alone: BTreeSet::new(),
+            domains: names,
+            setup: (way, timing, fault),
+            rng: StdRng::seed_from_u64(seed),
+            queue: BTreeMap::new(),
+            configs: BTreeSet::new(),
+            by_name: BTreeMap::new(),
+            sequence: 0,
+        }
+    }
+
+    /// Starts a process with nothing kept; under `name` when a dead one had it, else a new one.
+    pub(crate) fn start(&mut self, domain: usize, name: Option<name::Host>) -> usize {
+        let at = self.processes.len();
+        let name = name.unwrap_or_else(|| format!("{}-{at:04}", self.domains[domain]).into());
+        let (way, timing, fault) = self.setup;
+        let setup = Setup {
+            host: name.clone(),
+            domain: self.domains[domain].clone(),
+            incarnation: self.rng.random(),
+            way,
+            timing,
+            fault,
+        };
+        let drift = timing.drift * self.rng.random_range(-1.0..1.0);
+        let mut limit = Limit::new(ORIGIN, setup);
+        let configured = Event::Configured {
+            plan: self.plan.clone(),
+            quotas: self.quotas.clone(),
+        };
+        limit.step(ORIGIN, configured);
+        self.by_name.insert(name.clone(), at);
+        self.processes.push(Process {
+            name,
+            domain,
+            limit,
+            alive: true,
+            paused: false,
+            stale: false,
+            rate: 1.0 + drift,
+            started: self.now,
+            next_tick: ORIGIN,
+            inbox: Vec::new(),
+            tickets: Vec::new(),
+        });
+        at
+    }
+
+    /// Processes of a domain that run, paused ones counted.
+    pub(crate) fn running(&self, domain: usize) -> usize {
+        let here = |process: &&Process| process.domain == domain && process.alive;
+        self.processes.iter().filter(here).count()
+    }
+
+    /// Tells a process the live hosts, all but those that `hidden` picks.
+    pub(crate) fn tell(&mut self, at: usize, hidden: impl Fn(usize) -> bool) {
+        let domain = self.processes[at].domain;
+        let mut members = BTreeMap::new();
+        let mut known = vec![0; self.domains.len()];
+        for (other, process) in self.processes.iter().enumerate() {
+            if other == at || !process.alive || hidden(other) {
+                continue;
+            }
+            known[process.domain] += 1;
+            if process.domain == domain || known[process.domain] <= KNOWN_AFAR {
+                members.insert(process.name.clone(), self.domains[process.domain].clone());
+            }
+        }
+        self.step(at, Event::Members(members));
+    }
+
+    pub(crate) fn tell_all(&mut self) {
+        for at in 0..self.processes.len() {
+            if self.processes[at].runs() {
+                self.tell(at, |_| false);
+            }
+        }
+    }
+
+    /// Changes the plan; it reaches each process after a while of its own, all within the hold.
+    pub(crate) fn replan(&mut self, weights: impl Iterator<Item = f64>) {
+        for (part, weight) in self.plan.domains.values_mut().zip(weights) {
+            part.weight = weight;
+        }
+        let spread = self.setup.1.hold - self.setup.1.quarantine();
+        for at in 0..self.processes.len() {
+            let due = self.now + spread.mul_f64(self.rng.random());
+            self.configs.insert((due, at));
+        }
+    }
+
+    fn configure(&mut self, at: usize) {
+        self.processes[at].stale = self.processes[at].paused;
+        let event = Event::Configured {
+            plan: self.plan.clone(),
+            quotas: self.quotas.clone(),
+        };
+        self.step(at, event);
+    }
+
+    pub(crate) fn step(&mut self, at: usize, event: Event) {
+        if !self.processes[at].runs() {
+            return;
+        }
+        let process = &mut self.processes[at];
+        let local = process.local(self.now);
+        let actions = process.limit.step(local, event);
+        for action in actions {
+            if let Action::Send { to, message } = action {
+                self.send(at, &to, message);
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: &name::Host, message: Message) {
+        self.counts.messages += 1;
+        if self.weigh {
+            let mut bytes = Vec::new();
+            ciborium::into_writer(&message, &mut bytes).expect("a message encodes");
+            self.counts.bytes += bytes.len() as u64;
+        }
+        let Some(&target) = self.by_name.get(to) else {
+            return;
+        };
+        if self.rng.random_bool(self.weather.loss) {
+            return;
+        }
+        let near = self.processes[from].domain == self.processes[target].domain;
+        let base = if near { NEAR } else { FAR };
+        let name = self.processes[from].name.clone();
+        let delay = base + self.weather.jitter.mul_f64(self.rng.random());
+        if self.rng.random_bool(self.weather.duplicate) {
+            let late = delay.mul_f64(self.rng.random_range(1.0..10.0));
+            self.push(late, target, name.clone(), message.clone());
+        }
+        self.push(delay, target, name, message);
+    }
+
+    fn push(&mut self, delay: Duration, to: usize, from: name::Host, message: Message) {
+        self.sequence += 1;
+        let key = (self.now + delay, self.sequence);
+        self.queue.insert(key, (to, from, message));
+    }
+
+    fn hears(&self, to: usize, from: &name::Host) -> bool {
+        let Some(&from) = self.by_name.get(from) else {
+            return false;
+        };
+        let (a, b) = (self.processes[from].domain, self.processes[to].domain);
+        let cut = self.cut.contains(&(a.min(b), a.max(b)));
+        !cut && !self.alone.contains(&from) && !self.alone.contains(&to)
+    }
+
+    /// Lets one slice of true time pass: messages, then ticks.
+    pub(crate) fn slice(&mut self) {
+        self.now += SLICE;
+        while let Some(entry) = self.queue.first_entry() {
+            if entry.key().0 > self.now {
+                break;
+            }
+            let (to, from, message) = entry.remove();
+            self.deliver(to, from, message);
+        }
+        while let Some(&(due, at)) = self.configs.first().filter(|(due, _)| *due <= self.now) {
+            self.configs.remove(&(due, at));
+            self.configure(at);
+        }
+        for at in 0..self.processes.len() {
+            let process = &self.processes[at];
+            if !process.runs() || process.local(self.now) < process.next_tick {
+                continue;
+            }
+            let local = process.local(self.now);
+            self.processes[at].next_tick = local + TICK;
+            self.step(at, Event::Tick);
+        }
+    }
+
+    fn deliver(&mut self, to: usize, from: name::Host, message: Message) {
+        if !self.processes[to].alive || !self.hears(to, &from) {
+            return;
+        }
+        if self.processes[to].paused {
+            self.processes[to].inbox.push((from, message));
+            return;
+        }
+        self.step(to, Event::Received { from, message });
+    }
+
+    /// Wakes a paused process; what had come for it waits until [`Net::catch_up`].
+    pub(crate) fn wake(&mut self, at: usize) {
+        self.processes[at].paused = false;
+    }
+
+    /// Hands a woken process the messages that came while it was paused.
+    pub(crate) fn catch_up(&mut self, at: usize) {
+        if self.processes[at].stale {
+            self.configure(at);
+        }
+        let inbox = std::mem::take(&mut self.processes[at].inbox);
+        for (from, message) in inbox {
+            self.step(at, Event::Received { from, message });
+        }
+    }
+
+    pub(crate) fn kill(&mut self, at: usize) {
+        self.processes[at].alive = false;
+    }
+
+    /// Asks a process to admit a request.
+    pub(crate) fn admit(&mut self, at: usize, customer: &name::Customer, tokens: f64) -> Verdict {
+        if !self.processes[at].runs() {
+            let retry_after = SLICE;
+            return Verdict::Refused { retry_after };
+        }
+        let local = self.processes[at].local(self.now);
+        let verdict = self.processes[at].limit.admit(local, customer, tokens);
+        self.counts.offered_tokens += tokens;
+        if let Verdict::Admitted(ticket) = &verdict {
+            self.counts.admitted += 1;
+            self.counts.admitted_tokens += tokens;
+            self.processes[at].tickets.push(self.admissions.len());
+            self.admissions.push(Admission {
+                at: self.now,
+                customer: customer.clone(),
+                tokens,
+                ticket: Some(ticket.clone()),
+            });
+        } else {
+            self.counts.refused += 1;
+        }
+        verdict
+    }
+
+    /// Requests that a process has admitted and not settled.
+    pub(crate) fn open(&self, at: usize) -> usize {
+        self.processes[at].tickets.len()
+    }
+
+    /// Settles a process's oldest open request at a part of its charge.
+    pub(crate) fn settle_one(&mut self, at: usize, part: f64) {
+        if !self.processes[at].runs() || self.processes[at].tickets.is_empty() {
+            return;
+        }
+        let index = self.processes[at].tickets.remove(0);
+        let Some(ticket) = self.admissions[index].ticket.take() else {
+            return;
+        };
+        let used = ticket.charged * part;
+        self.admissions[index].tokens = used;
+        let local = self.processes[at].local(self.now);
+        self.processes[at].limit.settle(local, ticket, used);
+    }
+
+    /// The most by which any interval's admitted tokens pass `rate · length + burst`, as a
+    /// fraction of the burst; at most zero when the bound holds.
+    pub(crate) fn excess(&self, customer: &name::Customer, quota: Quota) -> f64 {
+        let mut level = 0.0_f64;
+        let mut worst = 0.0_f64;
+        let mut last = Duration::ZERO;
+        for admission in self
+            .admissions
+            .iter()
+            .filter(|one| one.customer == *customer)
+        {
+            let elapsed = (admission.at - last).as_secs_f64();
+            last = admission.at;
+            level = (level - quota.rate * elapsed).max(0.0) + admission.tokens;
+            worst = worst.max(level);
+        }
+        worst / quota.burst - 1.0
+    }
+}
