Spread accepted documents through peers, never back

Cause: a configuration service that allows 2,000 calls a second can't be read by every host, and may be down, stale or restored from an old backup. Change: versions ordered by revision and digest; what a host holds only grows in that order. Two readers a failure domain by rendezvous hashing, announcements three times within 1.2 s, fetches as patches, a paced plain read for a host that hears nothing new, watches for one without peers, and a confirmation by peers and service before a fresh or woken host is ready.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -6,6 +6,7 @@
 mod read;
 mod rule;
 mod snapshot;
+pub mod spread;
 pub mod table;
 
 pub use {
--- a/src/config/read.rs
+++ b/src/config/read.rs
@@ -37,6 +37,7 @@
 pub(super) struct Reader<'a> {
     document: Document,
     text: &'a str,
+    newlines: Vec<usize>,
     faults: Vec<Fault>,
 }
 
@@ -46,6 +47,7 @@
         Self {
             document,
             text,
+            newlines: text.match_indices('\n').map(|(at, _)| at).collect(),
             faults: Vec::new(),
         }
     }
@@ -166,12 +168,8 @@
     }
 
     fn line(&self, span: Option<Range<usize>>) -> usize {
-        let end = span.map_or(0, |span| span.start).min(self.text.len());
-        let newlines = self.text.as_bytes()[..end]
-            .iter()
-            .filter(|byte| **byte == b'\n')
-            .count();
-        newlines + 1
+        let start = span.map_or(0, |span| span.start);
+        self.newlines.partition_point(|newline| *newline < start) + 1
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod net;
 pub mod platform;
 pub mod queue;
+pub mod rendezvous;
 pub mod route;
 pub mod settings;
 pub mod upstream;
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -2,3 +2,7 @@
 
 #[path = "config/accept.rs"]
 mod accept;
+#[path = "config/network.rs"]
+mod network;
+#[path = "config/spread.rs"]
+mod spread;
