Route calls by the router: affinity, lagging load, ejection, spill and digests of regions

Cause: the gateway chose the least outstanding of its own calls, saw no load reports, knew nothing of other regions and forwarded only when it had no upstream at all. Ruled out: asking plain services for their load (the path may be one of their own calls); a task that keeps the view in step (a request could come before it ran), so the view is compared at each choice. Change: a handle around the router; load polled from engines within a budget of reports a second; digests of each region sent to a share of the hosts of the others, in turns; one log line a choice with reason and runners-up. Conclusion: every call goes through the router.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -15,6 +15,7 @@
         metric::Metrics,
         net::{Listener, Network},
         platform::http::Platform,
+        route,
         settings::Settings,
         upstream,
     },
@@ -24,13 +25,15 @@
         time::Duration,
     },
     tokio::{
-        sync::watch,
+        sync::{mpsc, watch},
         time::{Instant, sleep, timeout_at},
     },
 };
 
 /// Largest message on an exchange connection: a body with room for the rest of the call.
 const EXCHANGE_ROOM: usize = 64 * 1024;
+/// Digests of other regions that may wait to be read.
+const DIGESTS: usize = 256;
 /// How often a draining host looks whether its work has ended.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
@@ -109,13 +112,48 @@
         };
         let link = link::Handle::new(identity.clone(), book.clone());
         kernel.publish("link", link.clone());
+        let home = route::Home {
+            host: settings.name.clone(),
+            region: settings.region.clone(),
+        };
+        let seed = route::affinity::hash(settings.name.as_str().as_bytes());
+        let router = route::Handle::new(
+            route::Router::new(home.clone(), route::Options::default(), seed),
+            home.clone(),
+            clock.clone(),
+            documents.snapshot.clone(),
+            listing.clone(),
+        );
+        kernel.publish("route", router.clone());
+        let upstreams = upstream::Client::new(network);
+        let (digests, arrived) = mpsc::channel(DIGESTS);
+        kernel.spawn(
+            "load",
+            route::follow(router.clone(), upstreams.clone(), stopped.clone()),
+        );
+        kernel.spawn(
+            "route",
+            route::digests(
+                router.clone(),
+                link.clone(),
+                listing.clone(),
+                home,
+                arrived,
+                stopped.clone(),
+            ),
+        );
+        let mailboxes = Mailboxes {
+            route: Some(digests),
+            ..Mailboxes::default()
+        };
         let gateway = Gateway::new(Parts {
             settings: settings.clone(),
             clock: clock.clone(),
             config: documents.snapshot.clone(),
             listing: listing.clone(),
             phase: phases.clone(),
-            upstreams: upstream::Client::new(network),
+            upstreams,
+            router,
             exchanges: exchange::Client::new(identity.clone()),
             peers: book,
             metrics: metrics.clone(),
@@ -125,7 +163,7 @@
             link::serve(
                 peers,
                 identity,
-                Mailboxes::default(),
+                mailboxes,
                 link,
                 clock,
                 gateway.clone(),
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -1,104 +1,62 @@
 //! Where a call goes next: to an upstream of this region, or to a host of another.
 
 use {
-    super::{
-        Call, Gateway,
-        pick::{self, Outstanding, Target},
-    },
+    super::{Call, Gateway},
     crate::{
         clock::Clock,
         failure::{Code, Failure},
         name,
         platform::{Kind, State},
+        route::{Choice, Prefix, Refusal, Request, Sent},
+    },
+    std::{
+        fmt::{self, Display, Formatter},
+        sync::atomic::Ordering,
+        time::Duration,
     },
-    std::{sync::atomic::Ordering, time::Duration},
 };
 
 /// When to come back after no upstream could take a call.
 const NO_CAPACITY_RETRY: Duration = Duration::from_secs(2);
+/// Bytes of text that make a token, roughly.
+const BYTES_PER_TOKEN: u64 = 4;
+/// Prompt tokens that are taken for a shared prefix at the most.
+const PREFIX_TOKENS: u64 = 512;
 
 /// Where a call goes next.
 #[derive(Debug)]
-pub(super) enum Next {
+pub(super) enum Next<C: Clock> {
     /// To an upstream of this region, with the call counted there.
-    Upstream(Target, Outstanding),
+    Upstream(Target, Sent<C>),
     /// To a host of another region.
     Host(name::Host),
 }
 
+/// An upstream that was chosen.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Target {
+    pub(super) upstream: name::Upstream,
+    pub(super) pool: name::Pool,
+}
+
 impl<C: Clock> Gateway<C> {
     /// Chooses where a call goes next.
-    pub(super) fn choose(&self, call: &Call) -> Result<Next, Failure> {
-        if let Some((target, outstanding)) = self.local(call)? {
-            tracing::info!(
-                request = call.request,
-                route = %call.route,
-                customer = call.customer.as_ref().map(tracing::field::display),
-                pool = %target.pool,
-                upstream = %target.upstream,
-                reason = "least outstanding",
-                "routed to an upstream"
-            );
-            return Ok(Next::Upstream(target, outstanding));
+    pub(super) fn choose(&self, call: &Call) -> Result<Next<C>, Failure> {
+        let request = request(call)?;
+        let routed = self.parts().router.choose(&request).map_err(failure)?;
+        let choice = routed.choice;
+        if let (Some(sent), Some(upstream)) = (routed.sent, choice.upstream.clone()) {
+            log(call, &choice, None);
+            let pool = choice.pool;
+            return Ok(Next::Upstream(Target { upstream, pool }, sent));
         }
-        let host = self.next_host(call)?;
-        tracing::info!(
-            request = call.request,
-            route = %call.route,
-            customer = call.customer.as_ref().map(tracing::field::display),
-            host = %host,
-            reason = "no upstream in this region",
-            "forwarded to another region"
-        );
+        let host = self.host_in(call, &choice.region)?;
+        log(call, &choice, Some(&host));
         Ok(Next::Host(host))
     }
 
-    /// An upstream in this region, if residency allows it and there is one.
-    fn local(&self, call: &Call) -> Result<Option<(Target, Outstanding)>, Failure> {
-        let here = &self.parts().settings.region;
-        if !call.allowed(here) {
-            return Ok(None);
-        }
-        let listing = self.parts().listing.borrow().clone();
-        let route = call.route()?;
-        for pool in &route.pools {
-            let Some(pool) = call.snapshot.pools.get(pool) else {
-                continue;
-            };
-            if pool.region != *here {
-                continue;
-            }
-            if let Some(picked) = self.0.balance.pick(pick::targets(pool, &listing)) {
-                return Ok(Some(picked));
-            }
-        }
-        Ok(None)
-    }
-
-    /// A host of a region that residency allows, that has a pool of the route, and that the call
-    /// has not visited.
-    fn next_host(&self, call: &Call) -> Result<name::Host, Failure> {
-        let here = &self.parts().settings.region;
-        let route = call.route()?;
-        let mut regions = route
-            .pools
-            .iter()
-            .filter_map(|pool| Some(&call.snapshot.pools.get(pool)?.region))
-            .filter(|region| call.allowed(region))
-            .peekable();
-        if regions.peek().is_none() {
-            let message = "no pool of this route lies where your residency allows";
-            return Err(Failure::not_run(Code::Residency, message));
-        }
-        let Some(region) = regions.find(|region| *region != here && !call.visited.contains(region))
-        else {
-            let message = "no upstream can take this now";
-            return Err(Failure::not_run(Code::NoCapacity, message).retry_after(NO_CAPACITY_RETRY));
-        };
-        if call.hops == 0 {
-            let message = "the call was forwarded too often";
-            return Err(Failure::not_run(Code::LoopRefused, message));
-        }
+    /// A host of a region that the call has not visited.
+    fn host_in(&self, call: &Call, region: &name::Region) -> Result<name::Host, Failure> {
         let listing = self.parts().listing.borrow().clone();
         let turn = self.0.sequence.load(Ordering::Relaxed) as usize;
         let hosts: Vec<_> = listing
@@ -116,3 +74,74 @@
         Ok(hosts[turn % hosts.len()].clone())
     }
 }
+
+/// What routing looks at of a call.
+fn request(call: &Call) -> Result<Request<'_>, Failure> {
+    let prompt = call.ask.as_ref().map_or(0, |ask| ask.prompt_tokens);
+    let tokens = prompt / BYTES_PER_TOKEN;
+    let answer = call.ask.as_ref().map_or(0, |ask| ask.answer_tokens);
+    let prefix = call.ask.as_ref().map(|ask| Prefix {
+        hash: ask.prefix,
+        tokens: tokens.min(PREFIX_TOKENS) as u32,
+    });
+    Ok(Request {
+        route: call.route()?,
+        customer: call.customer(),
+        prefix,
+        prompt_tokens: tokens.try_into().unwrap_or(u32::MAX),
+        bytes: call.body.len() as u64 + answer * BYTES_PER_TOKEN,
+        deadline: call.deadline,
+        visited: &call.visited,
+        hosts: &call.hosts,
+        hops: call.hops,
+        on_demand: false,
+        tried: &[],
+    })
+}
+
+fn failure(refusal: Refusal) -> Failure {
+    let code = match refusal {
+        Refusal::Closed => Code::RouteForbidden,
+        Refusal::Residency => Code::Residency,
+        Refusal::Loop | Refusal::Hops => Code::LoopRefused,
+        Refusal::Unavailable | Refusal::Link => Code::NoCapacity,
+    };
+    let failure = Failure::not_run(code, refusal.to_string());
+    match refusal.retry_after() {
+        Some(wait) => failure.retry_after(wait),
+        None => failure,
+    }
+}
+
+/// One line a choice, from which a person can tell why.
+fn log(call: &Call, choice: &Choice, host: Option<&name::Host>) {
+    let runners_up = (!choice.runners_up.is_empty()).then_some(RunnersUp(choice));
+    tracing::info!(
+        request = call.request,
+        route = %call.route,
+        customer = call.customer.as_ref().map(tracing::field::display),
+        region = %choice.region,
+        pool = %choice.pool,
+        upstream = choice.upstream.as_ref().map(tracing::field::display),
+        host = host.map(tracing::field::display),
+        reason = %choice.reason,
+        runners_up = runners_up.map(tracing::field::display),
+        "routed"
+    );
+}
+
+/// The runners-up of a choice, each with its expected delay.
+struct RunnersUp<'a>(&'a Choice);
+
+impl Display for RunnersUp<'_> {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        for (place, one) in self.0.runners_up.iter().enumerate() {
+            let gap = if place > 0 { " " } else { "" };
+            match &one.upstream {
+                Some(upstream) => write!(f, "{gap}{upstream}:{}ms", one.cost_ms)?,
+                None => write!(f, "{gap}{}:{}ms", one.region, one.cost_ms)?,
+            }
+        }
+        Ok(())
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,7 +6,6 @@
 mod headers;
 mod inbound;
 mod model;
-mod pick;
 mod relay;
 mod reply;
 mod run;
@@ -24,6 +23,7 @@
         link::{Peers, exchange},
         metric::{Failed, Metrics},
         platform::Listing,
+        route,
         settings::Settings,
         upstream,
     },
@@ -39,11 +39,11 @@
 
 /// Serves callers and other hosts.
 #[derive(Debug, Clone)]
-pub struct Gateway<C>(Arc<Shared<C>>);
+pub struct Gateway<C: Clock>(Arc<Shared<C>>);
 
 /// What the gateway uses: the handles of the services it found at start-up.
 #[derive(Debug)]
-pub struct Parts<C> {
+pub struct Parts<C: Clock> {
     /// This host's settings.
     pub settings: Settings,
     /// The time.
@@ -58,6 +58,8 @@
     pub upstreams: upstream::Client,
     /// Calls forwarded to other hosts.
     pub exchanges: exchange::Client,
+    /// The choice of region, pool and replica.
+    pub router: route::Handle<C>,
     /// Where peers are reached.
     pub peers: Peers,
     /// Counters.
@@ -65,9 +67,8 @@
 }
 
 #[derive(Debug)]
-struct Shared<C> {
+struct Shared<C: Clock> {
     parts: Parts<C>,
-    balance: pick::Balance,
     boot: u64,
     sequence: AtomicU64,
 }
@@ -82,7 +83,6 @@
             .map_or(0, |since| since.as_millis() as u64);
         Self(Arc::new(Shared {
             parts,
-            balance: pick::Balance::default(),
             boot,
             sequence: AtomicU64::new(0),
         }))
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,12 +1,13 @@
 //! An answer's body on its way to the caller or to the host that forwarded the call.
 
 use {
-    super::{Call, Gateway, pick::Outstanding},
+    super::{Call, Gateway},
     crate::{
         clock::Clock,
         config::Snapshot,
         failure::{Code, Failure, Ran},
         link::exchange,
+        route::Sent,
         upstream,
     },
     bytes::Bytes,
@@ -41,7 +42,7 @@
     call: Call,
     source: Source,
     config: watch::Receiver<Option<Arc<Snapshot>>>,
-    _outstanding: Option<Outstanding>,
+    sent: Option<Sent<C>>,
 }
 
 impl<C: Clock> Flow<C> {
@@ -49,7 +50,7 @@
         gateway: &Gateway<C>,
         call: Call,
         source: Source,
-        outstanding: Option<Outstanding>,
+        sent: Option<Sent<C>>,
     ) -> Self {
         gateway.parts().metrics.running.inc();
         Self {
@@ -57,7 +58,7 @@
             gateway: gateway.clone(),
             call,
             source,
-            _outstanding: outstanding,
+            sent,
         }
     }
 
@@ -69,6 +70,19 @@
     /// The next piece, or `None` at the end of a whole body. Ends with a failure at the deadline,
     /// after a long pause, and when the key is withdrawn.
     pub async fn next(&mut self) -> Result<Option<Bytes>, Failure> {
+        let piece = self.piece().await;
+        match &piece {
+            Ok(Some(_)) => {}
+            Ok(None) => self.sent.take().into_iter().for_each(Sent::finished),
+            Err(failure) if failure.code == Code::UpstreamFailed => {
+                self.sent.take().into_iter().for_each(Sent::failed);
+            }
+            Err(_) => drop(self.sent.take()),
+        }
+        piece
+    }
+
+    async fn piece(&mut self) -> Result<Option<Bytes>, Failure> {
         let left = self
             .gateway
             .remaining(&self.call)
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -14,7 +14,7 @@
     /// Runs a call up to the head of its answer.
     pub(super) async fn run(&self, call: Call) -> Result<(Head, Flow<C>), Failure> {
         match self.choose(&call)? {
-            Next::Upstream(target, outstanding) => self.send(call, target, outstanding).await,
+            Next::Upstream(target, sent) => self.send(call, target, sent).await,
             Next::Host(host) => self.forward(call, &host).await,
         }
     }
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -1,20 +1,18 @@
 //! Sending a call to an upstream of this region.
 
 use {
-    super::{
-        Call, Flow, Gateway, headers,
-        pick::{Outstanding, Target},
-        relay::Source,
-    },
+    super::{Call, Flow, Gateway, choose::Target, headers, relay::Source},
     crate::{
         clock::Clock,
         failure::{Code, Failure, Ran},
         link::exchange::Head,
+        route::Sent,
+        upstream,
     },
     bytes::Bytes,
     http::{HeaderMap, Request, Response, header},
     http_body_util::Full,
-    std::time::Duration,
+    std::{net::SocketAddr, time::Duration},
     tokio::time::timeout,
 };
 
@@ -27,28 +25,51 @@
         &self,
         call: Call,
         target: Target,
-        outstanding: Outstanding,
+        sent: Sent<C>,
     ) -> Result<(Head, Flow<C>), Failure> {
-        let request = request(&call, &target)?;
-        let sending = self
-            .parts()
-            .upstreams
-            .send(target.address, request, call.repeatable());
-        let response = timeout(self.remaining(&call)?, sending)
-            .await
-            .map_err(|_| late(Ran::Unknown))??;
-        self.check_id(&call, &response)?;
+        let response = match self.response(&call, &sent).await {
+            Ok(response) => response,
+            Err(failure) => {
+                sent.failed();
+                return Err(failure);
+            }
+        };
         let (parts, body) = response.into_parts();
+        let sent = match parts.status.is_server_error() {
+            true => {
+                sent.failed();
+                None
+            }
+            false => Some(sent),
+        };
         let head = Head {
             status: parts.status.as_u16(),
             headers: headers::to_caller(&parts.headers),
             upstream: target.upstream,
             pool: target.pool,
         };
-        let flow = Flow::new(self, call, Source::Upstream(body), Some(outstanding));
+        let flow = Flow::new(self, call, Source::Upstream(body), sent);
         Ok((head, flow))
     }
 
+    /// The head of the upstream's answer, once it is known to belong to the call.
+    async fn response(
+        &self,
+        call: &Call,
+        sent: &Sent<C>,
+    ) -> Result<Response<upstream::Body>, Failure> {
+        let request = request(call, sent.address)?;
+        let sending = self
+            .parts()
+            .upstreams
+            .send(sent.address, request, call.repeatable());
+        let response = timeout(self.remaining(call)?, sending)
+            .await
+            .map_err(|_| late(Ran::Unknown))??;
+        self.check_id(call, &response)?;
+        Ok(response)
+    }
+
     /// An answer that carries another exchange's id is dropped and counted.
     fn check_id<B>(&self, call: &Call, response: &Response<B>) -> Result<(), Failure> {
         let Some(id) = response.headers().get(REQUEST_HEADER) else {
@@ -72,7 +93,7 @@
 }
 
 /// The request for the upstream. Only listed headers go along, and never the caller's key.
-fn request(call: &Call, target: &Target) -> Result<Request<Full<Bytes>>, Failure> {
+fn request(call: &Call, address: SocketAddr) -> Result<Request<Full<Bytes>>, Failure> {
     let mut head = HeaderMap::new();
     headers::add(&mut head, &call.headers);
     let invalid =
@@ -80,7 +101,7 @@
     let mut request = Request::builder()
         .method(call.method.clone())
         .uri(&call.target)
-        .header(header::HOST, target.address.to_string())
+        .header(header::HOST, address.to_string())
         .header(REQUEST_HEADER, &call.request)
         .body(Full::new(call.body.clone()))
         .map_err(invalid)?;
--- a/src/link/control.rs
+++ b/src/link/control.rs
@@ -4,7 +4,7 @@
 
 use {
     super::socket::{Identity, Purpose, Socket},
-    crate::{clock::Clock, name, wire},
+    crate::{clock::Clock, name, route, wire},
     std::{
         collections::BTreeMap,
         net::SocketAddr,
@@ -66,6 +66,8 @@
 pub struct Mailboxes {
     /// Every message besides, for tests and for services without a mailbox of their own.
     pub tap: Option<Tap>,
+    /// Digests of other regions' load.
+    pub route: Option<Sender<Received<route::Digest>>>,
 }
 
 /// A mailbox for every message.
@@ -73,6 +75,11 @@
 
 impl Mailboxes {
     fn deliver(&self, from: name::Host, message: wire::Message) {
+        if let (wire::Message::Route(digest), Some(route)) = (&message, &self.route) {
+            let message = digest.clone();
+            route.try_send(Received { from, message }).ok();
+            return;
+        }
         if let Some(tap) = &self.tap {
             tap.try_send(Received { from, message }).ok();
         }
@@ -185,6 +192,7 @@
                 tracing::debug!(peer = %from, ?round_trip, "round trip");
                 mailboxes.deliver(frame.from, wire::Message::Echo(probe));
             }
+            message => mailboxes.deliver(frame.from, message),
         }
     }
 }
--- /dev/null
+++ b/src/route/poll.rs
@@ -0,0 +1,150 @@
+//! Follows the load of this region's engines and tells other regions a digest of it.
+
+use {
+    super::{load::Report, router::Home, service::Handle, spill::Digest},
+    crate::{
+        clock::Clock,
+        link, name,
+        platform::{Kind, Listing, State},
+        upstream::Client,
+        wire,
+    },
+    bytes::Bytes,
+    futures::{StreamExt, stream},
+    http::{Request, header},
+    http_body_util::Full,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::{
+        sync::{mpsc::Receiver, watch},
+        time::{MissedTickBehavior, interval, sleep, timeout},
+    },
+};
+
+/// Shortest pause between two rounds of load reports.
+const ROUND: Duration = Duration::from_secs(1);
+/// Load reports that a host asks for in a second at most.
+const REPORTS_PER_S: f64 = 40.0;
+/// Load reports asked for at the same time.
+const AT_ONCE: usize = 16;
+/// Longest time that a load report may take.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(800);
+/// Largest load report, in bytes.
+const REPORT_LIMIT: usize = 16 * 1024;
+/// Pause between two digests for another region.
+const DIGEST_EVERY: Duration = Duration::from_secs(1);
+/// Digests after which the hosts of a region take other ones of each region.
+const ROTATE_EVERY: usize = 20;
+
+/// Asks the engines for their load, round by round, until `stop` closes.
+pub async fn load<C: Clock>(handle: Handle<C>, client: Client, mut stop: watch::Receiver<()>) {
+    let rounds = async {
+        loop {
+            let followed = handle.followed();
+            let spread = Duration::from_secs_f64(followed.len() as f64 / REPORTS_PER_S);
+            stream::iter(followed)
+                .for_each_concurrent(AT_ONCE, |(upstream, address)| {
+                    report(&handle, &client, upstream, address)
+                })
+                .await;
+            sleep(ROUND.max(spread)).await;
+        }
+    };
+    tokio::select! {
+        () = rounds => {}
+        _ = stop.changed() => {}
+    }
+}
+
+async fn report<C: Clock>(
+    handle: &Handle<C>,
+    client: &Client,
+    upstream: name::Upstream,
+    address: SocketAddr,
+) {
+    match timeout(REPORT_TIMEOUT, fetch(client, address)).await {
+        Ok(Some(report)) => handle.with(|router, now| router.report(now, &upstream, &report)),
+        Ok(None) => tracing::debug!(%upstream, "no load report"),
+        Err(_) => tracing::debug!(%upstream, "load report timed out"),
+    }
+}
+
+async fn fetch(client: &Client, address: SocketAddr) -> Option<Report> {
+    let request = Request::get("/load")
+        .header(header::HOST, address.to_string())
+        .body(Full::default())
+        .ok()?;
+    let response = client.send(address, request, true).await.ok()?;
+    if !response.status().is_success() {
+        return None;
+    }
+    let mut body = response.into_body();
+    let mut whole = Vec::new();
+    while let Some(piece) = body.next().await.ok()? {
+        let piece: Bytes = piece;
+        if whole.len() + piece.len() > REPORT_LIMIT {
+            return None;
+        }
+        whole.extend_from_slice(&piece);
+    }
+    serde_json::from_slice(&whole).ok()
+}
+
+/// Sends this region's digest to hosts of the others and takes in theirs, until the mailbox or
+/// `stop` closes.
+///
+/// The hosts of a region divide the hosts of each other region among them, so that each of those
+/// hears once a round from one of these; the division turns from time to time, so that a host
+/// which can't be heard doesn't leave the same ones without news for long.
+pub async fn digests<C: Clock>(
+    handle: Handle<C>,
+    link: link::Handle,
+    listing: watch::Receiver<Arc<Listing>>,
+    home: Home,
+    mut mailbox: Receiver<link::Received<Digest>>,
+    mut stop: watch::Receiver<()>,
+) {
+    let mut rounds = interval(DIGEST_EVERY);
+    rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut round = 0;
+    loop {
+        tokio::select! {
+            received = mailbox.recv() => match received {
+                Some(received) => handle.digest(received.message),
+                None => return,
+            },
+            _ = stop.changed() => return,
+            _ = rounds.tick() => {
+                let digest = handle.with(|router, now| router.summary(now));
+                for host in receivers(&listing.borrow(), &home, round / ROTATE_EVERY) {
+                    link.send(&host, wire::Message::Route(digest.clone()));
+                }
+                round += 1;
+            }
+        }
+    }
+}
+
+/// The hosts of other regions that hear from this one at this turn.
+fn receivers(listing: &Listing, home: &Home, turn: usize) -> Vec<name::Host> {
+    let mut regions: BTreeMap<&name::Region, BTreeSet<&str>> = BTreeMap::new();
+    for host in &listing.hosts {
+        if host.kind == Kind::Entry && host.state == State::Live {
+            let hosts = regions.entry(&host.region).or_default();
+            hosts.insert(&host.name);
+        }
+    }
+    let own = regions.remove(&home.region).unwrap_or_default();
+    let count = own.len().max(1);
+    let rank = own.range(..home.host.as_str()).count();
+    regions
+        .into_values()
+        .flat_map(|hosts| hosts.into_iter().enumerate())
+        .filter(|(place, _)| (place + turn) % count == rank % count)
+        .map(|(_, host)| host.into())
+        .collect()
+}
--- a/src/route/request.rs
+++ b/src/route/request.rs
@@ -66,13 +66,13 @@
 #[serde(rename_all = "kebab-case")]
 pub enum Reason {
     /// The replica is believed to hold the prefix.
-    #[display("prefix cached")]
+    #[display("cached")]
     Cached,
     /// The prefix hashes to the replica.
-    #[display("prefix affinity")]
+    #[display("affinity")]
     Affinity,
     /// The replica is the least loaded of those looked at.
-    #[display("least load")]
+    #[display("load")]
     Load,
     /// An ejected replica is tried again.
     #[display("probe")]
@@ -81,7 +81,7 @@
     #[display("residency")]
     Residency,
     /// This region has no pool for the route, or no live replica in one.
-    #[display("no capacity here")]
+    #[display("absent")]
     Absent,
     /// Waiting here costs more than the way to another region.
     #[display("spill")]
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -13,11 +13,7 @@
     },
     crate::{config::Snapshot, name},
     rand::{RngExt, SeedableRng, rngs::StdRng},
-    std::{
-        collections::{BTreeMap, BTreeSet},
-        sync::Arc,
-        time::Duration,
-    },
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
 };
 
 /// Runners-up that a choice names.
@@ -154,15 +150,15 @@
         listed.iter().filter(of_shard).copied().collect()
     }
 
-    /// The upstreams whose load this host follows.
-    pub fn followed(&self) -> impl Iterator<Item = &name::Upstream> {
-        self.places.keys()
+    /// The upstreams whose load this host follows, with their pools.
+    pub fn followed(&self) -> impl Iterator<Item = (&name::Upstream, &name::Pool)> {
+        self.places.iter()
     }
 
     /// Takes in an upstream's report of its load.
     pub fn report(&mut self, now: Duration, upstream: &name::Upstream, report: &Report) {
         let options = self.options.clone();
-        if let Some((replica, _)) = self.replica(upstream) {
+        if let Some((replica, _)) = self.member(upstream) {
             replica.report(now, report, &options);
         }
     }
@@ -215,7 +211,7 @@
         let hash = affinity::hash(upstream.as_str().as_bytes());
         let tokens = self.missing(now, hash, request);
         let rate = self.options.prefill_tokens_per_s;
-        let Some((replica, _)) = self.replica(upstream) else {
+        let Some((replica, _)) = self.member(upstream) else {
             return;
         };
         replica.load.sent(now);
@@ -228,7 +224,7 @@
 
     /// A request has been answered, `took` after it was sent.
     pub fn finished(&mut self, now: Duration, upstream: &name::Upstream, took: Duration) {
-        let Some((replica, service)) = self.replica(upstream) else {
+        let Some((replica, service)) = self.member(upstream) else {
             return;
         };
         replica.load.ended(now);
@@ -243,7 +239,7 @@
     /// A request failed through the upstream's fault.
     pub fn failed(&mut self, now: Duration, upstream: &name::Upstream) {
         let options = self.options.clone();
-        if let Some((replica, _)) = self.replica(upstream) {
+        if let Some((replica, _)) = self.member(upstream) {
             replica.load.ended(now);
             replica.health.failed(now, &options);
         }
@@ -251,7 +247,7 @@
 
     /// A request ended through no fault or merit of the upstream, as when its caller left.
     pub fn withdrawn(&mut self, now: Duration, upstream: &name::Upstream) {
-        if let Some((replica, _)) = self.replica(upstream) {
+        if let Some((replica, _)) = self.member(upstream) {
             replica.load.ended(now);
             replica.health.withdrawn();
         }
@@ -267,7 +263,7 @@
         request.prompt_tokens.saturating_sub(cached)
     }
 
-    fn replica(&mut self, upstream: &name::Upstream) -> Option<(&mut Replica, &mut Duration)> {
+    fn member(&mut self, upstream: &name::Upstream) -> Option<(&mut Replica, &mut Duration)> {
         let members = self.pools.get_mut(self.places.get(upstream)?)?;
         let at = members.find(upstream)?;
         Some((&mut members.replicas[at], &mut members.service))
@@ -304,7 +300,8 @@
         if let Some(choice) = self.spill(now, request, on_demand, &local) {
             return Ok(choice);
         }
-        self.pick(now, request, &local).ok_or(Refusal::Unavailable)
+        self.replica(now, request, &local.pool)
+            .ok_or(Refusal::Unavailable)
     }
 
     /// The pool of this region with the least expected delay.
@@ -447,8 +444,14 @@
         (known, unknown)
     }
 
-    fn pick(&mut self, now: Duration, request: &Request<'_>, local: &Target) -> Option<Choice> {
-        let members = self.pools.get(&local.pool)?;
+    /// Chooses a replica of a pool of this region.
+    pub fn replica(
+        &mut self,
+        now: Duration,
+        request: &Request<'_>,
+        pool: &name::Pool,
+    ) -> Option<Choice> {
+        let members = self.pools.get(pool)?;
         select::rank(
             now,
             members,
@@ -464,23 +467,18 @@
             .iter()
             .take(RUNNERS_UP)
             .map(|candidate| RunnerUp {
-                region: local.region.clone(),
+                region: self.home.region.clone(),
                 upstream: Some(upstream(candidate)),
                 cost_ms: (candidate.cost * 1_000.0) as u64,
             });
         Some(Choice {
-            region: local.region.clone(),
-            pool: local.pool.clone(),
+            region: self.home.region.clone(),
+            pool: pool.clone(),
             upstream: Some(upstream(best)),
             reason: best.reason,
             runners_up: runners_up.collect(),
         })
     }
-
-    /// The names of the pools that have upstreams here.
-    pub fn pools(&self) -> BTreeSet<name::Pool> {
-        self.pools.keys().cloned().collect()
-    }
 }
 
 fn runner_up(target: &Target) -> RunnerUp {
--- /dev/null
+++ b/src/route/service.rs
@@ -0,0 +1,276 @@
+//! The service around the router: it keeps the router's view in step with the tables and the host
+//! list, and gives the request path its choices.
+
+use {
+    super::{
+        replica::{Listed, State as Standing},
+        request::{Choice, Refusal, Request},
+        router::{Home, Router},
+        spill::Digest,
+    },
+    crate::{
+        clock::Clock,
+        config::Snapshot,
+        name,
+        platform::{Kind, Listing, State},
+    },
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+    tokio::sync::watch,
+};
+
+/// The router as the request path and the services around it use it.
+#[derive(Debug, Clone)]
+pub struct Handle<C>(Arc<Shared<C>>);
+
+#[derive(Debug)]
+struct Shared<C> {
+    clock: C,
+    home: Home,
+    config: watch::Receiver<Option<Arc<Snapshot>>>,
+    listing: watch::Receiver<Arc<Listing>>,
+    view: Mutex<View>,
+}
+
+#[derive(Debug)]
+struct View {
+    router: Router,
+    snapshot: Option<Arc<Snapshot>>,
+    listing: Option<Arc<Listing>>,
+    addresses: BTreeMap<name::Upstream, SocketAddr>,
+}
+
+/// Where a request goes.
+#[derive(Debug)]
+pub struct Routed<C: Clock> {
+    /// The choice, for the log.
+    pub choice: Choice,
+    /// The replica, when it is in this region; the request counts there until this is dropped.
+    pub sent: Option<Sent<C>>,
+}
+
+/// One request that has been given to a replica. Dropped before it is told how the request ended,
+/// it counts as withdrawn.
+#[derive(Debug)]
+pub struct Sent<C: Clock> {
+    /// The replica's address.
+    pub address: SocketAddr,
+    upstream: name::Upstream,
+    since: Duration,
+    ended: bool,
+    handle: Handle<C>,
+}
+
+impl<C: Clock> Handle<C> {
+    /// A handle of `router` over the tables in force and the host list.
+    pub fn new(
+        router: Router,
+        home: Home,
+        clock: C,
+        config: watch::Receiver<Option<Arc<Snapshot>>>,
+        listing: watch::Receiver<Arc<Listing>>,
+    ) -> Self {
+        Self(Arc::new(Shared {
+            clock,
+            home,
+            config,
+            listing,
+            view: Mutex::new(View {
+                router,
+                snapshot: None,
+                listing: None,
+                addresses: BTreeMap::new(),
+            }),
+        }))
+    }
+
+    /// Chooses where a request goes and counts it there.
+    pub fn choose(&self, request: &Request<'_>) -> Result<Routed<C>, Refusal> {
+        self.decide(request, Router::choose)
+    }
+
+    /// Chooses a replica of a pool of this region and counts the request there.
+    pub fn replica(&self, request: &Request<'_>, pool: &name::Pool) -> Result<Routed<C>, Refusal> {
+        self.decide(request, |router, now, request| {
+            router
+                .replica(now, request, pool)
+                .ok_or(Refusal::Unavailable)
+        })
+    }
+
+    fn decide(
+        &self,
+        request: &Request<'_>,
+        choose: impl FnOnce(&mut Router, Duration, &Request<'_>) -> Result<Choice, Refusal>,
+    ) -> Result<Routed<C>, Refusal> {
+        let now = self.0.clock.now();
+        let mut view = self.view();
+        let choice = choose(&mut view.router, now, request)?;
+        let Some(upstream) = choice.upstream.clone() else {
+            return Ok(Routed { choice, sent: None });
+        };
+        let address = view.addresses.get(&upstream).copied();
+        let address = address.ok_or(Refusal::Unavailable)?;
+        view.router.sent(now, &upstream, request);
+        let sent = Sent {
+            address,
+            upstream,
+            since: now,
+            ended: false,
+            handle: self.clone(),
+        };
+        Ok(Routed {
+            choice,
+            sent: Some(sent),
+        })
+    }
+
+    /// Uses the router once its view is in step.
+    pub fn with<T>(&self, ask: impl FnOnce(&mut Router, Duration) -> T) -> T {
+        ask(&mut self.view().router, self.0.clock.now())
+    }
+
+    /// Takes in another region's digest.
+    pub fn digest(&self, digest: Digest) {
+        self.with(|router, now| router.digest(now, digest));
+    }
+
+    /// The addresses of the replicas whose load this host follows, in pools that serve a model.
+    pub fn followed(&self) -> Vec<(name::Upstream, SocketAddr)> {
+        let view = self.view();
+        let Some(snapshot) = &view.snapshot else {
+            return Vec::new();
+        };
+        let models = snapshot.routes.values().filter(|row| row.model.is_some());
+        let pools: std::collections::BTreeSet<_> = models.flat_map(|row| &row.pools).collect();
+        view.router
+            .followed()
+            .filter(|(_, pool)| pools.contains(pool))
+            .filter_map(|(upstream, _)| Some((upstream.clone(), *view.addresses.get(upstream)?)))
+            .collect()
+    }
+
+    /// The view, after whatever is new in the tables and the host list.
+    fn view(&self) -> MutexGuard<'_, View> {
+        let mut view = self.0.view.lock().unwrap_or_else(PoisonError::into_inner);
+        let snapshot = self.0.config.borrow().clone();
+        let listing = self.0.listing.borrow().clone();
+        let Some(snapshot) = snapshot else {
+            return view;
+        };
+        let same_tables = view
+            .snapshot
+            .as_ref()
+            .is_some_and(|known| Arc::ptr_eq(known, &snapshot));
+        let same_list = view
+            .listing
+            .as_ref()
+            .is_some_and(|known| Arc::ptr_eq(known, &listing));
+        if !same_tables || !same_list {
+            view.learn(self.0.clock.now(), snapshot, listing, &self.0.home);
+        }
+        view
+    }
+}
+
+impl View {
+    fn learn(
+        &mut self,
+        now: Duration,
+        snapshot: Arc<Snapshot>,
+        listing: Arc<Listing>,
+        home: &Home,
+    ) {
+        let mut hosts: Vec<_> = listing
+            .hosts
+            .iter()
+            .filter(|host| host.kind == Kind::Entry && host.region == home.region)
+            .filter(|host| host.state == State::Live)
+            .map(|host| host.name.as_str())
+            .collect();
+        hosts.sort_unstable();
+        let rank = hosts.iter().position(|host| *host == home.host.as_str());
+        let members = members(&snapshot, &listing);
+        let list: Vec<_> = members.values().map(|(listed, _)| listed.clone()).collect();
+        self.addresses = members
+            .into_iter()
+            .map(|(name, (_, address))| (name, address))
+            .collect();
+        self.router.config(snapshot.clone());
+        self.router
+            .hosts(rank.unwrap_or(0) as u32, hosts.len() as u32);
+        self.router.upstreams(now, &list);
+        self.snapshot = Some(snapshot);
+        self.listing = Some(listing);
+    }
+}
+
+/// The upstreams that the tables and the host list name. One that either calls leaving is leaving.
+fn members(
+    snapshot: &Snapshot,
+    listing: &Listing,
+) -> BTreeMap<name::Upstream, (Listed, SocketAddr)> {
+    let written = snapshot.pools.values().flat_map(|pool| {
+        pool.upstream.iter().map(|row| {
+            let listed = Listed {
+                name: row.name.clone(),
+                pool: pool.name.clone(),
+                state: Standing::Live,
+            };
+            (row.name.clone(), (listed, row.address))
+        })
+    });
+    let mut members: BTreeMap<_, _> = written.collect();
+    for host in &listing.hosts {
+        if host.kind != Kind::Upstream {
+            continue;
+        }
+        let name = name::Upstream::from(host.name.as_str());
+        let state = match host.state {
+            State::Live => Standing::Live,
+            State::Leaving => Standing::Leaving,
+        };
+        if let Some((known, _)) = members.get_mut(&name) {
+            known.state = state;
+        }
+        if let Some(pool) = &host.pool {
+            let listed = Listed {
+                name: name.clone(),
+                pool: pool.clone(),
+                state,
+            };
+            members.insert(name, (listed, host.address));
+        }
+    }
+    members
+}
+
+impl<C: Clock> Sent<C> {
+    /// The request has been answered whole.
+    pub fn finished(mut self) {
+        self.ended = true;
+        let took = self.handle.0.clock.now().saturating_sub(self.since);
+        self.handle
+            .with(|router, now| router.finished(now, &self.upstream, took));
+    }
+
+    /// The request failed through the replica's fault.
+    pub fn failed(mut self) {
+        self.ended = true;
+        self.handle
+            .with(|router, now| router.failed(now, &self.upstream));
+    }
+}
+
+impl<C: Clock> Drop for Sent<C> {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.handle
+                .with(|router, now| router.withdrawn(now, &self.upstream));
+        }
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,7 +1,7 @@
 //! What hosts say to each other, encoded as CBOR in binary web socket messages.
 
 use {
-    crate::{Error, Result, name},
+    crate::{Error, Result, name, route},
     bytes::Bytes,
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     std::time::Duration,
@@ -17,6 +17,8 @@
     Probe(Probe),
     /// The link's answer.
     Echo(Probe),
+    /// A region's load.
+    Route(route::Digest),
 }
 
 /// A round-trip probe.
--- a/tests/golden/bench.rs
+++ b/tests/golden/bench.rs
@@ -27,6 +27,11 @@
 /// Time that a host gets to read its configuration and the host list.
 const SETTLE: Duration = Duration::from_secs(5);
 
+/// How a request for a load report begins. It comes every second and is left out of transcripts.
+const LOAD: &str = "GET /load ";
+/// What scripted upstreams answer to it.
+const NO_LOAD: &[u8] = b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n";
+
 /// A clock whose calendar never changes.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Fixed {
@@ -206,6 +211,10 @@
 /// Answers the requests of one connection by the script.
 async fn follow(name: &'static str, mut stream: Stream, script: Script, transcript: Transcript) {
     while let Some(request) = read_request(&mut stream).await {
+        if request.starts_with(LOAD) {
+            stream.write_all(NO_LOAD).await.ok();
+            continue;
+        }
         transcript.section(&format!("{name}: bytes seen"), &request);
         let moves = script.lock().unwrap().pop_front();
         let Some(moves) = moves else {
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -442,7 +442,7 @@
         router.upstreams(SECOND, &many);
         let followed = router.followed().count();
         assert!(followed <= 2 * options.subset, "{followed}");
-        covered.extend(router.followed().cloned());
+        covered.extend(router.followed().map(|(upstream, _)| upstream.clone()));
     }
     assert_eq!(covered.len(), many.len());
 }
