Add load, overhead, compare and plot, and show that the judge catches what it must

Cause: figures need a baseline in the same run, and a check that never fails proves nothing.

Change: 'testbed overhead' alternates rounds straight to the engine and through one host, counts requests by processor time of a host with one worker thread, and reads its resident memory with idle connections and open streams; 'testbed load' is an open loop at a rate; 'compare' gives ratios, 'plot' draws SVG. The judge takes its evidence as a value, so that tests hand it each broken property.

Ruled out: percentiles by our own sorting (hdrhistogram does it); PNG plots, which need fonts.

--- a/testbed/src/command/demo.rs
+++ b/testbed/src/command/demo.rs
@@ -6,7 +6,8 @@
     testbed::{
         deployment::Deployment,
         fleet::{self, Fleet, daemon, incident::Incident},
-        run, workload,
+        run::{self, Evidence},
+        workload,
     },
     tokio::signal::ctrl_c,
 };
@@ -89,7 +90,13 @@
         arguments.seconds
     );
     let outcomes = run::run(&mut fleet, &items, &incidents).await?;
-    let mut report = run::judge(&fleet, &items, &outcomes, length);
+    let mut report = run::judge(
+        &deployment,
+        &Evidence::of(&fleet),
+        &items,
+        &outcomes,
+        length,
+    );
     report.seed = arguments.seed;
     report.faults = arguments.fault;
     println!("\n{report}");
--- a/testbed/src/command/mod.rs
+++ b/testbed/src/command/mod.rs
@@ -1,6 +1,9 @@
 //! The commands.
 
+mod compare;
 mod demo;
+mod load;
+mod overhead;
 mod standin;
 
 use {
@@ -19,6 +22,10 @@
 #[argh(subcommand)]
 enum Command {
     Demo(demo::Arguments),
+    Load(load::Arguments),
+    Compare(compare::Arguments),
+    Plot(compare::PlotArguments),
+    Overhead(overhead::Arguments),
     Standin(standin::Arguments),
 }
 
@@ -26,6 +33,10 @@
 pub(crate) async fn run(arguments: Arguments) -> io::Result<ExitCode> {
     match arguments.command {
         Command::Demo(arguments) => demo::run(arguments).await,
+        Command::Load(arguments) => load::run(arguments).await,
+        Command::Compare(arguments) => compare::run(&arguments),
+        Command::Plot(arguments) => compare::plot(&arguments),
+        Command::Overhead(arguments) => overhead::run(arguments).await,
         Command::Standin(arguments) => standin::run(arguments).await,
     }
 }
--- a/testbed/src/fleet/daemon.rs
+++ b/testbed/src/fleet/daemon.rs
@@ -29,6 +29,12 @@
 /// Ports that lie between the first choices of two processes with neighbouring ids.
 const PORTS_PER_PROCESS: u16 = 120;
 
+/// Place of the user time among the fields of `/proc/PID/stat` that follow the program's name.
+const USER_TICKS_FIELD: usize = 11;
+
+/// Unit of the times in `/proc/PID/stat`.
+const TICKS_PER_SECOND: f64 = 100.0;
+
 /// What a daemon is told at its start.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -183,6 +189,16 @@
         }
     }
 
+    /// Processor time that the process has used, in seconds.
+    pub fn processor_seconds(&self) -> Option<f64> {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.id()?)).ok()?;
+        let (_, fields) = stat.rsplit_once(')')?;
+        let mut fields = fields.split_whitespace().skip(USER_TICKS_FIELD);
+        let user: f64 = fields.next()?.parse().ok()?;
+        let system: f64 = fields.next()?.parse().ok()?;
+        Some((user + system) / TICKS_PER_SECOND)
+    }
+
     /// Resident memory of the process in KiB.
     pub fn resident_kib(&self) -> Option<u64> {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.id()?)).ok()?;
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -4,13 +4,17 @@
 //! gives a handle with its address and its switches, and dropping the handle ends it.
 
 pub mod client;
+pub mod compare;
 pub mod deployment;
 pub mod engine;
 pub mod fault;
 pub mod fleet;
+pub mod load;
 mod millis;
+pub mod overhead;
 pub mod plain;
 pub mod platform;
+pub mod plot;
 pub mod run;
 pub mod seen;
 pub mod serve;
--- a/testbed/src/run/judge.rs
+++ b/testbed/src/run/judge.rs
@@ -7,7 +7,9 @@
     },
     crate::{
         deployment::{Deployment, ON_DEMAND_PRICE},
-        fleet::{Fleet, Replica},
+        engine::Count,
+        fleet::Fleet,
+        seen::Seen,
         text,
         workload::{Item, Kind},
     },
@@ -21,31 +23,43 @@
 const TOLD: usize = 5;
 
 /// What the upstreams did.
-#[derive(Debug)]
-struct Ledger {
+#[derive(Debug, Clone, Default)]
+pub struct Evidence {
     /// Regions in which each prompt ran, by the prompt's hash, one entry for each run.
-    prompts: BTreeMap<u64, Vec<usize>>,
+    pub prompts: BTreeMap<u64, Vec<usize>>,
     /// Regions in which each idempotency key ran, one entry for each run.
-    posts: BTreeMap<String, Vec<usize>>,
+    pub posts: BTreeMap<String, Vec<usize>>,
+    /// Upstreams that saw a caller's key.
+    pub leaks: Vec<String>,
+    /// What each engine did, and whether it is of an on-demand pool.
+    pub engines: Vec<(Count, bool)>,
 }
 
-impl Ledger {
-    fn of(fleet: &Fleet) -> Self {
-        let mut prompts: BTreeMap<u64, Vec<usize>> = BTreeMap::new();
+impl Evidence {
+    /// What the upstreams of a fleet did so far.
+    pub fn of(fleet: &Fleet) -> Self {
+        let mut evidence = Self::default();
         for engine in &fleet.engines {
             for (prompt, runs) in engine.runs() {
                 let places = std::iter::repeat_n(engine.region, runs as usize);
-                prompts.entry(prompt).or_default().extend(places);
+                evidence.prompts.entry(prompt).or_default().extend(places);
             }
+            let on_demand = engine.pool.ends_with("on-demand");
+            evidence.engines.push((engine.count(), on_demand));
+            evidence
+                .leaks
+                .extend(engine.leaked().then(|| engine.name.clone()));
         }
-        let mut posts: BTreeMap<String, Vec<usize>> = BTreeMap::new();
         for (region, service) in fleet.services.iter().enumerate() {
             for (key, runs) in service.executions().keyed {
                 let places = std::iter::repeat_n(region, runs as usize);
-                posts.entry(key).or_default().extend(places);
+                evidence.posts.entry(key).or_default().extend(places);
             }
+            let leaked = service.seen().iter().any(Seen::holds_key);
+            let name = format!("records of {}", fleet.deployment.regions[region]);
+            evidence.leaks.extend(leaked.then_some(name));
         }
-        Self { prompts, posts }
+        evidence
     }
 
     /// Regions in which an item ran.
@@ -59,10 +73,14 @@
     }
 }
 
-/// Judges what came of the items sent to a fleet.
-pub fn judge(fleet: &Fleet, items: &[Item], outcomes: &[Outcome], length: Duration) -> Report {
-    let deployment = &fleet.deployment;
-    let ledger = Ledger::of(fleet);
+/// Judges what came of the items sent to a deployment.
+pub fn judge(
+    deployment: &Deployment,
+    evidence: &Evidence,
+    items: &[Item],
+    outcomes: &[Outcome],
+    length: Duration,
+) -> Report {
     let within = within_rate(deployment, items, outcomes);
     let customers = customers(deployment, items, outcomes, &within, length);
     let mut ends = Ends::default();
@@ -75,12 +93,12 @@
         ends,
         kinds: kinds(outcomes),
         worst: worst(deployment, &customers),
-        elsewhere_share: elsewhere(items, outcomes, &ledger),
-        cost: cost(fleet, items, outcomes),
-        engines: engines(fleet, items),
+        elsewhere_share: elsewhere(items, outcomes, evidence),
+        cost: cost(evidence, items, outcomes),
+        engines: engines(evidence, items),
         codes: codes(outcomes),
         timeline: timeline(outcomes, length),
-        violations: violations(fleet, items, outcomes, &ledger, &customers),
+        violations: violations(deployment, evidence, items, outcomes, &customers),
         customers,
         ..Report::default()
     }
@@ -171,13 +189,13 @@
     })
 }
 
-fn elsewhere(items: &[Item], outcomes: &[Outcome], ledger: &Ledger) -> f64 {
+fn elsewhere(items: &[Item], outcomes: &[Outcome], evidence: &Evidence) -> f64 {
     let answered = outcomes
         .iter()
         .filter(|it| it.kind.is_model() && it.status == Status::Whole);
     let (away, all) = answered.fold((0_u64, 0_u64), |(away, all), outcome| {
         let item = &items[outcome.number as usize];
-        let left = ledger
+        let left = evidence
             .runs(item)
             .iter()
             .any(|region| *region != item.region);
@@ -186,22 +204,15 @@
     ratio(away as f64, all as f64)
 }
 
-fn is_on_demand(engine: &Replica) -> bool {
-    engine.pool.ends_with("on-demand")
-}
-
-fn computed(engine: &Replica) -> u64 {
-    let count = engine.count();
+fn computed(count: &Count) -> u64 {
     count.prompt_tokens + count.tokens
 }
 
-fn cost(fleet: &Fleet, items: &[Item], outcomes: &[Outcome]) -> Cost {
-    let tokens = |on_demand: bool| -> u64 {
-        let engines = fleet.engines.iter();
-        engines
-            .filter(|engine| is_on_demand(engine) == on_demand)
-            .map(computed)
-            .sum()
+fn cost(evidence: &Evidence, items: &[Item], outcomes: &[Outcome]) -> Cost {
+    let tokens = |wanted: bool| -> u64 {
+        let engines = evidence.engines.iter();
+        let chosen = engines.filter(|(_, on_demand)| *on_demand == wanted);
+        chosen.map(|(count, _)| computed(count)).sum()
     };
     let on_demand_tokens = tokens(true);
     let on_demand_cost = on_demand_tokens as f64 * ON_DEMAND_PRICE / 1e6;
@@ -218,16 +229,16 @@
     }
 }
 
-fn engines(fleet: &Fleet, items: &[Item]) -> Engines {
-    let counts: Vec<_> = fleet.engines.iter().map(Replica::count).collect();
-    let prompt: u64 = counts.iter().map(|count| count.prompt_tokens).sum();
-    let cached: u64 = counts.iter().map(|count| count.cached_tokens).sum();
-    let requests: u64 = counts.iter().map(|count| count.requests).sum();
-    let paid: Vec<_> = fleet
+fn engines(evidence: &Evidence, items: &[Item]) -> Engines {
+    let counts = || evidence.engines.iter().map(|(count, _)| count);
+    let prompt: u64 = counts().map(|count| count.prompt_tokens).sum();
+    let cached: u64 = counts().map(|count| count.cached_tokens).sum();
+    let requests: u64 = counts().map(|count| count.requests).sum();
+    let paid: Vec<_> = evidence
         .engines
         .iter()
-        .filter(|engine| !is_on_demand(engine))
-        .map(|engine| computed(engine) as f64)
+        .filter(|(_, on_demand)| !on_demand)
+        .map(|(count, _)| computed(count) as f64)
         .collect();
     let mean = ratio(paid.iter().sum(), paid.len() as f64);
     let hottest = paid.iter().copied().fold(0.0, f64::max);
@@ -266,13 +277,12 @@
 
 /// Properties that did not hold.
 fn violations(
-    fleet: &Fleet,
+    deployment: &Deployment,
+    evidence: &Evidence,
     items: &[Item],
     outcomes: &[Outcome],
-    ledger: &Ledger,
     customers: &BTreeMap<String, Share>,
 ) -> Vec<String> {
-    let deployment = &fleet.deployment;
     let name = |item: &Item| format!("{} {}", item.kind.name(), item.key);
     let mut lines = Vec::new();
     let mut tell = |what: &str, found: Vec<String>| {
@@ -309,20 +319,20 @@
     );
     tell(
         "post run more than once",
-        item_of(&|item| item.kind == Kind::Post && ledger.runs(item).len() > 1),
+        item_of(&|item| item.kind == Kind::Post && evidence.runs(item).len() > 1),
     );
     tell(
         "post answered and not run",
         outcome_of(&|outcome, item| {
             let answered = outcome.status == Status::Whole;
-            item.kind == Kind::Post && answered && ledger.runs(item).is_empty()
+            item.kind == Kind::Post && answered && evidence.runs(item).is_empty()
         }),
     );
     tell(
         "refused as not run and run",
         outcome_of(&|outcome, item| {
             let refused = outcome.ran.as_deref() == Some("no") && outcome.tries == 1;
-            refused && !ledger.runs(item).is_empty()
+            refused && !evidence.runs(item).is_empty()
         }),
     );
     tell(
@@ -330,20 +340,13 @@
         item_of(&|item| {
             let member = &deployment.customers[item.customer];
             member.bound
-                && ledger
+                && evidence
                     .runs(item)
                     .iter()
                     .any(|region| *region != member.home)
         }),
     );
-    let leaks = fleet.engines.iter().filter(|engine| engine.leaked());
-    tell(
-        "key seen by an upstream",
-        leaks
-            .map(|engine| engine.name.clone())
-            .chain(services_leaked(fleet))
-            .collect(),
-    );
+    tell("key seen by an upstream", evidence.leaks.clone());
     let over = customers
         .iter()
         .filter(|(_, share)| share.used_of_rate > 1.0);
@@ -355,15 +358,6 @@
     lines
 }
 
-fn services_leaked(fleet: &Fleet) -> impl Iterator<Item = String> {
-    let services = fleet.services.iter().enumerate();
-    let leaked = services.filter(|(_, service)| {
-        let seen = service.seen();
-        seen.iter().any(crate::seen::Seen::holds_key)
-    });
-    leaked.map(|(region, _)| format!("records of {}", fleet.deployment.regions[region]))
-}
-
 fn ratio(part: f64, whole: f64) -> f64 {
     if whole == 0.0 { 0.0 } else { part / whole }
 }
--- a/testbed/src/run/mod.rs
+++ b/testbed/src/run/mod.rs
@@ -6,7 +6,13 @@
 pub mod outcome;
 pub mod result;
 
-pub use {attempt::Sender, directory::Directory, judge::judge, outcome::Outcome, result::Report};
+pub use {
+    attempt::Sender,
+    directory::Directory,
+    judge::{Evidence, judge},
+    outcome::Outcome,
+    result::Report,
+};
 
 use {
     crate::{
