Admit calls by the fair queue, and choose the replica when their turn comes

Cause: calls went to engines as they came, so one customer's flood filled every engine's own queue in order of arrival. Ruled out: choosing the replica before the wait (its load is old by the turn); letting a waiting call hold a pool whose last replica left (it is told at once and another pool or region is chosen). The log line of a choice gains the time waited. Conclusion: the whole path runs through fair admission.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -15,7 +15,7 @@
         metric::Metrics,
         net::{Listener, Network},
         platform::http::Platform,
-        route,
+        queue, route,
         settings::Settings,
         upstream,
     },
@@ -125,6 +125,8 @@
             listing.clone(),
         );
         kernel.publish("route", router.clone());
+        let queue = queue::Handle::new(queue::Options::default(), clock.clone(), router.clone());
+        kernel.spawn("queue", queue.clone().run(stopped.clone()));
         let upstreams = upstream::Client::new(network);
         let (digests, arrived) = mpsc::channel(DIGESTS);
         kernel.spawn(
@@ -154,6 +156,7 @@
             phase: phases.clone(),
             upstreams,
             router,
+            queue,
             exchanges: exchange::Client::new(identity.clone()),
             peers: book,
             metrics: metrics.clone(),
--- /dev/null
+++ b/src/gateway/admit.rs
@@ -0,0 +1,76 @@
+//! Waiting for a turn at a pool.
+
+use {
+    super::{Call, Gateway, choose::BYTES_PER_TOKEN, relay::withdrawn},
+    crate::{
+        clock::Clock,
+        failure::{Code, Failure, Ran},
+        name,
+        queue::{Entrant, Reason, Refusal, Slot, TOP_PRIORITY},
+    },
+};
+
+/// The header in which callers give a priority.
+const PRIORITY_HEADER: &str = "x-priority";
+/// The priority of a call that names none.
+const DEFAULT_PRIORITY: u8 = 5;
+
+impl<C: Clock> Gateway<C> {
+    /// Waits until a call may start at a pool; `None` when the pool has no live replica any more.
+    pub(super) async fn admit(
+        &self,
+        call: &Call,
+        pool: &name::Pool,
+    ) -> Result<Option<Slot<C>>, Failure> {
+        let customer = call.customer();
+        let entrant = Entrant {
+            pool,
+            customer: customer.map(|row| &row.name),
+            weight: customer.map_or(1, |row| row.weight),
+            priority: priority(call),
+            tokens: tokens(call),
+            deadline: call.deadline,
+        };
+        let mut config = self.parts().config.clone();
+        let admitted = tokio::select! {
+            biased;
+            failure = withdrawn(&mut config, call) => {
+                return Err(Failure { ran: Ran::No, ..failure });
+            }
+            admitted = self.parts().queue.admit(entrant) => admitted,
+        };
+        match admitted {
+            Ok(slot) => Ok(Some(slot)),
+            Err(Refusal::Gone) => Ok(None),
+            Err(Refusal::Shed {
+                reason,
+                retry_after,
+            }) => Err(Failure::not_run(code(reason), reason.to_string()).retry_after(retry_after)),
+        }
+    }
+}
+
+fn code(reason: Reason) -> Code {
+    match reason {
+        Reason::Late => Code::Deadline,
+        Reason::CustomerFull | Reason::Full => Code::NoCapacity,
+        Reason::Withdrawn => Code::KeyWithdrawn,
+    }
+}
+
+fn priority(call: &Call) -> u8 {
+    let header = call
+        .headers
+        .iter()
+        .find(|header| header.name == PRIORITY_HEADER);
+    let given = header.and_then(|header| std::str::from_utf8(&header.value).ok()?.parse().ok());
+    given.map_or(DEFAULT_PRIORITY, |priority: u8| priority.min(TOP_PRIORITY))
+}
+
+/// The size of a call: a call of a plain service counts one token.
+fn tokens(call: &Call) -> u64 {
+    let Some(ask) = &call.ask else {
+        return 1;
+    };
+    (ask.prompt_tokens / BYTES_PER_TOKEN + ask.answer_tokens).max(1)
+}
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -7,7 +7,7 @@
         failure::{Code, Failure},
         name,
         platform::{Kind, State},
-        route::{Choice, Prefix, Refusal, Request, Sent},
+        route::{Choice, Prefix, Refusal, Request, Routed, Sent},
     },
     std::{
         fmt::{self, Display, Formatter},
@@ -19,42 +19,62 @@
 /// When to come back after no upstream could take a call.
 const NO_CAPACITY_RETRY: Duration = Duration::from_secs(2);
 /// Bytes of text that make a token, roughly.
-const BYTES_PER_TOKEN: u64 = 4;
+pub(super) const BYTES_PER_TOKEN: u64 = 4;
 /// Prompt tokens that are taken for a shared prefix at the most.
 const PREFIX_TOKENS: u64 = 512;
 
 /// Where a call goes next.
 #[derive(Debug)]
-pub(super) enum Next<C: Clock> {
-    /// To an upstream of this region, with the call counted there.
-    Upstream(Target, Sent<C>),
+pub(super) enum Next {
+    /// To a pool of this region.
+    Pool(name::Pool),
     /// To a host of another region.
     Host(name::Host),
 }
 
 /// An upstream that was chosen.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) struct Target {
+#[derive(Debug)]
+pub(super) struct Target<C: Clock> {
     pub(super) upstream: name::Upstream,
     pub(super) pool: name::Pool,
+    pub(super) sent: Sent<C>,
 }
 
 impl<C: Clock> Gateway<C> {
     /// Chooses where a call goes next.
-    pub(super) fn choose(&self, call: &Call) -> Result<Next<C>, Failure> {
-        let request = request(call)?;
-        let routed = self.parts().router.choose(&request).map_err(failure)?;
-        let choice = routed.choice;
-        if let (Some(sent), Some(upstream)) = (routed.sent, choice.upstream.clone()) {
-            log(call, &choice, None);
-            let pool = choice.pool;
-            return Ok(Next::Upstream(Target { upstream, pool }, sent));
+    pub(super) fn choose(&self, call: &Call) -> Result<Next, Failure> {
+        let choice = self
+            .parts()
+            .router
+            .choose(&request(call)?)
+            .map_err(failure)?;
+        if choice.upstream.is_some() {
+            return Ok(Next::Pool(choice.pool));
         }
         let host = self.host_in(call, &choice.region)?;
-        log(call, &choice, Some(&host));
+        log(call, &choice, Some(&host), Duration::ZERO);
         Ok(Next::Host(host))
     }
 
+    /// Chooses an upstream of a pool for a call that has waited for its turn.
+    pub(super) fn target(
+        &self,
+        call: &Call,
+        pool: &name::Pool,
+        waited: Duration,
+    ) -> Result<Target<C>, Failure> {
+        let routed = self.parts().router.replica(&request(call)?, pool);
+        let Routed { choice, sent } = routed.map_err(failure)?;
+        log(call, &choice, None, waited);
+        Ok(Target {
+            upstream: choice
+                .upstream
+                .ok_or_else(|| failure(Refusal::Unavailable))?,
+            pool: choice.pool,
+            sent,
+        })
+    }
+
     /// A host of a region that the call has not visited.
     fn host_in(&self, call: &Call, region: &name::Region) -> Result<name::Host, Failure> {
         let listing = self.parts().listing.borrow().clone();
@@ -99,7 +119,7 @@
     })
 }
 
-fn failure(refusal: Refusal) -> Failure {
+pub(super) fn failure(refusal: Refusal) -> Failure {
     let code = match refusal {
         Refusal::Closed => Code::RouteForbidden,
         Refusal::Residency => Code::Residency,
@@ -114,7 +134,7 @@
 }
 
 /// One line a choice, from which a person can tell why.
-fn log(call: &Call, choice: &Choice, host: Option<&name::Host>) {
+fn log(call: &Call, choice: &Choice, host: Option<&name::Host>, waited: Duration) {
     let runners_up = (!choice.runners_up.is_empty()).then_some(RunnersUp(choice));
     tracing::info!(
         request = call.request,
@@ -125,6 +145,7 @@
         upstream = choice.upstream.as_ref().map(tracing::field::display),
         host = host.map(tracing::field::display),
         reason = %choice.reason,
+        waited_ms = waited.as_millis() as u64,
         runners_up = runners_up.map(tracing::field::display),
         "routed"
     );
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -49,7 +49,7 @@
         let (head, body) = timeout(remaining, opening)
             .await
             .map_err(|_| late(Ran::Unknown))??;
-        let flow = Flow::new(self, call, Source::Peer(Box::new(body)), None);
+        let flow = Flow::new(self, call, Source::Peer(Box::new(body)), None, None);
         Ok((head, flow))
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,5 +1,6 @@
 //! The way of a request: authenticate, route, choose, send or forward, relay.
 
+mod admit;
 mod call;
 mod choose;
 mod forward;
@@ -23,7 +24,7 @@
         link::{Peers, exchange},
         metric::{Failed, Metrics},
         platform::Listing,
-        route,
+        queue, route,
         settings::Settings,
         upstream,
     },
@@ -60,6 +61,8 @@
     pub exchanges: exchange::Client,
     /// The choice of region, pool and replica.
     pub router: route::Handle<C>,
+    /// Fair admission.
+    pub queue: queue::Handle<C>,
     /// Where peers are reached.
     pub peers: Peers,
     /// Counters.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -7,6 +7,7 @@
         config::Snapshot,
         failure::{Code, Failure, Ran},
         link::exchange,
+        queue::Slot,
         route::Sent,
         upstream,
     },
@@ -43,6 +44,7 @@
     source: Source,
     config: watch::Receiver<Option<Arc<Snapshot>>>,
     sent: Option<Sent<C>>,
+    _slot: Option<Slot<C>>,
 }
 
 impl<C: Clock> Flow<C> {
@@ -51,6 +53,7 @@
         call: Call,
         source: Source,
         sent: Option<Sent<C>>,
+        slot: Option<Slot<C>>,
     ) -> Self {
         gateway.parts().metrics.running.inc();
         Self {
@@ -59,6 +62,7 @@
             call,
             source,
             sent,
+            _slot: slot,
         }
     }
 
@@ -112,7 +116,10 @@
 }
 
 /// Waits until the call's key is withdrawn.
-async fn withdrawn(config: &mut watch::Receiver<Option<Arc<Snapshot>>>, call: &Call) -> Failure {
+pub(super) async fn withdrawn(
+    config: &mut watch::Receiver<Option<Arc<Snapshot>>>,
+    call: &Call,
+) -> Failure {
     loop {
         let holds = match &*config.borrow_and_update() {
             Some(snapshot) => call.key_holds(snapshot),
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -6,6 +6,7 @@
         clock::Clock,
         failure::{Code, Failure, Ran},
         link::exchange::Head,
+        queue::Slot,
         route::Sent,
         upstream,
     },
@@ -24,9 +25,10 @@
     pub(super) async fn send(
         &self,
         call: Call,
-        target: Target,
-        sent: Sent<C>,
+        target: Target<C>,
+        slot: Slot<C>,
     ) -> Result<(Head, Flow<C>), Failure> {
+        let sent = target.sent;
         let response = match self.response(&call, &sent).await {
             Ok(response) => response,
             Err(failure) => {
@@ -48,7 +50,7 @@
             upstream: target.upstream,
             pool: target.pool,
         };
-        let flow = Flow::new(self, call, Source::Upstream(body), sent);
+        let flow = Flow::new(self, call, Source::Upstream(body), sent, Some(slot));
         Ok((head, flow))
     }
 
--- a/src/route/replica.rs
+++ b/src/route/replica.rs
@@ -139,7 +139,12 @@
         (elapsed / options.slow_start.as_secs_f64()).clamp(LEAST_RAMP, 1.0)
     }
 
-    /// The requests that it should run at once.
+    /// The requests that it runs at once.
+    pub fn slots(&self) -> u32 {
+        self.slots
+    }
+
+    /// The requests that it should run at once, fewer while it is cold.
     pub fn capacity(&self, now: Duration, options: &Options) -> f64 {
         f64::from(self.slots) * self.ramp(now, options)
     }
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -11,7 +11,7 @@
         select::{self, Candidate, Members},
         spill::{Digest, Estimate, Regions, Summary, Target},
     },
-    crate::{config::Snapshot, name},
+    crate::{config::Snapshot, name, queue::Engines},
     rand::{RngExt, SeedableRng, rngs::StdRng},
     std::{collections::BTreeMap, sync::Arc, time::Duration},
 };
@@ -187,6 +187,22 @@
         }
     }
 
+    /// What this host believes about a pool's engines together.
+    pub fn engines(&self, now: Duration, pool: &name::Pool) -> Engines {
+        let members = self.pools.get(pool);
+        let slots = members.map_or(0.0, |members| members.slots(now, &self.options));
+        let total = members.map(|members| members.total(now, None, &self.options));
+        Engines {
+            slots,
+            outstanding: total.map_or(0.0, |total| total.outstanding),
+        }
+    }
+
+    /// How many hosts the region has.
+    pub fn host_count(&self) -> u32 {
+        self.hosts
+    }
+
     /// This region's digest, for other regions.
     pub fn summary(&self, now: Duration) -> Digest {
         let pools = self.pools.iter().map(|(name, members)| {
--- a/src/route/select.rs
+++ b/src/route/select.rs
@@ -69,6 +69,13 @@
         total
     }
 
+    /// Requests that the replicas which can take work run at once, cold ones in full.
+    pub(super) fn slots(&self, now: Duration, options: &Options) -> f64 {
+        let usable = self.usable(now, None, options);
+        let slots: u32 = usable.map(|(_, replica)| replica.slots()).sum();
+        f64::from(slots) * self.scale
+    }
+
     /// The replicas that can take work for `model`, with their places. When too many are ejected,
     /// the ejected ones are among them, for then the cause is hardly theirs.
     pub(super) fn usable(
--- a/src/route/service.rs
+++ b/src/route/service.rs
@@ -44,13 +44,13 @@
     addresses: BTreeMap<name::Upstream, SocketAddr>,
 }
 
-/// Where a request goes.
+/// A request that goes to a replica of this region.
 #[derive(Debug)]
 pub struct Routed<C: Clock> {
     /// The choice, for the log.
     pub choice: Choice,
-    /// The replica, when it is in this region; the request counts there until this is dropped.
-    pub sent: Option<Sent<C>>,
+    /// Counts the request at the replica.
+    pub sent: Sent<C>,
 }
 
 /// One request that has been given to a replica. Dropped before it is told how the request ended,
@@ -88,31 +88,18 @@
         }))
     }
 
-    /// Chooses where a request goes and counts it there.
-    pub fn choose(&self, request: &Request<'_>) -> Result<Routed<C>, Refusal> {
-        self.decide(request, Router::choose)
+    /// Chooses where a request goes. Nothing is counted yet.
+    pub fn choose(&self, request: &Request<'_>) -> Result<Choice, Refusal> {
+        self.with(|router, now| router.choose(now, request))
     }
 
     /// Chooses a replica of a pool of this region and counts the request there.
     pub fn replica(&self, request: &Request<'_>, pool: &name::Pool) -> Result<Routed<C>, Refusal> {
-        self.decide(request, |router, now, request| {
-            router
-                .replica(now, request, pool)
-                .ok_or(Refusal::Unavailable)
-        })
-    }
-
-    fn decide(
-        &self,
-        request: &Request<'_>,
-        choose: impl FnOnce(&mut Router, Duration, &Request<'_>) -> Result<Choice, Refusal>,
-    ) -> Result<Routed<C>, Refusal> {
         let now = self.0.clock.now();
         let mut view = self.view();
-        let choice = choose(&mut view.router, now, request)?;
-        let Some(upstream) = choice.upstream.clone() else {
-            return Ok(Routed { choice, sent: None });
-        };
+        let choice = view.router.replica(now, request, pool);
+        let choice = choice.ok_or(Refusal::Unavailable)?;
+        let upstream = choice.upstream.clone().ok_or(Refusal::Unavailable)?;
         let address = view.addresses.get(&upstream).copied();
         let address = address.ok_or(Refusal::Unavailable)?;
         view.router.sent(now, &upstream, request);
@@ -123,10 +110,7 @@
             ended: false,
             handle: self.clone(),
         };
-        Ok(Routed {
-            choice,
-            sent: Some(sent),
-        })
+        Ok(Routed { choice, sent })
     }
 
     /// Uses the router once its view is in step.
