Turn to another peer when a fetch is lost

Change: offers that come meanwhile are remembered, and a fetch without an answer for 400 ms goes to the next of them. A version that a host refused itself is not fetched again, so that two builds that judge differently don't send a text back and forth. A host that finds itself without peers enters the watches with jitter instead of at once with all others.

--- a/src/config/spread/held.rs
+++ b/src/config/spread/held.rs
@@ -67,6 +67,11 @@
         }
     }
 
+    /// Which document this is.
+    pub(super) fn document(&self) -> Document {
+        self.document
+    }
+
     /// What is held.
     pub(super) fn standing(&self) -> Standing {
         Standing {
@@ -93,6 +98,12 @@
         Some(version) > standing.accepted && Some(version) != standing.refused
     }
 
+    /// Whether a host that stands at `other` has something that could change anything here.
+    pub(super) fn lacks(&self, other: &Standing) -> bool {
+        other.accepted.is_some_and(|version| self.wants(version))
+            || other.refused > self.standing().latest()
+    }
+
     /// Takes a text: in force, refused or of no use. `force` installs it whatever is held.
     pub(super) fn learn(&mut self, version: Version, text: Arc<str>, force: bool) -> Change {
         if !force && !self.wants(version) {
--- a/src/config/spread/message.rs
+++ b/src/config/spread/message.rs
@@ -51,11 +51,6 @@
     pub fn latest(&self) -> Option<Version> {
         self.accepted.max(self.refused)
     }
-
-    /// Whether a host that stands here lacks something that one at `other` has.
-    pub fn lacks(&self, other: &Self) -> bool {
-        other.accepted > self.accepted || other.refused > self.latest()
-    }
 }
 
 /// What a host has of all documents; carried by heartbeats.
--- a/src/config/spread/mod.rs
+++ b/src/config/spread/mod.rs
@@ -67,8 +67,11 @@
 /// A host to which no peer has spoken for this long takes itself for cut off from its peers.
 const SILENCE: Duration = Duration::from_secs(4);
 
-/// A fetch that is not answered by then is sent again, to whoever offers the version next.
-const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
+/// A fetch that is not answered by then goes to another peer that offered the version.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Peers that are remembered to have offered what is being fetched.
+const MAX_OFFERS: usize = 4;
 
 /// Deliberate mistakes, for tests that must be seen to fail.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -119,13 +122,65 @@
     held: Held,
     reader: Reader,
     best: Standing,
-    fetching: Option<Duration>,
+    fetching: Option<Fetch>,
     asked_service: bool,
     behind: Option<u64>,
     dropped: Option<Version>,
 }
 
+/// A version that a peer offered and that is under way.
+#[derive(Debug)]
+struct Fetch {
+    sent: Duration,
+    offers: VecDeque<name::Host>,
+}
+
 impl Slot {
+    /// Begins to fetch what a peer has offered, or remembers the offer.
+    fn offered(&mut self, now: Duration, from: &name::Host, offered: &Standing) -> Option<Action> {
+        self.best.accepted = self.best.accepted.max(offered.accepted);
+        self.best.refused = self.best.refused.max(offered.refused);
+        if !self.held.lacks(offered) {
+            return None;
+        }
+        if let Some(fetch) = &mut self.fetching {
+            if fetch.offers.len() < MAX_OFFERS {
+                fetch.offers.push_back(from.clone());
+            }
+            return None;
+        }
+        self.fetching = Some(Fetch {
+            sent: now,
+            offers: VecDeque::new(),
+        });
+        Some(self.fetch(from.clone()))
+    }
+
+    /// Turns to another peer when one has not answered.
+    fn fetch_again(&mut self, now: Duration) -> Option<Action> {
+        let fetch = self.fetching.as_mut()?;
+        if now < fetch.sent + FETCH_TIMEOUT {
+            return None;
+        }
+        fetch.sent = now;
+        let next = fetch.offers.pop_front();
+        if next.is_none() || !self.held.lacks(&self.best) {
+            self.fetching = None;
+            return None;
+        }
+        next.map(|to| self.fetch(to))
+    }
+
+    fn fetch(&self, to: name::Host) -> Action {
+        Action::Send {
+            to,
+            message: Message::Fetch {
+                document: self.held.document(),
+                have: self.held.standing(),
+            },
+        }
+    }
+
     fn new(document: Document) -> Self {
         Self {
             held: Held::new(document),
@@ -307,6 +362,7 @@
             let Some(slot) = self.slots.get_mut(&document) else {
                 continue;
             };
+            actions.extend(slot.fetch_again(now));
             let known = slot
                 .held
                 .standing()
@@ -344,7 +400,7 @@
     }
 
     fn is_confirmed(&self) -> bool {
-        let current = |slot: &Slot| slot.asked_service && !slot.held.standing().lacks(&slot.best);
+        let current = |slot: &Slot| slot.asked_service && !slot.held.lacks(&slot.best);
         let hasty = self.settings.mutant == Some(Mutant::HastyReady);
         let peers = self.viewed && self.asked.is_subset(&self.answered);
         self.slots.values().all(current) && (hasty || peers)
@@ -383,27 +439,10 @@
 
     /// Fetches what a peer has and this host lacks.
     fn compare(&mut self, now: Duration, from: &name::Host, summary: &Summary) -> Vec<Action> {
-        let mut actions = Vec::new();
-        for (document, slot) in &mut self.slots {
-            let offered = summary.standing(*document);
-            slot.best.accepted = slot.best.accepted.max(offered.accepted);
-            let have = slot.held.standing();
-            let waiting = slot
-                .fetching
-                .is_some_and(|asked| now < asked + FETCH_TIMEOUT);
-            if waiting || !have.lacks(&offered) {
-                continue;
-            }
-            slot.fetching = Some(now);
-            actions.push(Action::Send {
-                to: from.clone(),
-                message: Message::Fetch {
-                    document: *document,
-                    have,
-                },
-            });
-        }
-        actions
+        self.slots
+            .iter_mut()
+            .filter_map(|(document, slot)| slot.offered(now, from, &summary.standing(*document)))
+            .collect()
     }
 
     fn serve(&self, to: name::Host, document: Document, have: Standing) -> Vec<Action> {
@@ -432,7 +471,6 @@
         let Some(slot) = self.slots.get_mut(&document) else {
             return Vec::new();
         };
-        slot.fetching = None;
         match slot.held.resolve(version, content) {
             Some(text) => self.learn(now, Some(&from), document, version, text),
             None => Vec::new(),
@@ -459,6 +497,9 @@
         }
         let force = mutant == Some(Mutant::TrustService) && from.is_none() && held != Some(version);
         let change = slot.held.learn(version, text, force);
+        if !slot.held.lacks(&slot.best) {
+            slot.fetching = None;
+        }
         let mut actions = Vec::new();
         if let Some(held) = twice
             && slot.dropped != Some(held.min(version))
--- a/src/config/spread/reader.rs
+++ b/src/config/spread/reader.rs
@@ -64,6 +64,7 @@
     audit: Duration,
     quiet: Duration,
     failures: u32,
+    lone: bool,
 }
 
 /// A read that is due.
@@ -85,6 +86,7 @@
             next: first,
             audit: first,
             quiet: first,
+            lone: role == Role::Lone,
             ..Self::default()
         }
     }
@@ -101,6 +103,11 @@
         if self.expires.is_some_and(|expires| now >= expires) {
             self.ended(now, role, &Outcome::Failed, view, rng);
         }
+        if role == Role::Lone && !self.lone {
+            let crowd = DOCUMENTS * watchers(role, view);
+            self.next = now + share(crowd, START_BUDGET).mul_f64(rng.random());
+        }
+        self.lone = role == Role::Lone;
         if self.expires.is_some() || now < self.next {
             return None;
         }
