Add membership: heartbeats, indirect probes, suspicion, leaving, digests

Cause: the platform's host list lags, and nobody but the hosts themselves can tell in seconds who is live, leaving or dead. Change: one ping every half second to the next host of the failure domain in shuffled order, indirect probes through three others, three seconds of suspicion, incarnations by which a host objects to what is untrue of it, leaving as a state above live of the same incarnation, digests with an age between failure domains, and no judgement on silence that fell into a pause of one's own. Heartbeats carry the documents' revisions.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod link;
 pub mod listen;
 pub mod machine;
+pub mod member;
 pub mod metric;
 pub mod name;
 pub mod net;
--- /dev/null
+++ b/src/member/domains.rs
@@ -0,0 +1,105 @@
+//! Digests of the other failure domains. They pass through many hosts; the youngest is kept.
+
+use {
+    super::peer::{Contact, Digest},
+    crate::name,
+    rand::{Rng, seq::IteratorRandom},
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// A digest older than this tells nothing.
+const MAX_AGE: Duration = Duration::from_secs(30);
+
+/// A contact that did not answer is left alone for this long.
+const AVOID: Duration = Duration::from_secs(20);
+
+/// The digests.
+#[derive(Debug, Default)]
+pub(super) struct Domains {
+    entries: BTreeMap<name::Domain, Entry>,
+    avoided: BTreeMap<name::Host, Duration>,
+}
+
+#[derive(Debug)]
+struct Entry {
+    digest: Digest,
+    written: Duration,
+}
+
+impl Domains {
+    /// Takes a digest if it is younger than the one known; whether it tells something else.
+    pub(super) fn merge(&mut self, now: Duration, digest: Digest) -> bool {
+        let written = now.saturating_sub(Duration::from_millis(digest.age_ms));
+        let known = self.entries.get(&digest.domain);
+        if known.is_some_and(|known| known.written >= written) || now >= written + MAX_AGE {
+            return false;
+        }
+        let changed = known.is_none_or(|known| {
+            known.digest.contacts != digest.contacts || known.digest.live != digest.live
+        });
+        let entry = Entry {
+            digest: digest.clone(),
+            written,
+        };
+        self.entries.insert(digest.domain, entry);
+        changed
+    }
+
+    /// The digests that are young enough.
+    pub(super) fn fresh(&self, now: Duration) -> impl Iterator<Item = &Digest> {
+        self.entries
+            .values()
+            .filter(move |entry| now < entry.written + MAX_AGE)
+            .map(|entry| &entry.digest)
+    }
+
+    /// Some digests to pass on, with their age.
+    pub(super) fn some(&self, now: Duration, count: usize, rng: &mut impl Rng) -> Vec<Digest> {
+        self.entries
+            .values()
+            .filter(|entry| now < entry.written + MAX_AGE)
+            .sample(rng, count)
+            .into_iter()
+            .map(|entry| Digest {
+                age_ms: (now - entry.written).as_millis() as u64,
+                ..entry.digest.clone()
+            })
+            .collect()
+    }
+
+    /// The contacts of a digest that have not failed to answer lately.
+    pub(super) fn reachable<'a>(
+        &'a self,
+        now: Duration,
+        digest: &'a Digest,
+    ) -> impl Iterator<Item = &'a Contact> {
+        digest
+            .contacts
+            .iter()
+            .filter(move |contact| !self.is_avoided(now, &contact.host))
+    }
+
+    /// Whether a host did not answer lately.
+    pub(super) fn is_avoided(&self, now: Duration, host: &name::Host) -> bool {
+        self.avoided.get(host).is_some_and(|until| now < *until)
+    }
+
+    /// A contact did not answer.
+    pub(super) fn avoid(&mut self, now: Duration, host: name::Host) {
+        self.avoided.retain(|_, until| now < *until);
+        self.avoided.insert(host, now + AVOID);
+    }
+
+    /// A contact spoke.
+    pub(super) fn heard(&mut self, host: &name::Host) {
+        self.avoided.remove(host);
+    }
+
+    /// Forgets digests that tell nothing any more; whether there were any.
+    pub(super) fn forget(&mut self, now: Duration) -> bool {
+        let known = self.entries.len();
+        self.entries
+            .retain(|_, entry| now < entry.written + MAX_AGE);
+        known != self.entries.len()
+    }
+}
--- /dev/null
+++ b/src/member/machine.rs
@@ -0,0 +1,766 @@
+//! The state machine of one host.
+
+use {
+    super::{
+        domains::Domains,
+        event::{Action, Event, Gossip, Listed, Message, Mutant, Report, Settings},
+        peer::{Contact, Digest, Peer, State, Update},
+        probe::{Probe, Probes, Purpose},
+        table::Table,
+        view::{Member, Size, Source, View},
+    },
+    crate::{config::spread, machine, name, rendezvous},
+    rand::{
+        RngExt, SeedableRng,
+        rngs::StdRng,
+        seq::{IteratorRandom, SliceRandom},
+    },
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
+};
+
+/// Time between two [`Event::Tick`].
+pub const TICK: Duration = Duration::from_millis(100);
+
+/// Between two heartbeats within the failure domain.
+const NEAR_PERIOD: Duration = Duration::from_millis(500);
+
+/// Between two heartbeats to other failure domains.
+const FAR_PERIOD: Duration = Duration::from_secs(1);
+
+/// Between two pings of a host that is taken for dead, so that both sides of a healed cut meet.
+const REVIVE_PERIOD: Duration = Duration::from_secs(5);
+
+/// A suspect that doesn't object within this is dead.
+const SUSPICION: Duration = Duration::from_secs(3);
+
+/// A host that was stopped for longer than this does not hold others' silence against them.
+const PAUSE: Duration = Duration::from_secs(1);
+
+/// Least time between two whole tables that a host asks for.
+const SYNC_PERIOD: Duration = Duration::from_secs(5);
+
+/// Hosts asked to ping one that does not answer.
+const WITNESSES: usize = 3;
+
+/// Hosts that are told at once that this one leaves.
+const FAREWELLS: usize = 16;
+
+/// Contacts in the digest of a failure domain.
+const MAX_CONTACTS: usize = 8;
+
+/// Digests of other failure domains in one message.
+const MAX_DIGESTS: usize = 2;
+
+/// The membership of one host.
+#[derive(Debug)]
+pub struct Machine {
+    settings: Settings,
+    rng: StdRng,
+    own: Peer,
+    table: Table,
+    domains: Domains,
+    probes: Probes,
+    listed: BTreeMap<name::Host, Listed>,
+    suspects: BTreeMap<name::Host, Suspicion>,
+    revisions: spread::Summary,
+    ring: Vec<name::Host>,
+    last_step: Option<Duration>,
+    next_near: Duration,
+    next_far: Duration,
+    next_revive: Duration,
+    next_sync: Duration,
+}
+
+/// A host that has not answered.
+#[derive(Debug)]
+struct Suspicion {
+    incarnation: u64,
+    dies: Duration,
+}
+
+impl Machine {
+    /// A host that knows nobody.
+    pub fn new(settings: Settings) -> Self {
+        let own = Peer {
+            incarnation: settings.incarnation.max(1),
+            state: State::Live,
+            region: settings.region.clone(),
+            domain: settings.domain.clone(),
+            address: settings.address,
+            peer_address: settings.peer_address,
+        };
+        Self {
+            rng: StdRng::seed_from_u64(settings.seed),
+            table: Table::new(settings.mutant),
+            settings,
+            own,
+            domains: Domains::default(),
+            probes: Probes::default(),
+            listed: BTreeMap::new(),
+            suspects: BTreeMap::new(),
+            revisions: spread::Summary::default(),
+            ring: Vec::new(),
+            last_step: None,
+            next_near: Duration::ZERO,
+            next_far: Duration::ZERO,
+            next_revive: Duration::ZERO,
+            next_sync: Duration::ZERO,
+        }
+    }
+
+    /// This host's own record.
+    pub fn own(&self) -> &Peer {
+        &self.own
+    }
+
+    /// The fleet as this host sees it.
+    pub fn view(&self, now: Duration) -> View {
+        let mut view = View::default();
+        self.view_near(&mut view);
+        self.view_far(now, &mut view);
+        self.view_listed(now, &mut view);
+        view
+    }
+
+    fn view_near(&self, view: &mut View) {
+        let own = (&self.settings.host, &self.own);
+        for (host, peer) in self.table.iter().chain([own]) {
+            let listed = self.listed.get(host).is_some_and(|row| row.leaving);
+            let state = match peer.state {
+                State::Live if listed => State::Leaving,
+                state => state,
+            };
+            let source = match peer.incarnation {
+                0 => Source::List,
+                _ => Source::Heartbeat,
+            };
+            view.hosts.insert(
+                host.clone(),
+                Member {
+                    region: peer.region.clone(),
+                    domain: peer.domain.clone(),
+                    address: peer.address,
+                    peer_address: peer.peer_address,
+                    state,
+                    incarnation: peer.incarnation,
+                    source,
+                },
+            );
+        }
+        let live = view.hosts.values().filter(|host| host.state == State::Live);
+        let size = Size {
+            region: self.own.region.clone(),
+            live: live.count(),
+        };
+        view.domains.insert(self.own.domain.clone(), size);
+    }
+
+    fn view_far(&self, now: Duration, view: &mut View) {
+        for digest in self.domains.fresh(now) {
+            let size = Size {
+                region: digest.region.clone(),
+                live: digest.live as usize,
+            };
+            view.domains.insert(digest.domain.clone(), size);
+            for contact in self.domains.reachable(now, digest) {
+                let leaving = self
+                    .listed
+                    .get(&contact.host)
+                    .is_some_and(|row| row.leaving);
+                let member = Member {
+                    region: digest.region.clone(),
+                    domain: digest.domain.clone(),
+                    address: contact.address,
+                    peer_address: contact.peer_address,
+                    state: if leaving { State::Leaving } else { State::Live },
+                    incarnation: 0,
+                    source: Source::Digest,
+                };
+                view.hosts.insert(contact.host.clone(), member);
+            }
+        }
+    }
+
+    /// Listed hosts of other failure domains of which no digest tells more.
+    fn view_listed(&self, now: Duration, view: &mut View) {
+        let complete: BTreeSet<_> = self
+            .domains
+            .fresh(now)
+            .filter(|digest| digest.contacts.len() >= digest.live as usize)
+            .map(|digest| &digest.domain)
+            .collect();
+        for row in self.listed.values() {
+            let told = row.domain == self.own.domain || complete.contains(&row.domain);
+            if told || view.hosts.contains_key(&row.host) {
+                continue;
+            }
+            let state = match row.leaving {
+                true => State::Leaving,
+                false if self.domains.is_avoided(now, &row.host) => State::Suspect,
+                false => State::Live,
+            };
+            view.hosts.insert(row.host.clone(), member(row, state));
+            let size = Size {
+                region: row.region.clone(),
+                live: 0,
+            };
+            view.domains.entry(row.domain.clone()).or_insert(size);
+        }
+    }
+
+    fn tick(&mut self, now: Duration) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for probe in self.probes.overdue(now) {
+            actions.extend(self.missed(now, probe));
+        }
+        actions.extend(self.bury(now));
+        if now >= self.next_near {
+            self.next_near = now + NEAR_PERIOD;
+            actions.extend(self.ping_next(now));
+        }
+        if now >= self.next_far {
+            self.next_far = now + FAR_PERIOD;
+            actions.extend(self.ping_far(now));
+        }
+        if now >= self.next_revive {
+            self.next_revive = now + REVIVE_PERIOD;
+            actions.extend(self.ping_dead(now));
+            let listed = &self.listed;
+            self.table.forget(now, |host| listed.contains_key(host));
+            if self.domains.forget(now) {
+                actions.push(Action::Changed);
+            }
+        }
+        actions
+    }
+
+    /// Pings the next host of this failure domain; each is pinged once before any is again.
+    fn ping_next(&mut self, now: Duration) -> Option<Action> {
+        let target = loop {
+            if self.ring.is_empty() {
+                self.ring = self.up();
+                self.ring.shuffle(&mut self.rng);
+            }
+            let target = self.ring.pop()?;
+            if self.table.get(&target).is_some_and(Peer::is_up) {
+                break target;
+            }
+        };
+        Some(self.ping(now, target, Purpose::Direct))
+    }
+
+    /// Pings a contact of another failure domain, every other time of the same region.
+    fn ping_far(&mut self, now: Duration) -> Option<Action> {
+        let own_region = self.rng.random_bool(0.5);
+        let view = self.view_contacts(now);
+        let region = &self.own.region;
+        let near = view
+            .iter()
+            .filter(|(_, near, _)| near == region && own_region);
+        let domain = near
+            .map(|(domain, _, _)| domain)
+            .choose(&mut self.rng)
+            .or_else(|| {
+                view.iter()
+                    .map(|(domain, _, _)| domain)
+                    .choose(&mut self.rng)
+            })?;
+        let hosts = view.iter().filter(|(other, _, _)| other == domain);
+        let (_, _, target) = hosts.choose(&mut self.rng)?.clone();
+        Some(self.ping(now, target, Purpose::Exchange))
+    }
+
+    fn view_contacts(&self, now: Duration) -> Vec<(name::Domain, name::Region, name::Host)> {
+        self.view(now)
+            .hosts
+            .into_iter()
+            .filter(|(_, member)| member.domain != self.own.domain && member.state != State::Dead)
+            .map(|(host, member)| (member.domain, member.region, host))
+            .collect()
+    }
+
+    fn ping_dead(&mut self, now: Duration) -> Option<Action> {
+        let dead = self.table.iter().filter(|(_, peer)| !peer.is_up());
+        let target = dead.map(|(host, _)| host).choose(&mut self.rng)?.clone();
+        Some(self.ping(now, target, Purpose::Exchange))
+    }
+
+    fn ping(&mut self, now: Duration, target: name::Host, purpose: Purpose) -> Action {
+        let sequence = self.probes.begin(now, target.clone(), purpose);
+        let gossip = self.gossip(now, &target);
+        Action::Send {
+            to: target,
+            message: Message::Ping { sequence, gossip },
+        }
+    }
+
+    /// What a heartbeat to `to` carries.
+    fn gossip(&mut self, now: Duration, to: &name::Host) -> Gossip {
+        let known = self.table.get(to).cloned();
+        let mut updates = Vec::new();
+        let mut digests = self.domains.some(now, MAX_DIGESTS, &mut self.rng);
+        match known {
+            Some(peer) => {
+                updates = self.table.news();
+                let objectionable = peer.state != State::Live && peer.incarnation > 0;
+                if objectionable && updates.iter().all(|update| update.host != *to) {
+                    updates.push(Update {
+                        host: to.clone(),
+                        peer,
+                    });
+                }
+            }
+            None => digests.push(self.digest()),
+        }
+        Gossip {
+            own: self.own.clone(),
+            updates,
+            digests,
+            revisions: self.revisions.clone(),
+            checksum: self.checksum(),
+        }
+    }
+
+    /// The checksum of the failure domain, this host among it.
+    fn checksum(&self) -> u64 {
+        let mut own = Table::new(None);
+        own.merge(Duration::ZERO, &self.settings.host, &self.own);
+        self.table.checksum().wrapping_add(own.checksum())
+    }
+
+    /// What hosts outside learn of this failure domain.
+    fn digest(&self) -> Digest {
+        let own = (&self.settings.host, &self.own);
+        let live: Vec<_> = self
+            .table
+            .iter()
+            .chain([own])
+            .filter(|(_, peer)| peer.state == State::Live && peer.incarnation > 0)
+            .collect();
+        let names = live.iter().map(|(host, _)| host.as_str());
+        let chosen: BTreeSet<_> = rendezvous::order(self.own.domain.as_str(), names)
+            .into_iter()
+            .take(MAX_CONTACTS)
+            .collect();
+        let contact = |(host, peer): &(&name::Host, &Peer)| Contact {
+            host: (*host).clone(),
+            address: peer.address,
+            peer_address: peer.peer_address,
+        };
+        Digest {
+            domain: self.own.domain.clone(),
+            region: self.own.region.clone(),
+            live: live.len() as u32,
+            contacts: live
+                .iter()
+                .filter(|(host, _)| chosen.contains(host.as_str()))
+                .map(contact)
+                .collect(),
+            age_ms: 0,
+        }
+    }
+
+    /// An answer did not come in time.
+    fn missed(&mut self, now: Duration, probe: Probe) -> Vec<Action> {
+        match probe.purpose {
+            Purpose::Relay { .. } => Vec::new(),
+            Purpose::Exchange => {
+                if self.table.get(&probe.target).is_some() {
+                    return Vec::new();
+                }
+                self.domains.avoid(now, probe.target);
+                vec![Action::Changed]
+            }
+            Purpose::Direct if self.settings.mutant == Some(Mutant::OneLink) => {
+                self.set(now, &probe.target, State::Dead)
+            }
+            Purpose::Direct => self.ask_witnesses(now, probe.target),
+            Purpose::Indirect => self.suspect(now, &probe.target),
+        }
+    }
+
+    fn ask_witnesses(&mut self, now: Duration, target: name::Host) -> Vec<Action> {
+        let Some(peer_address) = self.table.get(&target).map(|peer| peer.peer_address) else {
+            return Vec::new();
+        };
+        let sequence = self.probes.begin(now, target.clone(), Purpose::Indirect);
+        let mut witnesses = self.up();
+        witnesses.retain(|host| *host != target);
+        witnesses.shuffle(&mut self.rng);
+        if witnesses.len() < WITNESSES {
+            let far = self.view_contacts(now).into_iter().map(|(_, _, host)| host);
+            witnesses.extend(far.sample(&mut self.rng, WITNESSES));
+        }
+        witnesses.truncate(WITNESSES);
+        witnesses
+            .into_iter()
+            .map(|to| Action::Send {
+                to,
+                message: Message::Indirect {
+                    sequence,
+                    target: target.clone(),
+                    peer_address,
+                },
+            })
+            .collect()
+    }
+
+    fn suspect(&mut self, now: Duration, target: &name::Host) -> Vec<Action> {
+        let Some(peer) = self.table.get(target).filter(|peer| peer.is_up()) else {
+            return Vec::new();
+        };
+        let (incarnation, state) = (peer.incarnation, peer.state);
+        self.doubt(now, target, incarnation);
+        if state == State::Live {
+            return self.set(now, target, State::Suspect);
+        }
+        Vec::new()
+    }
+
+    /// Gives a host its time to object.
+    fn doubt(&mut self, now: Duration, host: &name::Host, incarnation: u64) {
+        let known = self.suspects.get(host);
+        if known.is_some_and(|known| known.incarnation >= incarnation) {
+            return;
+        }
+        let dies = now + SUSPICION;
+        let suspicion = Suspicion { incarnation, dies };
+        self.suspects.insert(host.clone(), suspicion);
+    }
+
+    /// Takes suspects for dead that have not objected in time.
+    fn bury(&mut self, now: Duration) -> Vec<Action> {
+        let over: Vec<_> = self
+            .suspects
+            .extract_if(.., |_, suspicion| suspicion.dies <= now)
+            .collect();
+        let mut actions = Vec::new();
+        for (host, suspicion) in over {
+            let same = self
+                .table
+                .get(&host)
+                .is_some_and(|peer| peer.incarnation == suspicion.incarnation);
+            if same {
+                actions.extend(self.set(now, &host, State::Dead));
+            }
+        }
+        actions
+    }
+
+    fn set(&mut self, now: Duration, host: &name::Host, state: State) -> Vec<Action> {
+        match self.table.mark(now, host, state) {
+            Some(report) => vec![Action::Report(report), Action::Changed],
+            None => Vec::new(),
+        }
+    }
+
+    fn receive(&mut self, now: Duration, from: name::Host, message: Message) -> Vec<Action> {
+        match message {
+            Message::Ping { sequence, gossip } => {
+                let mut actions = self.listen(now, &from, gossip);
+                let gossip = self.gossip(now, &from);
+                actions.push(Action::Send {
+                    to: from,
+                    message: Message::Ack { sequence, gossip },
+                });
+                actions
+            }
+            Message::Ack { sequence, gossip } => {
+                let mut actions = self.listen(now, &from, gossip);
+                if let Some(probe) = self.probes.answered(sequence, &from) {
+                    actions.extend(self.answered(probe));
+                }
+                actions
+            }
+            Message::Indirect {
+                sequence,
+                target,
+                peer_address,
+            } => {
+                let address = Action::Address {
+                    host: target.clone(),
+                    peer_address,
+                };
+                let purpose = Purpose::Relay { from, sequence };
+                vec![address, self.ping(now, target, purpose)]
+            }
+            Message::Vouch { sequence, target } => {
+                if self.probes.answered(sequence, &target).is_some() {
+                    self.suspects.remove(&target);
+                }
+                Vec::new()
+            }
+            Message::Table { updates, ask } => {
+                let mut actions = self.learn_all(now, updates);
+                if ask {
+                    actions.push(self.table_for(from, false));
+                }
+                actions
+            }
+        }
+    }
+
+    fn answered(&mut self, probe: Probe) -> Option<Action> {
+        let Purpose::Relay { from, sequence } = probe.purpose else {
+            return None;
+        };
+        Some(Action::Send {
+            to: from,
+            message: Message::Vouch {
+                sequence,
+                target: probe.target,
+            },
+        })
+    }
+
+    /// Takes what a heartbeat carries.
+    fn listen(&mut self, now: Duration, from: &name::Host, gossip: Gossip) -> Vec<Action> {
+        let near = gossip.own.domain == self.own.domain;
+        let mut actions = vec![
+            Action::Address {
+                host: from.clone(),
+                peer_address: gossip.own.peer_address,
+            },
+            Action::Heard {
+                from: from.clone(),
+                summary: gossip.revisions,
+            },
+        ];
+        self.domains.heard(from);
+        if near {
+            self.spoke(from, &gossip.own);
+            actions.extend(self.learn(now, from, &gossip.own));
+            actions.extend(self.correct(from, &gossip.own));
+        }
+        actions.extend(self.learn_all(now, gossip.updates));
+        for digest in gossip.digests {
+            if digest.domain == self.own.domain {
+                continue;
+            }
+            for contact in &digest.contacts {
+                actions.push(Action::Address {
+                    host: contact.host.clone(),
+                    peer_address: contact.peer_address,
+                });
+            }
+            if self.domains.merge(now, digest) {
+                actions.push(Action::Changed);
+            }
+        }
+        if near && gossip.checksum != self.checksum() && now >= self.next_sync {
+            self.next_sync = now + SYNC_PERIOD;
+            actions.push(self.table_for(from.clone(), true));
+        }
+        actions
+    }
+
+    /// A host spoke for itself: it is neither silent nor, under a known incarnation, suspect.
+    fn spoke(&mut self, from: &name::Host, own: &Peer) {
+        let current = self
+            .table
+            .get(from)
+            .is_none_or(|peer| own.incarnation >= peer.incarnation);
+        if current {
+            self.probes.heard(from);
+            self.suspects.remove(from);
+        }
+    }
+
+    /// Tells a host that speaks under an old incarnation which one is known of it.
+    fn correct(&self, from: &name::Host, own: &Peer) -> Option<Action> {
+        let known = self.table.get(from)?;
+        if known.incarnation <= own.incarnation {
+            return None;
+        }
+        let update = Update {
+            host: from.clone(),
+            peer: known.clone(),
+        };
+        Some(Action::Send {
+            to: from.clone(),
+            message: Message::Table {
+                updates: vec![update],
+                ask: false,
+            },
+        })
+    }
+
+    fn learn_all(&mut self, now: Duration, updates: Vec<Update>) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for Update { host, peer } in updates {
+            actions.extend(self.learn(now, &host, &peer));
+        }
+        actions
+    }
+
+    /// Takes one record.
+    fn learn(&mut self, now: Duration, host: &name::Host, peer: &Peer) -> Vec<Action> {
+        if *host == self.settings.host {
+            return self.object(peer);
+        }
+        if peer.domain != self.own.domain {
+            return Vec::new();
+        }
+        let known = self.table.get(host);
+        let changes = known.is_none_or(|known| peer.replaces(known));
+        let report = self.table.merge(now, host, peer);
+        if !changes && report.is_none() {
+            return Vec::new();
+        }
+        if peer.state == State::Suspect {
+            self.doubt(now, host, peer.incarnation);
+        }
+        let mut actions = vec![Action::Address {
+            host: host.clone(),
+            peer_address: peer.peer_address,
+        }];
+        actions.extend(report.map(Action::Report));
+        actions.push(Action::Changed);
+        actions
+    }
+
+    /// Hears what is said of this host and goes above it when it isn't true.
+    fn object(&mut self, said: &Peer) -> Vec<Action> {
+        if !said.replaces(&self.own) {
+            return Vec::new();
+        }
+        self.own.incarnation = said.incarnation + 1;
+        vec![
+            Action::Report(Report::Objected {
+                state: said.state,
+                incarnation: self.own.incarnation,
+            }),
+            Action::Changed,
+        ]
+    }
+
+    fn table_for(&self, to: name::Host, ask: bool) -> Action {
+        let mut updates = self.table.updates();
+        updates.push(Update {
+            host: self.settings.host.clone(),
+            peer: self.own.clone(),
+        });
+        Action::Send {
+            to,
+            message: Message::Table { updates, ask },
+        }
+    }
+
+    /// Takes the platform's list: it names hosts that are not yet known, and no more.
+    fn list(&mut self, now: Duration, rows: Vec<Listed>) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for row in &rows {
+            if row.host == self.settings.host {
+                continue;
+            }
+            actions.push(Action::Address {
+                host: row.host.clone(),
+                peer_address: row.peer_address,
+            });
+            let peer = self.hearsay(row);
+            actions.extend(self.learn(now, &row.host, &peer));
+        }
+        let listed = rows.into_iter().map(|row| (row.host.clone(), row));
+        let listed: BTreeMap<_, _> = listed.collect();
+        if self.listed != listed {
+            self.listed = listed;
+            actions.push(Action::Changed);
+        }
+        actions
+    }
+
+    fn hearsay(&self, row: &Listed) -> Peer {
+        let known = self.table.get(&row.host);
+        let incarnation = match self.settings.mutant {
+            Some(Mutant::TrustList) => known.map_or(0, |peer| peer.incarnation + 1),
+            _ => 0,
+        };
+        Peer {
+            incarnation,
+            state: match row.leaving {
+                true => State::Leaving,
+                false => State::Live,
+            },
+            region: row.region.clone(),
+            domain: row.domain.clone(),
+            address: row.address,
+            peer_address: row.peer_address,
+        }
+    }
+
+    /// Leaves, and tells as many as may be told at once.
+    fn leave(&mut self, now: Duration) -> Vec<Action> {
+        self.own.state = State::Leaving;
+        let mut told: Vec<_> = self.up();
+        told.shuffle(&mut self.rng);
+        told.truncate(FAREWELLS);
+        let far = self.view_contacts(now).into_iter().map(|(_, _, host)| host);
+        told.extend(far.sample(&mut self.rng, WITNESSES));
+        let mut actions = vec![Action::Changed];
+        for target in told {
+            actions.push(self.ping(now, target, Purpose::Exchange));
+        }
+        actions
+    }
+
+    /// The other hosts of this failure domain that may be talked to.
+    fn up(&self) -> Vec<name::Host> {
+        self.table
+            .iter()
+            .filter(|(_, peer)| peer.is_up())
+            .map(|(host, _)| host.clone())
+            .collect()
+    }
+
+    /// After a pause: what did not come meanwhile proves nothing.
+    fn wake(&mut self, slept: Duration) -> Vec<Action> {
+        if self.settings.mutant == Some(Mutant::SleptThrough) {
+            return Vec::new();
+        }
+        self.probes.clear();
+        for suspicion in self.suspects.values_mut() {
+            suspicion.dies += slept;
+        }
+        vec![Action::Report(Report::Woke { slept })]
+    }
+}
+
+impl machine::Machine for Machine {
+    type Event = Event;
+    type Action = Action;
+
+    fn step(&mut self, now: Duration, event: Event) -> Vec<Action> {
+        let slept = now.saturating_sub(self.last_step.unwrap_or(now));
+        self.last_step = Some(now);
+        let mut actions = Vec::new();
+        if slept > PAUSE {
+            actions.extend(self.wake(slept));
+        }
+        actions.extend(match event {
+            Event::Tick => self.tick(now),
+            Event::Listed(rows) => self.list(now, rows),
+            Event::Received { from, message } => self.receive(now, from, message),
+            Event::Revisions(revisions) => {
+                self.revisions = revisions;
+                Vec::new()
+            }
+            Event::Leave => self.leave(now),
+        });
+        actions
+    }
+}
+
+fn member(row: &Listed, state: State) -> Member {
+    Member {
+        region: row.region.clone(),
+        domain: row.domain.clone(),
+        address: row.address,
+        peer_address: row.peer_address,
+        state,
+        incarnation: 0,
+        source: Source::List,
+    }
+}
