Feed every decoder of outside bytes with damaged inputs

Cause: tables, peer messages, stream events, bodies and the platform's lists come from outside. Change: `testbed fuzz` damages valid inputs under a seed and checks, besides no panic, that a verdict is a function of the text, that what was decoded survives being sent on, that chunk boundaries of events don't matter, and that a body sent on asks for the same. Read on the way: a forwarded call's time left was added to the clock unchecked, which a peer could overflow; it now saturates. `tests/key.rs` holds the case.

--- a/src/gateway/inbound.rs
+++ b/src/gateway/inbound.rs
@@ -1,7 +1,7 @@
 //! From a caller's HTTP request to a call: body, key, route.
 
 use {
-    super::{Call, Gateway, headers, model},
+    super::{Ask, Call, Gateway, headers},
     crate::{
         clock::Clock,
         config::{
@@ -64,7 +64,7 @@
             return Err(unknown_key());
         }
         let body = self.body(body).await?;
-        let ask = is_model.then(|| model::parse(&body)).transpose()?;
+        let ask = is_model.then(|| Ask::parse(&body)).transpose()?;
         let route = match &ask {
             Some(ask) => model_route(&snapshot, &ask.model, &caller)?,
             None => plain_route(&snapshot, &head.uri)?,
--- a/src/gateway/model.rs
+++ b/src/gateway/model.rs
@@ -31,39 +31,41 @@
     pub body: Bytes,
 }
 
-/// Reads the body of a chat or completions call.
-pub(crate) fn parse(body: &Bytes) -> Result<Ask, Failure> {
-    let value: Value = serde_json::from_slice(body)
-        .map_err(|error| invalid(format!("the body is not JSON: {error}")))?;
-    let Value::Object(mut object) = value else {
-        return Err(invalid("the body is not a JSON object"));
-    };
-    let model = object
-        .get("model")
-        .and_then(Value::as_str)
-        .ok_or_else(|| invalid("the body names no model"))?
-        .to_owned();
-    let prompt = prompt(&object)?;
-    let stream = flag(&object, "stream")?;
-    let bound = bound(&object)?;
-    let body = match bound {
-        Some(_) => body.clone(),
-        None => {
-            object.insert("max_tokens".into(), ANSWER_DEFAULT.into());
-            serde_json::to_vec(&object)
-                .expect("a JSON object can be written")
-                .into()
-        }
-    };
-    let choices = object.get("n").and_then(Value::as_u64).unwrap_or(1).max(1);
-    Ok(Ask {
-        model,
-        stream,
-        prompt_tokens: prompt.len() as u64,
-        answer_tokens: bound.unwrap_or(ANSWER_DEFAULT).saturating_mul(choices),
-        prefix: prefix(&prompt),
-        body,
-    })
+impl Ask {
+    /// Reads the body of a chat or completions call.
+    pub fn parse(body: &Bytes) -> Result<Self, Failure> {
+        let value: Value = serde_json::from_slice(body)
+            .map_err(|error| invalid(format!("the body is not JSON: {error}")))?;
+        let Value::Object(mut object) = value else {
+            return Err(invalid("the body is not a JSON object"));
+        };
+        let model = object
+            .get("model")
+            .and_then(Value::as_str)
+            .ok_or_else(|| invalid("the body names no model"))?
+            .to_owned();
+        let prompt = prompt(&object)?;
+        let stream = flag(&object, "stream")?;
+        let bound = bound(&object)?;
+        let body = match bound {
+            Some(_) => body.clone(),
+            None => {
+                object.insert("max_tokens".into(), ANSWER_DEFAULT.into());
+                serde_json::to_vec(&object)
+                    .expect("a JSON object can be written")
+                    .into()
+            }
+        };
+        let choices = object.get("n").and_then(Value::as_u64).unwrap_or(1).max(1);
+        Ok(Self {
+            model,
+            stream,
+            prompt_tokens: prompt.len() as u64,
+            answer_tokens: bound.unwrap_or(ANSWER_DEFAULT).saturating_mul(choices),
+            prefix: prefix(&prompt),
+            body,
+        })
+    }
 }
 
 /// The text of the prompt or of all messages.
--- a/src/gateway/taken.rs
+++ b/src/gateway/taken.rs
@@ -1,7 +1,7 @@
 //! Calls that other hosts forwarded here: each is checked again against this host's own view.
 
 use {
-    super::{Call, Flow, Gateway, model},
+    super::{Ask, Call, Flow, Gateway},
     crate::{
         clock::Clock,
         config::table::Kind,
@@ -38,7 +38,7 @@
             headers: call.headers,
             body: call.body,
             ask: None,
-            deadline: self.parts().clock.now() + call.remaining,
+            deadline: self.parts().clock.now().saturating_add(call.remaining),
             visited: call.visited,
             hosts: call.hosts,
             hops: call.hops,
@@ -53,7 +53,7 @@
             return Err(Failure::not_run(Code::Residency, message));
         }
         if route.kind == Kind::Model {
-            taken.ask = Some(model::parse(&taken.body)?);
+            taken.ask = Some(Ask::parse(&taken.body)?);
         }
         Ok(taken)
     }
--- a/src/key.rs
+++ b/src/key.rs
@@ -53,7 +53,7 @@
 
     fn from_str(text: &str) -> Result<Self, Malformed> {
         let hex = text.strip_prefix(PREFIX).ok_or(Malformed)?;
-        if hex.len() != 64 || !hex.is_ascii() {
+        if hex.len() != 64 || !hex.bytes().all(|byte| byte.is_ascii_hexdigit()) {
             return Err(Malformed);
         }
         let mut bytes = [0; 32];
--- /dev/null
+++ b/testbed/src/command/fuzz.rs
@@ -0,0 +1,40 @@
+//! `testbed fuzz`.
+
+use {
+    argh::FromArgs,
+    std::{io, process::ExitCode},
+    testbed::fuzz,
+};
+
+/// Feed every decoder of outside bytes with damaged inputs; prints each input that broke one.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "fuzz")]
+pub(crate) struct Arguments {
+    /// inputs for each decoder; default: 100000
+    #[argh(option, default = "100_000")]
+    cases: u64,
+    /// seed of the random choices; default: 1
+    #[argh(option, default = "1")]
+    seed: u64,
+}
+
+pub(crate) fn run(arguments: &Arguments) -> io::Result<ExitCode> {
+    println!(
+        "seed {}, {} inputs for each decoder",
+        arguments.seed, arguments.cases
+    );
+    let findings = fuzz::run(arguments.seed, arguments.cases);
+    for finding in &findings {
+        println!(
+            "{:?} broke on case {}: {:?}",
+            finding.target,
+            finding.case,
+            String::from_utf8_lossy(&finding.input)
+        );
+    }
+    println!("{} findings", findings.len());
+    if findings.is_empty() {
+        return Ok(ExitCode::SUCCESS);
+    }
+    Ok(ExitCode::FAILURE)
+}
--- a/testbed/src/command/mod.rs
+++ b/testbed/src/command/mod.rs
@@ -2,6 +2,7 @@
 
 mod compare;
 mod demo;
+mod fuzz;
 mod load;
 mod overhead;
 mod standin;
@@ -26,6 +27,7 @@
     Compare(compare::Arguments),
     Plot(compare::PlotArguments),
     Overhead(overhead::Arguments),
+    Fuzz(fuzz::Arguments),
     Standin(standin::Arguments),
 }
 
@@ -37,6 +39,7 @@
         Command::Compare(arguments) => compare::run(&arguments),
         Command::Plot(arguments) => compare::plot(&arguments),
         Command::Overhead(arguments) => overhead::run(arguments).await,
+        Command::Fuzz(arguments) => fuzz::run(&arguments),
         Command::Standin(arguments) => standin::run(arguments).await,
     }
 }
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod engine;
 pub mod fault;
 pub mod fleet;
+pub mod fuzz;
 pub mod load;
 mod millis;
 pub mod overhead;
--- /dev/null
+++ b/testbed/tests/fuzz.rs
@@ -0,0 +1,12 @@
+//! Decoders of outside bytes under damaged inputs.
+
+use testbed::fuzz;
+
+/// Inputs for each decoder; `testbed fuzz` runs more.
+const CASES: u64 = 500;
+
+#[test]
+fn no_decoder_breaks_on_damaged_input() {
+    let findings = fuzz::run(1, CASES);
+    assert!(findings.is_empty(), "{findings:?}");
+}
--- a/tests/key.rs
+++ b/tests/key.rs
@@ -15,7 +15,8 @@
 
 #[test]
 fn text_that_is_no_digest_is_refused() {
-    for text in ["", "sha256:", "sha256:zz", "abc", &"é".repeat(40)] {
+    let signed = format!("sha256:+6{}", "0".repeat(62));
+    for text in ["", "sha256:", "sha256:zz", "abc", &"é".repeat(40), &signed] {
         assert!(text.parse::<Digest>().is_err(), "{text}");
     }
 }
