Add the idempotency register across hosts

Cause: a key that is repeated at another host must not run again, with no store and hosts that keep nothing.

Change: a key is claimed at all hosts of its home region and runs once a majority has noted it; hosts that start, sleep or were cut off catch up first; doubt is a refusal.

Ruled out: owners by rendezvous hashing on one's own view (two owners when views differ).

--- a/src/attempt/mod.rs
+++ b/src/attempt/mod.rs
@@ -9,6 +9,7 @@
 mod exchange;
 mod outcome;
 mod plan;
+pub mod register;
 pub mod sse;
 
 pub use {
--- a/tests/attempt.rs
+++ b/tests/attempt.rs
@@ -6,5 +6,9 @@
 mod budget;
 #[path = "attempt/exchange.rs"]
 mod exchange;
+#[path = "attempt/fleet.rs"]
+mod fleet;
+#[path = "attempt/register.rs"]
+mod register;
 #[path = "attempt/sse.rs"]
 mod sse;
--- /dev/null
+++ b/tests/attempt/fleet.rs
@@ -0,0 +1,390 @@
+//! Hosts with registers on a network that loses, repeats, reorders and delays messages, under
+//! partitions, pauses, restarts, replacements and host lists that lag.
+
+use {
+    greengagecleat::{
+        attempt::register::{
+            Action, Event, Fault, Key, Message, Outcome, Reason, Register, Setting,
+        },
+        machine::Machine,
+        name,
+    },
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
+};
+
+pub(crate) const QUARANTINE: Duration = Duration::from_secs(8);
+const HOME: &str = "home";
+const NEVER: Duration = Duration::from_secs(1 << 32);
+const SLOTS: usize = 4;
+/// The slot whose hosts are in another region.
+const AWAY: usize = SLOTS - 1;
+
+/// How hard the fleet is tried.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Trial {
+    /// Losing, repeating and delaying, as a share of messages.
+    pub(crate) loss: f64,
+    /// Least time between two hosts that start anew.
+    pub(crate) start_gap: Duration,
+    /// Longest pause or cut.
+    pub(crate) longest: Duration,
+    pub(crate) end: Duration,
+    pub(crate) fault: Fault,
+}
+
+#[derive(Debug)]
+struct Host {
+    name: name::Host,
+    register: Register,
+    paused_until: Duration,
+    listed: bool,
+}
+
+#[derive(Debug, Clone)]
+enum Due {
+    Deliver {
+        name: name::Host,
+        event: Event,
+    },
+    Leave {
+        name: name::Host,
+        ticket: u64,
+    },
+    Finish {
+        name: name::Host,
+        key: Key,
+        outcome: Outcome,
+    },
+    Tick {
+        name: name::Host,
+    },
+    Stop {
+        slot: usize,
+    },
+    Cut {
+        slot: usize,
+        until: Duration,
+    },
+    Start {
+        slot: usize,
+    },
+    Pause {
+        slot: usize,
+        until: Duration,
+    },
+    Adversary,
+}
+
+/// A request that was let run.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Run {
+    pub(crate) key: Key,
+    pub(crate) asked: Duration,
+    pub(crate) left: Duration,
+}
+
+#[derive(Debug)]
+pub(crate) struct Fleet {
+    trial: Trial,
+    rng: StdRng,
+    hosts: Vec<Host>,
+    due: BTreeMap<(Duration, u64), Due>,
+    order: u64,
+    asked: BTreeMap<u64, (Key, Duration)>,
+    /// Slots on the far side of a partition, and until when.
+    cut: (BTreeSet<usize>, Duration),
+    last_start: Duration,
+    born: u64,
+    pub(crate) runs: Vec<Run>,
+    pub(crate) refused: Vec<Reason>,
+}
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+pub(crate) fn key(number: u64) -> Key {
+    let customer = name::Customer::from("customer");
+    Key::new(&customer, &name::Route::from("posts"), &number.to_string())
+}
+
+impl Fleet {
+    pub(crate) fn new(trial: Trial, seed: u64) -> Self {
+        let mut fleet = Self {
+            trial,
+            rng: StdRng::seed_from_u64(seed),
+            hosts: Vec::new(),
+            due: BTreeMap::new(),
+            order: 0,
+            asked: BTreeMap::new(),
+            cut: (BTreeSet::new(), Duration::ZERO),
+            last_start: Duration::ZERO,
+            born: 0,
+            runs: Vec::new(),
+            refused: Vec::new(),
+        };
+        for slot in 0..SLOTS {
+            let host = fleet.host(slot, None, Duration::ZERO);
+            fleet.hosts.push(host);
+        }
+        fleet.list(Duration::ZERO);
+        fleet
+    }
+
+    fn host(&mut self, slot: usize, name: Option<name::Host>, now: Duration) -> Host {
+        self.born += 1;
+        let name = name.unwrap_or_else(|| name::Host::from(format!("host-{}", self.born)));
+        let region = if slot == AWAY { "away" } else { HOME };
+        let setting = Setting {
+            host: name.clone(),
+            region: name::Region::from(region),
+            incarnation: self.born,
+            quarantine: QUARANTINE,
+            retention: Duration::from_secs(3_600),
+            records: 1_000,
+            fault: self.trial.fault,
+        };
+        self.later(now, Due::Tick { name: name.clone() });
+        Host {
+            name,
+            register: Register::new(setting, now),
+            paused_until: now,
+            listed: true,
+        }
+    }
+
+    /// Each host sees the host list after a lag of its own.
+    fn list(&mut self, now: Duration) {
+        let hosts: BTreeSet<name::Host> = self.hosts[..AWAY]
+            .iter()
+            .filter(|host| host.listed)
+            .map(|host| host.name.clone())
+            .collect();
+        let event = Event::Listed {
+            region: name::Region::from(HOME),
+            hosts,
+        };
+        let names: Vec<_> = self.hosts.iter().map(|host| host.name.clone()).collect();
+        for name in names {
+            let lag = match now {
+                Duration::ZERO => now,
+                _ => ms(self.rng.random_range(0..2_000)),
+            };
+            let event = event.clone();
+            self.later(now + lag, Due::Deliver { name, event });
+        }
+    }
+
+    fn later(&mut self, at: Duration, due: Due) {
+        self.order += 1;
+        self.due.insert((at, self.order), due);
+    }
+
+    fn slot(&self, name: &name::Host) -> Option<usize> {
+        self.hosts.iter().position(|host| host.name == *name)
+    }
+
+    pub(crate) fn request(&mut self, now: Duration, slot: usize, key: Key) {
+        self.order += 1;
+        let ticket = self.order;
+        self.asked.insert(ticket, (key, now));
+        let event = Event::Request {
+            ticket,
+            key,
+            home: name::Region::from(HOME),
+        };
+        let name = self.hosts[slot].name.clone();
+        self.later(now, Due::Deliver { name, event });
+    }
+
+    /// Cuts a host off for a while.
+    pub(crate) fn cut_off(&mut self, slot: usize, from: Duration, until: Duration) {
+        self.later(from, Due::Cut { slot, until });
+    }
+
+    /// Lets a host sleep.
+    pub(crate) fn pause_at(&mut self, at: Duration, slot: usize, until: Duration) {
+        self.later(at, Due::Pause { slot, until });
+    }
+
+    /// Starts a host anew.
+    pub(crate) fn start_at(&mut self, at: Duration, slot: usize) {
+        self.later(at, Due::Start { slot });
+    }
+
+    /// Lets a host die.
+    pub(crate) fn stop_at(&mut self, at: Duration, slot: usize) {
+        self.later(at, Due::Stop { slot });
+    }
+
+    pub(crate) fn adversary(&mut self) {
+        self.later(Duration::ZERO, Due::Adversary);
+    }
+
+    pub(crate) fn run(&mut self) {
+        while let Some(((now, _), due)) = self.due.pop_first() {
+            if now > self.trial.end {
+                return;
+            }
+            self.take(now, due);
+        }
+    }
+
+    fn take(&mut self, now: Duration, due: Due) {
+        let name = match &due {
+            Due::Adversary => return self.trouble(now),
+            Due::Start { slot } => return self.start(now, *slot),
+            Due::Pause { slot, until } => {
+                self.hosts[*slot].paused_until = *until;
+                return;
+            }
+            Due::Stop { slot } => return self.stop(now, *slot),
+            Due::Cut { slot, until } => {
+                self.cut = (BTreeSet::from([*slot]), *until);
+                return;
+            }
+            Due::Deliver { name, .. }
+            | Due::Leave { name, .. }
+            | Due::Finish { name, .. }
+            | Due::Tick { name } => name.clone(),
+        };
+        let Some(slot) = self.slot(&name) else { return };
+        if now < self.hosts[slot].paused_until {
+            return self.later(self.hosts[slot].paused_until, due);
+        }
+        match due {
+            Due::Deliver { event, .. } => self.step(now, slot, event),
+            Due::Leave { ticket, .. } => self.leave(now, slot, ticket),
+            Due::Finish { key, outcome, .. } => {
+                self.step(now, slot, Event::Finished { key, outcome });
+            }
+            Due::Tick { name } => {
+                self.step(now, slot, Event::Tick);
+                self.later(now + Register::TICK, Due::Tick { name });
+            }
+            _ => {}
+        }
+    }
+
+    fn leave(&mut self, now: Duration, slot: usize, ticket: u64) {
+        let (key, asked) = self.asked[&ticket];
+        let name = self.hosts[slot].name.clone();
+        let mut outcome = Outcome::NotRun;
+        if self.hosts[slot].register.may_send(now, key) {
+            self.runs.push(Run {
+                key,
+                asked,
+                left: now,
+            });
+            outcome = match self.rng.random_bool(0.5) {
+                true => Outcome::Done(200),
+                false => Outcome::Unknown,
+            };
+        }
+        self.later(now + ms(30), Due::Finish { name, key, outcome });
+    }
+
+    fn step(&mut self, now: Duration, slot: usize, event: Event) {
+        let name = self.hosts[slot].name.clone();
+        for action in self.hosts[slot].register.step(now, event) {
+            match action {
+                Action::Send { to, message } => self.send(now, slot, &name, to, &message),
+                Action::Refuse { reason, .. } => self.refused.push(reason),
+                Action::Run { ticket } => {
+                    let at = now + ms(self.rng.random_range(0..50));
+                    let name = name.clone();
+                    self.later(at, Due::Leave { name, ticket });
+                }
+            }
+        }
+    }
+
+    fn send(
+        &mut self,
+        now: Duration,
+        slot: usize,
+        from: &name::Host,
+        to: name::Host,
+        message: &Message,
+    ) {
+        let Some(target) = self.slot(&to) else { return };
+        let cut = now < self.cut.1 && self.cut.0.contains(&slot) != self.cut.0.contains(&target);
+        if cut || self.rng.random_bool(self.trial.loss) {
+            return;
+        }
+        let copies = 1 + u32::from(self.rng.random_bool(self.trial.loss));
+        for _ in 0..copies {
+            let longest = if self.rng.random_bool(self.trial.loss) {
+                4_000
+            } else {
+                60
+            };
+            let delay = ms(self.rng.random_range(1..longest));
+            let event = Event::Received {
+                from: from.clone(),
+                message: message.clone(),
+            };
+            let name = to.clone();
+            self.later(now + delay, Due::Deliver { name, event });
+        }
+    }
+
+    /// One thing goes wrong, or a request is tried again somewhere.
+    fn trouble(&mut self, now: Duration) {
+        let slot = self.rng.random_range(0..SLOTS);
+        let longest = self.trial.longest.as_millis() as u64;
+        let len = ms(self.rng.random_range(0..longest));
+        match self.rng.random_range(0..20) {
+            0 | 1 if self.may_lose(now, slot) => self.start(now, slot),
+            2 if self.hosts[slot].listed => self.hosts[slot].paused_until = now + len,
+            4 if self.may_lose(now, slot) => self.stop(now, slot),
+            3 => {
+                let far = (0..SLOTS).filter(|_| self.rng.random_bool(0.4)).collect();
+                self.cut = (far, now + len);
+            }
+            _ => {
+                let newest = now.as_secs() / 4;
+                let oldest = newest.saturating_sub(8);
+                let number = self.rng.random_range(oldest..=newest);
+                self.request(now, slot, key(number));
+            }
+        }
+        let gap = ms(self.rng.random_range(1..400));
+        self.later(now + gap, Due::Adversary);
+    }
+
+    /// In a rolling replacement a host goes only once those before it have been caught up with.
+    fn may_lose(&self, now: Duration, slot: usize) -> bool {
+        let gap = self.trial.start_gap;
+        let up = |(other, host): (usize, &Host)| {
+            other == slot || other == AWAY || (host.listed && host.register.is_active())
+        };
+        let others = self.hosts.iter().enumerate().all(up);
+        gap.is_zero() || (now >= self.last_start + gap && others)
+    }
+
+    /// A host dies, and nothing comes in its place for now.
+    fn stop(&mut self, now: Duration, slot: usize) {
+        self.last_start = now;
+        self.hosts[slot].paused_until = NEVER;
+        self.hosts[slot].listed = false;
+        self.list(now);
+    }
+
+    /// A host is restarted under its name or replaced under a new one, with nothing kept.
+    fn start(&mut self, now: Duration, slot: usize) {
+        self.last_start = now;
+        let again = self.rng.random_bool(0.5);
+        let name = again.then(|| self.hosts[slot].name.clone());
+        if let Some(name) = &name {
+            let gone = |due: &Due| matches!(due, Due::Tick { name: other } | Due::Leave { name: other, .. } | Due::Finish { name: other, .. } if other == name);
+            self.due.retain(|_, due| !gone(due));
+        }
+        self.hosts[slot] = self.host(slot, name, now);
+        self.list(now);
+    }
+}
--- /dev/null
+++ b/tests/attempt/register.rs
@@ -0,0 +1,178 @@
+//! A key runs at most once, wherever it arrives and whatever fails.
+
+use {
+    super::fleet::{Fleet, QUARANTINE, Run, Trial, key},
+    greengagecleat::attempt::register::{Fault, Reason},
+    quickcheck::{Gen, QuickCheck},
+    std::time::Duration,
+};
+
+const END: Duration = Duration::from_secs(80);
+
+/// Starts come one after the other, as in a rolling replacement.
+fn rolling(fault: Fault) -> Trial {
+    Trial {
+        loss: 0.05,
+        start_gap: Duration::from_secs(2),
+        longest: Duration::from_secs(6),
+        end: END,
+        fault,
+    }
+}
+
+/// Anything at any moment: all hosts may start anew within a second.
+fn harsh(fault: Fault) -> Trial {
+    Trial {
+        loss: 0.2,
+        start_gap: Duration::ZERO,
+        longest: Duration::from_secs(30),
+        end: END,
+        fault,
+    }
+}
+
+fn runs(trial: Trial, seed: u64) -> Vec<Run> {
+    let mut fleet = Fleet::new(trial, seed);
+    fleet.adversary();
+    fleet.run();
+    fleet.runs
+}
+
+/// Pairs of runs of one key, the second allowed to leave `within` the first's arrival.
+fn doubled(runs: &[Run], within: Duration) -> usize {
+    let again = |(at, run): (usize, &Run)| {
+        let earlier = &runs[..at];
+        earlier
+            .iter()
+            .any(|first| first.key == run.key && run.left < first.asked + within)
+    };
+    runs.iter()
+        .enumerate()
+        .filter(|&(at, run)| again((at, run)))
+        .count()
+}
+
+fn tests() -> u64 {
+    let tests = std::env::var("REGISTER_TESTS").ok();
+    tests.and_then(|text| text.parse().ok()).unwrap_or(40)
+}
+
+#[test]
+fn key_runs_once_through_a_rolling_replacement() {
+    fn holds(seed: u64) -> bool {
+        doubled(&runs(rolling(Fault::None), seed), Duration::MAX / 2) == 0
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(100, 11))
+        .tests(tests())
+        .quickcheck(holds as fn(u64) -> bool);
+}
+
+#[test]
+fn key_runs_once_within_the_quarantine_whatever_fails() {
+    fn holds(seed: u64) -> bool {
+        doubled(&runs(harsh(Fault::None), seed), QUARANTINE) == 0
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(100, 12))
+        .tests(tests())
+        .quickcheck(holds as fn(u64) -> bool);
+}
+
+/// Two hosts that noted a key die while the third was cut off from them.
+fn majority_dies(fault: Fault) -> Vec<Run> {
+    let quiet = Trial {
+        loss: 0.0,
+        ..rolling(fault)
+    };
+    let secs = Duration::from_secs_f64;
+    let mut fleet = Fleet::new(quiet, 1);
+    fleet.cut_off(2, secs(10.0), secs(13.0));
+    fleet.request(secs(10.1), 0, key(1));
+    fleet.stop_at(secs(11.0), 0);
+    fleet.stop_at(secs(11.0), 1);
+    for at in 12..24 {
+        fleet.request(Duration::from_secs(at), 2, key(1));
+    }
+    fleet.run();
+    fleet.runs
+}
+
+#[test]
+fn survivor_that_was_cut_off_does_not_run_a_key_of_the_dead() {
+    let runs = majority_dies(Fault::None);
+    assert_eq!(doubled(&runs, QUARANTINE), 0);
+    assert!(!runs.is_empty());
+}
+
+/// A host sleeps between the last note of its claim and the first byte, while all that noted it are
+/// replaced.
+fn claimant_sleeps(fault: Fault, seed: u64) -> Vec<Run> {
+    let quiet = Trial {
+        loss: 0.0,
+        ..rolling(fault)
+    };
+    let mut fleet = Fleet::new(quiet, seed);
+    let asked = Duration::from_secs(10);
+    fleet.request(asked, 3, key(1));
+    let after = Duration::from_millis(seed % 150);
+    fleet.pause_at(asked + after, 3, Duration::from_secs(29));
+    for slot in 0..3 {
+        fleet.start_at(Duration::from_secs(12), slot);
+    }
+    for at in 22..29 {
+        fleet.request(Duration::from_secs(at), 0, key(1));
+    }
+    fleet.run();
+    fleet.runs
+}
+
+fn any_sleep_doubles(fault: Fault) -> bool {
+    let doubles = |seed| doubled(&claimant_sleeps(fault, seed), QUARANTINE) > 0;
+    (0..150).any(doubles)
+}
+
+#[test]
+fn claimant_that_slept_does_not_send() {
+    assert!(!any_sleep_doubles(Fault::None));
+}
+
+#[test]
+fn faults_are_noticed() {
+    let faults = [
+        Fault::OneNote,
+        Fault::NoQuarantine,
+        Fault::NoRecords,
+        Fault::NoHold,
+        Fault::NoFence,
+    ];
+    for fault in faults {
+        let noticed = doubled(&majority_dies(fault), QUARANTINE) > 0
+            || (0..60).any(|seed| doubled(&runs(harsh(fault), seed), QUARANTINE) > 0)
+            || any_sleep_doubles(fault);
+        assert!(noticed, "{fault:?}");
+    }
+}
+
+#[test]
+fn quiet_fleet_runs_each_key_once_at_the_first_host_that_asks() {
+    let quiet = Trial {
+        loss: 0.0,
+        ..rolling(Fault::None)
+    };
+    let mut fleet = Fleet::new(quiet, 1);
+    for number in 0..40 {
+        let at = QUARANTINE + Duration::from_millis(200 * number + 500);
+        fleet.request(at, number as usize % 4, key(number));
+        fleet.request(
+            at + Duration::from_secs(1),
+            (number as usize + 1) % 4,
+            key(number),
+        );
+    }
+    fleet.run();
+    assert_eq!(fleet.runs.len(), 40);
+    assert_eq!(fleet.refused.len(), 40);
+    let known = |reason: &Reason| matches!(reason, Reason::Done(200) | Reason::Claimed);
+    assert!(fleet.refused.iter().all(known));
+}
