--- a/src/queue/flow.rs
+++ b/src/queue/flow.rs
@@ -36,7 +36,7 @@
         options: &Options,
     ) -> Self {
         let below_top = u32::from(TOP_PRIORITY.saturating_sub(arrival.priority));
-        let long = arrival.tokens >= options.long_tokens;
+        let long = options.is_long(arrival.tokens);
         let behind = match (long, options.fault) {
             (false, _) => Duration::ZERO,
             (true, Fault::Starve) => FOR_EVER,
--- a/src/queue/mod.rs
+++ b/src/queue/mod.rs
@@ -13,6 +13,7 @@
 mod scheduler;
 mod service;
 mod slots;
+mod speed;
 
 pub use {
     event::{Action, Arrival, Event, Reason, TOP_PRIORITY, Ticket},
--- a/src/queue/options.rs
+++ b/src/queue/options.rs
@@ -38,6 +38,13 @@
     }
 }
 
+impl Options {
+    /// Whether a request of this size counts as long.
+    pub fn is_long(&self, tokens: u64) -> bool {
+        tokens >= self.long_tokens
+    }
+}
+
 /// A deliberate fault by which tests show that they would see it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fault {
--- a/src/queue/pool.rs
+++ b/src/queue/pool.rs
@@ -5,6 +5,7 @@
         event::{Action, Arrival, Reason, Ticket},
         flow::{Flow, Item},
         options::{Fault, Options},
+        speed::Speed,
     },
     crate::name,
     std::{
@@ -13,9 +14,6 @@
     },
 };
 
-/// The weight of the newest answer in the estimated speed.
-const SPEED_GAIN: f64 = 0.05;
-
 /// Whose requests: a customer's, or those of routes open to all.
 pub(super) type Owner = Option<name::Customer>;
 
@@ -38,29 +36,6 @@
     since: Duration,
 }
 
-/// How fast one slot works: smoothed tokens over smoothed seconds of what has ended.
-#[derive(Debug, Default)]
-struct Speed {
-    tokens: f64,
-    seconds: f64,
-}
-
-impl Speed {
-    fn learn(&mut self, tokens: f64, seconds: f64) {
-        let gain = if self.tokens > 0.0 { SPEED_GAIN } else { 1.0 };
-        self.tokens += (tokens - self.tokens) * gain;
-        self.seconds += (seconds - self.seconds) * gain;
-    }
-
-    /// The time that one slot takes; none before anything has ended.
-    fn time(&self, tokens: f64) -> Duration {
-        if self.tokens <= 0.0 {
-            return Duration::ZERO;
-        }
-        Duration::from_secs_f64(tokens * self.seconds / self.tokens)
-    }
-}
-
 impl Pool {
     /// Sets the requests that may run at once.
     pub(super) fn resize(&mut self, slots: u32) {
@@ -89,16 +64,16 @@
 
     /// The time that a request of `tokens` takes once started, as far as is known. While slots
     /// are free the estimate isn't trusted, for nothing would run that could correct it.
-    fn service(&self, tokens: u64) -> Duration {
+    fn service(&self, tokens: u64, options: &Options) -> Duration {
         if self.running() < self.slots {
             return Duration::ZERO;
         }
-        self.speed.time(tokens as f64)
+        self.speed.service(tokens, options.is_long(tokens))
     }
 
     /// The time until `tokens` have started, all slots taken together.
     fn drain(&self, tokens: f64) -> Duration {
-        self.speed.time(tokens / f64::from(self.slots.max(1)))
+        self.speed.drain(tokens, self.slots)
     }
 
     /// How long a request waits that goes last.
@@ -128,7 +103,7 @@
         out: &mut Vec<Action>,
     ) {
         let owner = arrival.customer.clone();
-        let service = self.service(arrival.tokens);
+        let service = self.service(arrival.tokens, options);
         let item = Item::new(now, &arrival, service, options);
         let wait = self.wait(&owner, arrival.weight, item.rank);
         let late = arrival.deadline <= now || now + wait > item.latest;
@@ -215,13 +190,14 @@
 
     /// Takes note that a request has ended: its slot is free, and its customer is charged what it
     /// took in fact.
-    pub(super) fn done(&mut self, now: Duration, ticket: Ticket, tokens: u64) {
+    pub(super) fn done(&mut self, now: Duration, ticket: Ticket, tokens: u64, options: &Options) {
         let Some(running) = self.running.remove(&ticket) else {
             return;
         };
-        let took = now.saturating_sub(running.since).as_secs_f64();
+        let took = now.saturating_sub(running.since);
         if tokens > 0 {
-            self.speed.learn(running.tokens as f64, took);
+            let long = options.is_long(running.tokens);
+            self.speed.learn(running.tokens, long, took);
         }
         if let Some(flow) = self.flows.get_mut(&running.owner) {
             flow.start += flow.stretch(tokens) - flow.stretch(running.tokens);
--- a/src/queue/scheduler.rs
+++ b/src/queue/scheduler.rs
@@ -70,10 +70,10 @@
                 }
             }
             Event::Done { ticket, tokens } => {
-                if let Some(pool) = self.pool(ticket) {
-                    pool.done(now, ticket, tokens);
+                let place = self.places.remove(&ticket);
+                if let Some(pool) = place.and_then(|pool| self.pools.get_mut(&pool)) {
+                    pool.done(now, ticket, tokens, &self.options);
                 }
-                self.places.remove(&ticket);
             }
             Event::Capacity { pool, slots } => self.pools.entry(pool).or_default().resize(slots),
             Event::Tick => {}
