Add a trial for each fault, and let callers ask another host when nothing has come

Cause: how the fleet fares through each fault was to be pieced together by hand; and a demo caller gave a model call up when its host was killed, which ordinary clients don't.

Change: 'testbed faults' runs a short trial for each fault (or faults joined by +) beside a calm one and prints one table; callers try another host when a connection breaks before an answer has begun.

Ruled out: retrying after the first token, which would show a token twice.

--- a/testbed/src/command/compare.rs
+++ b/testbed/src/command/compare.rs
@@ -3,7 +3,8 @@
 use {
     argh::FromArgs,
     std::{
-        fs, io,
+        fs,
+        io::{self, Write},
         path::{Path, PathBuf},
         process::ExitCode,
     },
@@ -39,7 +40,8 @@
 pub(crate) fn run(arguments: &Arguments) -> io::Result<ExitCode> {
     let first = serde_json::from_slice(&fs::read(&arguments.first)?)?;
     let second = serde_json::from_slice(&fs::read(&arguments.second)?)?;
-    print!("{}", Comparison::new(&first, &second));
+    let comparison = Comparison::new(&first, &second).to_string();
+    io::stdout().write_all(comparison.as_bytes())?;
     Ok(ExitCode::SUCCESS)
 }
 
--- a/testbed/src/command/demo.rs
+++ b/testbed/src/command/demo.rs
@@ -2,12 +2,11 @@
 
 use {
     argh::FromArgs,
-    std::{fs, io, path::PathBuf, process::ExitCode, sync::Arc, time::Duration},
+    std::{fs, io, path::PathBuf, process::ExitCode, time::Duration},
     testbed::{
         deployment::Deployment,
-        fleet::{self, Fleet, daemon, incident::Incident},
-        run::{self, Evidence},
-        workload,
+        fleet::{self, Fleet, daemon},
+        run::{self, Work},
     },
     tokio::signal::ctrl_c,
 };
@@ -62,7 +61,6 @@
             arguments.deployment
         ))
     })?;
-    let incidents = incidents(&arguments.fault)?;
     let program = match arguments.daemon.clone() {
         Some(program) => program,
         None => daemon::build().await?,
@@ -75,30 +73,19 @@
         logs.display()
     );
     let mut fleet = Fleet::start(fleet::Settings {
-        deployment: deployment.clone(),
+        deployment,
         program,
         logs,
         log_filter: arguments.log_filter.clone(),
     })
     .await?;
-    let length = Duration::from_secs(arguments.seconds);
-    let items = workload::schedule(&deployment, arguments.seed, length, arguments.scale);
-    let items = Arc::new(items);
-    println!(
-        "sending {} requests over {} s",
-        items.len(),
-        arguments.seconds
-    );
-    let outcomes = run::run(&mut fleet, &items, &incidents).await?;
-    let mut report = run::judge(
-        &deployment,
-        &Evidence::of(&fleet),
-        &items,
-        &outcomes,
-        length,
-    );
-    report.seed = arguments.seed;
-    report.faults = arguments.fault;
+    let work = Work {
+        seed: arguments.seed,
+        length: Duration::from_secs(arguments.seconds),
+        scale: arguments.scale,
+        faults: arguments.fault,
+    };
+    let report = run::trial(&mut fleet, &work).await?;
     println!("\n{report}");
     if let Some(path) = &arguments.json {
         fs::write(path, serde_json::to_vec_pretty(&report)?)?;
@@ -113,13 +100,6 @@
     })
 }
 
-fn incidents(texts: &[String]) -> io::Result<Vec<Incident>> {
-    texts
-        .iter()
-        .map(|text| text.parse().map_err(io::Error::other))
-        .collect()
-}
-
 /// Prints how to reach the hosts and waits for Ctrl-C.
 async fn keep(fleet: &Fleet) -> io::Result<()> {
     let deployment = &fleet.deployment;
--- /dev/null
+++ b/testbed/src/command/faults.rs
@@ -0,0 +1,151 @@
+//! `testbed faults`: a trial for each fault, beside a calm one.
+
+use {
+    argh::FromArgs,
+    std::{
+        collections::BTreeMap,
+        fs, io,
+        path::{Path, PathBuf},
+        process::ExitCode,
+        time::Duration,
+    },
+    testbed::{
+        deployment::Deployment,
+        fleet::{self, Fleet, daemon, incident::Kind},
+        run::{self, Report, Work},
+    },
+};
+
+/// Name of the trial without a fault.
+const CALM: &str = "calm";
+
+/// run a trial for each fault, and for pairs if asked, and print how the fleet fared beside a trial
+/// without
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "faults")]
+pub(crate) struct Arguments {
+    /// kerala or egypt [default: kerala]
+    #[argh(option, default = "\"kerala\".to_owned()")]
+    deployment: String,
+
+    /// length of each trial; its fault begins after a third and lasts a third [default: 9]
+    #[argh(option, default = "9")]
+    seconds: u64,
+
+    /// seed of the work [default: 1]
+    #[argh(option, default = "1")]
+    seed: u64,
+
+    /// a fault, or several that strike together joined by +; may be given several times [default:
+    /// every fault alone]
+    #[argh(option)]
+    fault: Vec<String>,
+
+    /// write the results as JSON to this file, by fault
+    #[argh(option)]
+    json: Option<PathBuf>,
+
+    /// the daemon's program [default: built from this workspace]
+    #[argh(option)]
+    daemon: Option<PathBuf>,
+}
+
+pub(crate) async fn run(arguments: Arguments) -> io::Result<ExitCode> {
+    let program = match arguments.daemon.clone() {
+        Some(program) => program,
+        None => daemon::build().await?,
+    };
+    let logs = std::env::temp_dir().join(format!("greengagecleat-faults-{}", std::process::id()));
+    let mut names = vec![CALM.to_owned()];
+    names.extend(if arguments.fault.is_empty() {
+        every()
+    } else {
+        arguments.fault.clone()
+    });
+    let mut reports = BTreeMap::new();
+    for name in &names {
+        println!("\n{name}");
+        let report = trial(&arguments, &program, &logs.join(name), name).await?;
+        reports.insert(name.clone(), report);
+    }
+    table(&names, &reports);
+    println!("\nThe hosts' logs are in {}", logs.display());
+    if let Some(path) = &arguments.json {
+        fs::write(path, serde_json::to_vec_pretty(&reports)?)?;
+    }
+    let held = reports.values().all(|report| report.violations.is_empty());
+    Ok(if held {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
+
+fn every() -> Vec<String> {
+    Kind::ALL.iter().map(|kind| kind.to_string()).collect()
+}
+
+async fn trial(
+    arguments: &Arguments,
+    program: &Path,
+    logs: &Path,
+    name: &str,
+) -> io::Result<Report> {
+    let deployment = Deployment::named(&arguments.deployment)
+        .ok_or_else(|| io::Error::other("name kerala or egypt"))?;
+    fs::create_dir_all(logs)?;
+    let mut fleet = Fleet::start(fleet::Settings {
+        deployment,
+        program: program.to_owned(),
+        logs: logs.to_owned(),
+        log_filter: "info".to_owned(),
+    })
+    .await?;
+    let third = arguments.seconds / 3;
+    let faults = name.split('+').filter(|fault| *fault != CALM);
+    let work = Work {
+        seed: arguments.seed,
+        length: Duration::from_secs(arguments.seconds),
+        scale: 1.0,
+        faults: faults
+            .map(|fault| format!("{fault}@{third}+{third}"))
+            .collect(),
+    };
+    run::trial(&mut fleet, &work).await
+}
+
+fn table(names: &[String], reports: &BTreeMap<String, Report>) {
+    println!(
+        "\n{:<28} {:>7} {:>8} {:>11} {:>7} {:>6} {:>10} {:>11} {:>7}",
+        "fault",
+        "whole",
+        "refused",
+        "within rate",
+        "failed",
+        "wrong",
+        "runs/call",
+        "first p95",
+        "broken"
+    );
+    for name in names {
+        let report = &reports[name];
+        let ends = report.ends;
+        println!(
+            "{:<28} {:>6.1}% {:>8} {:>11} {:>7} {:>6} {:>10.3} {:>8.0} ms {:>7}",
+            name,
+            100.0 * ends.whole as f64 / ends.sent.max(1) as f64,
+            ends.refused,
+            ends.refused_within_rate,
+            ends.failed,
+            ends.wrong,
+            report.engines.runs_per_request,
+            report.kinds["brief"].first.p95,
+            report.violations.len()
+        );
+    }
+    for name in names {
+        for line in &reports[name].violations {
+            println!("{name}: {line}");
+        }
+    }
+}
--- a/testbed/src/command/mod.rs
+++ b/testbed/src/command/mod.rs
@@ -2,6 +2,7 @@
 
 mod compare;
 mod demo;
+mod faults;
 mod fuzz;
 mod load;
 mod overhead;
@@ -23,6 +24,7 @@
 #[argh(subcommand)]
 enum Command {
     Demo(demo::Arguments),
+    Faults(faults::Arguments),
     Load(load::Arguments),
     Compare(compare::Arguments),
     Plot(compare::PlotArguments),
@@ -35,6 +37,7 @@
 pub(crate) async fn run(arguments: Arguments) -> io::Result<ExitCode> {
     match arguments.command {
         Command::Demo(arguments) => demo::run(arguments).await,
+        Command::Faults(arguments) => faults::run(arguments).await,
         Command::Load(arguments) => load::run(arguments).await,
         Command::Compare(arguments) => compare::run(&arguments),
         Command::Plot(arguments) => compare::plot(&arguments),
--- a/testbed/src/fleet/incident.rs
+++ b/testbed/src/fleet/incident.rs
@@ -9,7 +9,13 @@
         wan::Link,
     },
     serde::{Deserialize, Serialize},
-    std::{collections::BTreeSet, io, str::FromStr, time::Duration},
+    std::{
+        collections::BTreeSet,
+        fmt::{self, Display, Formatter},
+        io,
+        str::FromStr,
+        time::Duration,
+    },
 };
 
 /// How long an incident lasts when nothing is said.
@@ -81,6 +87,39 @@
     WithdrawKey,
 }
 
+impl Kind {
+    /// Every kind.
+    pub const ALL: [Self; 20] = [
+        Self::KillHost,
+        Self::PauseHost,
+        Self::DrainHost,
+        Self::ReplaceHosts,
+        Self::CutRegion,
+        Self::HoleRegion,
+        Self::SilentWan,
+        Self::ConfigDown,
+        Self::ConfigStale,
+        Self::ConfigSlow,
+        Self::EngineStall,
+        Self::EngineCut,
+        Self::EngineWrongId,
+        Self::EngineGarbage,
+        Self::EngineEndless,
+        Self::EngineError,
+        Self::BrownOut,
+        Self::RegionLoss,
+        Self::RecordsCut,
+        Self::WithdrawKey,
+    ];
+}
+
+impl Display for Kind {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let name = serde_json::to_value(self).map_err(|_| fmt::Error)?;
+        f.write_str(name.as_str().unwrap_or_default())
+    }
+}
+
 impl FromStr for Incident {
     type Err = String;
 
--- a/testbed/src/run/attempt.rs
+++ b/testbed/src/run/attempt.rs
@@ -84,7 +84,7 @@
             let host = hosts[tries as usize % hosts.len()];
             tries += 1;
             let end = attempt(&place.caller, host, item, &call, due + patience).await;
-            if tries == TRIES || !end.elsewhere(item) {
+            if tries == TRIES || !end.elsewhere() {
                 break end;
             }
         };
@@ -113,13 +113,13 @@
         }
     }
 
-    /// Whether the caller goes to another host: when the host could not be reached, and with a
-    /// post, which carries an idempotency key, when its connection broke; or when the host says
-    /// that it is not ready.
-    fn elsewhere(&self, item: &Item) -> bool {
+    /// Whether the caller goes to another host: when the host can't be reached or says that it is
+    /// not ready, and when the connection breaks before an answer has begun. Posts carry an
+    /// idempotency key, so that even they may be sent again.
+    fn elsewhere(&self) -> bool {
         match self.code.as_str() {
             "connect" | "not_ready" => true,
-            "broken" => matches!(item.kind, Kind::Post | Kind::Lookup),
+            "broken" => self.first.is_none(),
             _ => false,
         }
     }
--- a/testbed/src/run/mod.rs
+++ b/testbed/src/run/mod.rs
@@ -17,7 +17,7 @@
 use {
     crate::{
         fleet::{Fleet, incident::Incident},
-        workload::Item,
+        workload::{self, Item},
     },
     std::{
         io,
@@ -36,6 +36,19 @@
 /// Longest wait for the last answers after the last request.
 const LAST_ANSWERS: Duration = Duration::from_secs(70);
 
+/// What a trial sends and what strikes it.
+#[derive(Debug, Clone)]
+pub struct Work {
+    /// Seed of the work.
+    pub seed: u64,
+    /// Its length, which is also the length of a day.
+    pub length: Duration,
+    /// Factor on its rate.
+    pub scale: f64,
+    /// Faults, as on the command line.
+    pub faults: Vec<String>,
+}
+
 /// What has been sent and answered so far.
 #[derive(Debug, Default)]
 pub struct Tally {
@@ -45,6 +58,28 @@
     pub outcomes: Vec<Outcome>,
 }
 
+/// Sends work to a fleet and judges what came of it.
+pub async fn trial(fleet: &mut Fleet, work: &Work) -> io::Result<Report> {
+    let incidents: Vec<Incident> = work
+        .faults
+        .iter()
+        .map(|text| text.parse().map_err(io::Error::other))
+        .collect::<io::Result<_>>()?;
+    let deployment = fleet.deployment.clone();
+    let items = workload::schedule(&deployment, work.seed, work.length, work.scale);
+    let items = Arc::new(items);
+    let seconds = work.length.as_secs();
+    println!("sending {} requests over {seconds} s", items.len());
+    let outcomes = run(fleet, &items, &incidents).await?;
+    let evidence = Evidence::of(fleet);
+    let judged = judge(&deployment, &evidence, &items, &outcomes, work.length);
+    Ok(Report {
+        seed: work.seed,
+        faults: work.faults.clone(),
+        ..judged
+    })
+}
+
 /// Sends all items to a fleet, each at its time, strikes the incidents, and returns what came of
 /// each item.
 pub async fn run(
@@ -99,9 +134,8 @@
     moments.sort_by_key(|(at, begins, _)| (*at, *begins));
     for (at, begins, kind) in moments {
         sleep_until(start + at).await;
-        let name = serde_json::to_value(kind)?;
         println!(
-            "{:>4} s  {name} {}",
+            "{:>4} s  {kind} {}",
             at.as_secs(),
             if begins { "begins" } else { "ends" }
         );
--- a/testbed/tests/tools.rs
+++ b/testbed/tests/tools.rs
@@ -138,6 +138,9 @@
     refused[0].status = Status::Refused;
     let report = judged(&items, &refused, &evidence);
     assert_eq!(report.ends.refused_within_rate, 1);
+    refused[0].code = "key_unknown".to_owned();
+    let withdrawn = judged(&items, &refused, &evidence);
+    assert_eq!(withdrawn.ends.refused_within_rate, 0);
 }
 
 #[test]
