Tell callers which hosts to use, as a pure function of the view

Cause: /v1/hosts gave every caller the platform's list in one order. Change: residency decides who is named, then state, the caller's region and load; among equals each caller has its own rendezvous order in turn through the failure domains. Heartbeats carry the sender's load.

--- /dev/null
+++ b/src/directory.rs
@@ -0,0 +1,254 @@
+//! Which entry hosts a caller should use, in order, and for how long.
+//!
+//! A pure function of the asked host's view. Two hosts that see the same fleet give a caller the
+//! same order, and a change of the fleet moves only the callers of the hosts that changed, so that
+//! callers' connections are kept.
+
+use {
+    crate::{
+        member::{Member, State, View},
+        name, platform, rendezvous,
+    },
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::{BTreeMap, BTreeSet, VecDeque},
+        net::{IpAddr, SocketAddr},
+        time::Duration,
+    },
+};
+
+/// Most hosts in an answer.
+const MAX_HOSTS: usize = 8;
+
+/// How long an answer holds while all is quiet, before a caller's own part of up to half of it.
+const HOLD: Duration = Duration::from_secs(10);
+
+/// How long an answer holds while a host of the caller's region is suspect or leaving.
+const UNSETTLED_HOLD: Duration = Duration::from_secs(3);
+
+/// A host whose load, in percent, is above this comes after the others of its region.
+const BUSY: u8 = 85;
+
+/// Who asks.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Caller {
+    /// What tells this caller from others, and stays the same: its address, for example.
+    pub key: String,
+    /// Where it is; absent when the client directory doesn't say.
+    pub region: Option<name::Region>,
+    /// Regions in which its requests may be served; empty for all.
+    pub residency: BTreeSet<name::Region>,
+}
+
+/// The answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// The hosts to use, the first one first.
+    pub hosts: Vec<Entry>,
+    /// How long the answer holds.
+    pub hold: Duration,
+}
+
+/// A host to use.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// The host.
+    pub name: name::Host,
+    /// Where callers reach it.
+    pub address: SocketAddr,
+    /// Its region.
+    pub region: name::Region,
+    /// Its failure domain.
+    pub domain: name::Domain,
+}
+
+/// How a region suits a caller; the least is the best.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Nearness {
+    Home,
+    Elsewhere,
+}
+
+/// How a host suits a caller; the least is the best.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    condition: Condition,
+    nearness: Nearness,
+    busy: bool,
+}
+
+/// The condition of a host; the least is the best.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Condition {
+    Live,
+    Suspect,
+    Leaving,
+}
+
+/// The hosts that a caller should use, as the host of region `here` sees the fleet.
+///
+/// Hosts outside the caller's residency are left out. Live hosts come first, those of the caller's
+/// region before others, busy ones last; a suspect or leaving host is named only when no live one
+/// is left. Among equals each caller has its own order, and a failure domain comes a second time
+/// only after all others.
+pub fn answer(view: &View, here: &name::Region, caller: &Caller) -> Answer {
+    let home = caller.region.as_ref().unwrap_or(here);
+    let mut ranks: BTreeMap<Rank, Vec<(&name::Host, &Member)>> = BTreeMap::new();
+    for (host, member) in &view.hosts {
+        if !caller.residency.is_empty() && !caller.residency.contains(&member.region) {
+            continue;
+        }
+        if let Some(rank) = rank(member, home) {
+            ranks.entry(rank).or_default().push((host, member));
+        }
+    }
+    let best = ranks.keys().next().map(|rank| rank.condition);
+    let hosts = ranks
+        .into_iter()
+        .filter(|(rank, _)| Some(rank.condition) == best)
+        .flat_map(|(_, hosts)| spread(&caller.key, hosts))
+        .take(MAX_HOSTS)
+        .map(entry)
+        .collect();
+    Answer {
+        hosts,
+        hold: hold(view, home, &caller.key),
+    }
+}
+
+fn rank(member: &Member, home: &name::Region) -> Option<Rank> {
+    let condition = match member.state {
+        State::Live => Condition::Live,
+        State::Suspect => Condition::Suspect,
+        State::Leaving => Condition::Leaving,
+        State::Dead => return None,
+    };
+    let nearness = match member.region == *home {
+        true => Nearness::Home,
+        false => Nearness::Elsewhere,
+    };
+    Some(Rank {
+        condition,
+        nearness,
+        busy: member.load > BUSY,
+    })
+}
+
+/// A caller's own order of hosts that are equal otherwise, in turn through the failure domains.
+fn spread<'a>(
+    key: &str,
+    hosts: Vec<(&'a name::Host, &'a Member)>,
+) -> Vec<(&'a name::Host, &'a Member)> {
+    let members: BTreeMap<_, _> = hosts
+        .into_iter()
+        .map(|(host, member)| (host.as_str(), (host, member)))
+        .collect();
+    let mut domains: Vec<(&name::Domain, VecDeque<_>)> = Vec::new();
+    for name in rendezvous::order(key, members.keys()) {
+        let (host, member) = members[name];
+        match domains
+            .iter_mut()
+            .find(|(domain, _)| **domain == member.domain)
+        {
+            Some((_, queue)) => queue.push_back((host, member)),
+            None => domains.push((&member.domain, VecDeque::from([(host, member)]))),
+        }
+    }
+    let mut order = Vec::new();
+    while order.len() < members.len() {
+        order.extend(
+            domains
+                .iter_mut()
+                .filter_map(|(_, queue)| queue.pop_front()),
+        );
+    }
+    order
+}
+
+fn entry((host, member): (&name::Host, &Member)) -> Entry {
+    Entry {
+        name: host.clone(),
+        address: member.address,
+        region: member.region.clone(),
+        domain: member.domain.clone(),
+    }
+}
+
+/// How long an answer holds. Each caller has its own time, so that they don't all ask at once.
+fn hold(view: &View, home: &name::Region, key: &str) -> Duration {
+    let unsettled = view.hosts.values().any(|member| {
+        member.region == *home && matches!(member.state, State::Suspect | State::Leaving)
+    });
+    let hold = if unsettled { UNSETTLED_HOLD } else { HOLD };
+    let part = rendezvous::weight("hold", key) % 500;
+    hold + hold * part as u32 / 1000
+}
+
+/// Where callers are, from the platform's client directory.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Places {
+    places: Vec<Place>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Place {
+    network: IpAddr,
+    length: u32,
+    region: name::Region,
+}
+
+impl Places {
+    /// The directory's rows; those whose network is no address with a prefix length are left out.
+    pub fn new(directory: &platform::Directory) -> Self {
+        let place = |client: &platform::Client| {
+            let (network, length) = client.network.split_once('/')?;
+            let network: IpAddr = network.parse().ok()?;
+            let length = length
+                .parse()
+                .ok()
+                .filter(|length| *length <= width(network))?;
+            Some(Place {
+                network,
+                length,
+                region: client.region.clone(),
+            })
+        };
+        Self {
+            places: directory.clients.iter().filter_map(place).collect(),
+        }
+    }
+
+    /// The region of the longest network that holds an address.
+    pub fn region(&self, address: IpAddr) -> Option<&name::Region> {
+        self.places
+            .iter()
+            .filter(|place| place.holds(address))
+            .max_by_key(|place| place.length)
+            .map(|place| &place.region)
+    }
+}
+
+impl Place {
+    fn holds(&self, address: IpAddr) -> bool {
+        if address.is_ipv4() != self.network.is_ipv4() {
+            return false;
+        }
+        let shift = width(address) - self.length;
+        let prefix = |address| bits(address).checked_shr(shift).unwrap_or(0);
+        prefix(address) == prefix(self.network)
+    }
+}
+
+fn width(address: IpAddr) -> u32 {
+    match address {
+        IpAddr::V4(_) => 32,
+        IpAddr::V6(_) => 128,
+    }
+}
+
+fn bits(address: IpAddr) -> u128 {
+    match address {
+        IpAddr::V4(address) => u128::from(address.to_bits()),
+        IpAddr::V6(address) => address.to_bits(),
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod attempt;
 pub mod clock;
 pub mod config;
+pub mod directory;
 pub mod entry;
 pub mod error;
 pub mod failure;
--- a/src/member/event.rs
+++ b/src/member/event.rs
@@ -50,14 +50,14 @@
         /// Repeated by the answer.
         sequence: u64,
         /// What the sender passes on.
-        gossip: Gossip,
+        gossip: Box<Gossip>,
     },
     /// The answer.
     Ack {
         /// The heartbeat's.
         sequence: u64,
         /// What the sender passes on.
-        gossip: Gossip,
+        gossip: Box<Gossip>,
     },
     /// Asks the receiver to ping a host that did not answer the sender.
     Indirect {
@@ -99,6 +99,9 @@
     /// Revisions of the documents that the sender has.
     #[serde(rename = "v")]
     pub revisions: spread::Summary,
+    /// How much of what it can take the sender has, in percent.
+    #[serde(rename = "l", default)]
+    pub load: u8,
     /// A checksum over the sender's records of its failure domain.
     #[serde(rename = "k")]
     pub checksum: u64,
@@ -137,6 +140,8 @@
     },
     /// The documents' revisions here, for heartbeats to carry.
     Revisions(spread::Summary),
+    /// How much of what it can take this host has, in percent.
+    Load(u8),
     /// This host leaves.
     Leave,
 }
--- a/src/member/machine.rs
+++ b/src/member/machine.rs
@@ -66,6 +66,8 @@
     listed: BTreeMap<name::Host, Listed>,
     suspects: BTreeMap<name::Host, Suspicion>,
     revisions: spread::Summary,
+    load: u8,
+    loads: BTreeMap<name::Host, u8>,
     ring: Vec<name::Host>,
     last_step: Option<Duration>,
     next_near: Duration,
@@ -102,6 +104,8 @@
             listed: BTreeMap::new(),
             suspects: BTreeMap::new(),
             revisions: spread::Summary::default(),
+            load: 0,
+            loads: BTreeMap::new(),
             ring: Vec::new(),
             last_step: None,
             next_near: Duration::ZERO,
@@ -129,6 +133,10 @@
         let own = (&self.settings.host, &self.own);
         for (host, peer) in self.table.iter().chain([own]) {
             let listed = self.listed.get(host).is_some_and(|row| row.leaving);
+            let load = match *host == self.settings.host {
+                true => self.load,
+                false => self.loads.get(host).copied().unwrap_or(0),
+            };
             let state = match peer.state {
                 State::Live if listed => State::Leaving,
                 state => state,
@@ -147,6 +155,7 @@
                     state,
                     incarnation: peer.incarnation,
                     source,
+                    load,
                 },
             );
         }
@@ -178,6 +187,7 @@
                     state: if leaving { State::Leaving } else { State::Live },
                     incarnation: 0,
                     source: Source::Digest,
+                    load: 0,
                 };
                 view.hosts.insert(contact.host.clone(), member);
             }
@@ -230,6 +240,8 @@
             actions.extend(self.ping_dead(now));
             let listed = &self.listed;
             self.table.forget(now, |host| listed.contains_key(host));
+            let table = &self.table;
+            self.loads.retain(|host, _| table.get(host).is_some());
             if self.domains.forget(now) {
                 actions.push(Action::Changed);
             }
@@ -298,7 +310,7 @@
     }
 
     /// What a heartbeat to `to` carries.
-    fn gossip(&mut self, now: Duration, to: &name::Host) -> Gossip {
+    fn gossip(&mut self, now: Duration, to: &name::Host) -> Box<Gossip> {
         let known = self.table.get(to).cloned();
         let mut updates = Vec::new();
         let mut digests = self.domains.some(now, MAX_DIGESTS, &mut self.rng);
@@ -315,13 +327,14 @@
             }
             None => digests.push(self.digest()),
         }
-        Gossip {
+        Box::new(Gossip {
             own: self.own.clone(),
             updates,
             digests,
             revisions: self.revisions.clone(),
+            load: self.load,
             checksum: self.checksum(),
-        }
+        })
     }
 
     /// The checksum of the failure domain, this host among it.
@@ -460,7 +473,7 @@
     fn receive(&mut self, now: Duration, from: name::Host, message: Message) -> Vec<Action> {
         match message {
             Message::Ping { sequence, gossip } => {
-                let mut actions = self.listen(now, &from, gossip);
+                let mut actions = self.listen(now, &from, *gossip);
                 let gossip = self.gossip(now, &from);
                 actions.push(Action::Send {
                     to: from,
@@ -469,7 +482,7 @@
                 actions
             }
             Message::Ack { sequence, gossip } => {
-                let mut actions = self.listen(now, &from, gossip);
+                let mut actions = self.listen(now, &from, *gossip);
                 if let Some(probe) = self.probes.answered(sequence, &from) {
                     actions.extend(self.answered(probe));
                 }
@@ -531,6 +544,9 @@
         ];
         self.domains.heard(from);
         if near {
+            if self.loads.insert(from.clone(), gossip.load) != Some(gossip.load) {
+                actions.push(Action::Changed);
+            }
             self.spoke(from, &gossip.own);
             actions.extend(self.learn(now, from, &gossip.own));
             actions.extend(self.correct(from, &gossip.own));
@@ -747,6 +763,10 @@
                 self.revisions = revisions;
                 Vec::new()
             }
+            Event::Load(load) => {
+                self.load = load;
+                Vec::new()
+            }
             Event::Leave => self.leave(now),
         });
         actions
@@ -762,5 +782,6 @@
         state,
         incarnation: 0,
         source: Source::List,
+        load: 0,
     }
 }
--- a/src/member/view.rs
+++ b/src/member/view.rs
@@ -34,6 +34,8 @@
     pub incarnation: u64,
     /// How its state is known.
     pub source: Source,
+    /// How much of what it can take it has, in percent; zero when it is not known.
+    pub load: u8,
 }
 
 /// How a host's state is known.
--- /dev/null
+++ b/tests/directory.rs
@@ -0,0 +1,212 @@
+//! Which hosts a caller is told to use.
+
+use {
+    greengagecleat::{
+        directory::{Answer, Caller, Places, answer},
+        member::{Member, Source, State, View},
+        name,
+        platform::{Client, Directory},
+    },
+    quickcheck::{Arbitrary, Gen, QuickCheck},
+    std::{collections::BTreeMap, time::Duration},
+};
+
+const REGIONS: [&str; 3] = ["south", "central", "north"];
+
+fn member(at: u8, state: State, load: u8) -> Member {
+    Member {
+        region: REGIONS[usize::from(at) % 3].into(),
+        domain: format!("{}-{}", REGIONS[usize::from(at) % 3], at / 3 % 2).into(),
+        address: ([10, 0, 0, at], 8000).into(),
+        peer_address: ([10, 0, 0, at], 9000).into(),
+        state,
+        incarnation: 1,
+        source: Source::Heartbeat,
+        load,
+    }
+}
+
+fn fleet(hosts: u8) -> View {
+    let hosts = (0..hosts).map(|at| (host(at), member(at, State::Live, 0)));
+    View {
+        hosts: hosts.collect(),
+        domains: BTreeMap::new(),
+    }
+}
+
+fn host(at: u8) -> name::Host {
+    format!("host-{at}").into()
+}
+
+fn caller(key: u32, region: &str) -> Caller {
+    Caller {
+        key: key.to_string(),
+        region: Some(region.into()),
+        ..Caller::default()
+    }
+}
+
+fn ask(view: &View, caller: &Caller) -> Answer {
+    answer(view, &"south".into(), caller)
+}
+
+fn names(answer: &Answer) -> Vec<&name::Host> {
+    answer.hosts.iter().map(|entry| &entry.name).collect()
+}
+
+#[derive(Debug, Clone)]
+struct Fleet {
+    view: View,
+    caller: Caller,
+}
+
+impl Arbitrary for Fleet {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let states = [
+            State::Live,
+            State::Live,
+            State::Suspect,
+            State::Leaving,
+            State::Dead,
+        ];
+        let hosts = (0..u8::arbitrary(g) % 20).map(|at| {
+            let state = *g.choose(&states).unwrap();
+            (host(at), member(at, state, u8::arbitrary(g) % 101))
+        });
+        let view = View {
+            hosts: hosts.collect(),
+            domains: BTreeMap::new(),
+        };
+        let mut caller = caller(u32::arbitrary(g), g.choose(&REGIONS).unwrap());
+        for region in REGIONS {
+            if bool::arbitrary(g) && bool::arbitrary(g) {
+                caller.residency.insert(region.into());
+            }
+        }
+        Self { view, caller }
+    }
+}
+
+fn check(property: fn(Fleet) -> bool) {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(20, 4))
+        .tests(300)
+        .quickcheck(property);
+}
+
+#[test]
+fn residency_and_state_come_before_everything() {
+    check(|Fleet { view, caller }| {
+        let answer = ask(&view, &caller);
+        let allowed = |member: &Member| {
+            caller.residency.is_empty() || caller.residency.contains(&member.region)
+        };
+        let live = view
+            .hosts
+            .values()
+            .any(|member| allowed(member) && member.state == State::Live);
+        let up = view
+            .hosts
+            .values()
+            .any(|member| allowed(member) && member.state != State::Dead);
+        let right = answer.hosts.iter().all(|entry| {
+            let member = &view.hosts[&entry.name];
+            let state = match live {
+                true => member.state == State::Live,
+                false => member.state != State::Dead,
+            };
+            allowed(member) && state
+        });
+        right && answer.hosts.is_empty() != up
+    });
+}
+
+#[test]
+fn the_callers_region_comes_first_and_its_busy_hosts_last() {
+    check(|Fleet { view, caller }| {
+        let answer = ask(&view, &caller);
+        let order = |name: &name::Host| {
+            let member = &view.hosts[name];
+            (
+                Some(&member.region) != caller.region.as_ref(),
+                member.load > 85,
+            )
+        };
+        names(&answer).is_sorted_by_key(|name| order(name))
+    });
+}
+
+#[test]
+fn a_host_that_goes_moves_only_its_own_callers() {
+    check(|Fleet { view, caller }| {
+        let before = ask(&view, &caller);
+        let Some(first) = before.hosts.first() else {
+            return true;
+        };
+        view.hosts
+            .keys()
+            .filter(|host| **host != first.name)
+            .all(|host| {
+                let mut smaller = view.clone();
+                smaller.hosts.remove(host);
+                ask(&smaller, &caller).hosts.first() == Some(first)
+            })
+    });
+}
+
+#[test]
+fn callers_are_spread_evenly_and_over_failure_domains() {
+    let view = fleet(12);
+    let mut counts = BTreeMap::new();
+    for key in 0..4000 {
+        let answer = ask(&view, &caller(key, "south"));
+        assert_ne!(answer.hosts[0].domain, answer.hosts[1].domain);
+        *counts.entry(answer.hosts[0].name.clone()).or_insert(0) += 1;
+    }
+    assert_eq!(counts.len(), 4);
+    assert!(
+        counts.values().all(|count| (900..1100).contains(count)),
+        "{counts:?}"
+    );
+}
+
+#[test]
+fn an_answer_holds_for_less_while_a_host_of_the_region_is_unsettled() {
+    let mut view = fleet(9);
+    let caller = caller(1, "south");
+    let quiet = ask(&view, &caller).hold;
+    view.hosts.insert(host(1), member(1, State::Leaving, 0));
+    assert_eq!(ask(&view, &caller).hold, quiet);
+    view.hosts.insert(host(0), member(0, State::Suspect, 0));
+    assert!(ask(&view, &caller).hold < quiet);
+    assert!((Duration::from_secs(10)..Duration::from_secs(15)).contains(&quiet));
+}
+
+#[test]
+fn a_caller_is_where_the_longest_network_says() {
+    let client = |network: &str, region: &str| Client {
+        network: network.into(),
+        region: region.into(),
+        domain: "d".into(),
+    };
+    let places = Places::new(&Directory {
+        clients: vec![
+            client("10.0.0.0/8", "south"),
+            client("10.1.0.0/16", "north"),
+            client("10.1.2.3/32", "central"),
+            client("fd00::/8", "central"),
+            client("10.2.0.0/33", "nowhere"),
+            client("host/8", "nowhere"),
+        ],
+    });
+    let region = |address: &str| {
+        let region = places.region(address.parse().unwrap());
+        region.map(|region| region.as_str().to_owned())
+    };
+    assert_eq!(region("10.9.9.9").as_deref(), Some("south"));
+    assert_eq!(region("10.1.9.9").as_deref(), Some("north"));
+    assert_eq!(region("10.1.2.3").as_deref(), Some("central"));
+    assert_eq!(region("fd01::1").as_deref(), Some("central"));
+    assert_eq!(region("10.2.0.1").as_deref(), Some("south"));
+    assert_eq!(region("192.0.2.1"), None);
+}
