Run membership and the spread of documents in the daemon

Cause: every host watched every document and polled the host list each second, and callers and forwards used that list alone. Change: one service runs both machines over the link and the platform. It replaces the plain watches; the configuration is None until it is confirmed and again after a pause, and a request that is handled before the services have woken is refused as not run. Forwarded calls and /v1/hosts use the members; /status shows them with the revisions, what was refused and where the service is behind. The host list is read within a budget of 200 reads a second for all hosts. A control message may hold a whole document.

--- a/src/config/spread/mod.rs
+++ b/src/config/spread/mod.rs
@@ -233,20 +233,23 @@
         self.slots.iter().map(standing).collect()
     }
 
-    /// Everything that is wrong with later versions that were refused, and with how the documents
-    /// in force join.
-    pub fn faults(&self) -> Vec<Fault> {
-        let refused = self.slots.values().flat_map(|slot| slot.held.faults());
-        let mut faults: Vec<_> = refused.cloned().collect();
-        if let [
-            Some(Parsed::Routes(routes)),
-            Some(Parsed::Pools(pools)),
-            Some(Parsed::Customers(customers)),
-        ] = Document::ALL.map(|document| self.parsed(document))
-        {
-            faults.extend(accept::join(routes, pools, customers));
+    /// Everything that is wrong with the later version of a document that was refused.
+    pub fn refused(&self, document: Document) -> &[Fault] {
+        self.slots
+            .get(&document)
+            .map_or(&[], |slot| slot.held.faults())
+    }
+
+    /// Names that don't join in the documents in force.
+    pub fn unjoined(&self) -> Vec<Fault> {
+        match Document::ALL.map(|document| self.parsed(document)) {
+            [
+                Some(Parsed::Routes(routes)),
+                Some(Parsed::Pools(pools)),
+                Some(Parsed::Customers(customers)),
+            ] => accept::join(routes, pools, customers),
+            _ => Vec::new(),
         }
-        faults
     }
 
     /// The service's revision of a document, where it is older than the one known.
--- a/src/entry/admin.rs
+++ b/src/entry/admin.rs
@@ -1,9 +1,10 @@
 //! The operators' HTTP surface.
 
 use {
-    super::{Phase, documents},
-    crate::{clock::Clock, limit, metric::Metrics, platform::Listing, settings::Settings},
+    super::{Phase, fleet},
+    crate::{clock::Clock, limit, member::Member, metric::Metrics, name, settings::Settings},
     http::{HeaderValue, StatusCode, header},
+    serde::Serialize,
     std::sync::Arc,
     tokio::sync::watch,
     viz::{IntoResponse, Request, Response, Router},
@@ -15,11 +16,18 @@
     pub(super) settings: Settings,
     pub(super) metrics: Metrics,
     pub(super) phase: watch::Receiver<Phase>,
-    pub(super) documents: documents::Handle,
-    pub(super) listing: watch::Receiver<Arc<Listing>>,
+    pub(super) fleet: fleet::Handle<C>,
     pub(super) limit: limit::Handle<C>,
 }
 
+/// One host as operators see it.
+#[derive(Debug, Serialize)]
+struct Row {
+    name: name::Host,
+    #[serde(flatten)]
+    member: Member,
+}
+
 impl<C: Clock> View<C> {
     /// `/healthz`, `/readyz`, `/metrics` and `/status`.
     pub(super) fn router(self) -> Router {
@@ -33,17 +41,17 @@
         };
         Router::new()
             .get("/healthz", page(|_| "ok\n".into_response()))
-            .get("/readyz", page(View::ready))
-            .get("/metrics", page(View::metrics))
-            .get("/status", page(View::status))
+            .get("/readyz", page(Self::ready))
+            .get("/metrics", page(Self::metrics))
+            .get("/status", page(Self::status))
     }
 
     fn reason_not_ready(&self) -> Option<&'static str> {
         if *self.phase.borrow() != Phase::Running {
             return Some("draining");
         }
-        if self.documents.snapshot.borrow().is_none() {
-            return Some("no configuration yet");
+        if self.fleet.snapshot.borrow().is_none() || !self.fleet.pulse.is_awake() {
+            return Some("no confirmed configuration yet");
         }
         if !self.limit.ready() {
             return Some("no part of the customers' rates yet");
@@ -69,6 +77,16 @@
         response
     }
 
+    /// The members, one row a host.
+    fn hosts(&self) -> Vec<Row> {
+        let view = self.fleet.view.borrow().clone();
+        let row = |(name, member): (&name::Host, &Member)| Row {
+            name: name.clone(),
+            member: member.clone(),
+        };
+        view.hosts.iter().map(row).collect()
+    }
+
     fn status(&self) -> Response {
         let status = serde_json::json!({
             "host": self.settings.name,
@@ -78,8 +96,8 @@
             "ready": self.reason_not_ready().is_none(),
             "running": self.metrics.running.get(),
             "limit": self.limit.view(),
-            "documents": self.documents.standing(),
-            "hosts": self.listing.borrow().hosts,
+            "documents": **self.fleet.standings.borrow(),
+            "hosts": self.hosts(),
         });
         let mut response = status.to_string().into_response();
         response.headers_mut().insert(
--- a/src/entry/listing.rs
+++ b/src/entry/listing.rs
@@ -3,10 +3,7 @@
 use {
     crate::{
         kernel::Kernel,
-        link::Peers,
-        name,
         platform::{Hosts, Kind, Listing},
-        settings::Settings,
     },
     std::{sync::Arc, time::Duration},
     tokio::{sync::watch, time::sleep},
@@ -15,21 +12,22 @@
 /// Pause between two looks at the list.
 const PAUSE: Duration = Duration::from_secs(1);
 
-/// Starts following the list; peers' addresses go into `peers`.
+/// Looks a second that all entry hosts may cost together.
+const BUDGET: f64 = 200.0;
+
+/// Starts following the list.
 pub(super) fn start<H: Hosts>(
     kernel: &mut Kernel,
     platform: H,
-    peers: Peers,
-    settings: &Settings,
     mut stop: watch::Receiver<()>,
 ) -> watch::Receiver<Arc<Listing>> {
     let (sender, receiver) = watch::channel(Arc::default());
-    let here = settings.name.clone();
     let following = async move {
+        let mut pause = PAUSE;
         loop {
             match platform.hosts().await {
                 Ok(listing) => {
-                    learn(&listing, &peers, &here);
+                    pause = share(&listing);
                     sender.send_if_modified(|known| {
                         let changed = **known != listing;
                         *known = Arc::new(listing);
@@ -38,7 +36,7 @@
                 }
                 Err(error) => tracing::debug!(%error, "host list"),
             }
-            sleep(PAUSE).await;
+            sleep(pause).await;
         }
     };
     kernel.spawn("listing", async move {
@@ -50,14 +48,8 @@
     receiver
 }
 
-fn learn(listing: &Listing, peers: &Peers, here: &name::Host) {
-    let entries = listing
-        .hosts
-        .iter()
-        .filter(|host| host.kind == Kind::Entry && host.name != here.as_str());
-    for host in entries {
-        if let Some(address) = host.peer_address {
-            peers.insert(host.name.as_str().into(), address);
-        }
-    }
+/// The pause by which all entry hosts together stay within the budget.
+fn share(listing: &Listing) -> Duration {
+    let entries = listing.hosts.iter().filter(|host| host.kind == Kind::Entry);
+    PAUSE.max(Duration::from_secs_f64(entries.count() as f64 / BUDGET))
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,8 +1,13 @@
 //! An entry host: the services of one process, wired together.
 
 mod admin;
-mod documents;
+mod fleet;
 mod listing;
+mod places;
+mod pulse;
+mod standing;
+
+pub use pulse::Pulse;
 
 use {
     crate::{
@@ -18,7 +23,7 @@
         platform::http::Platform,
         queue, route,
         settings::Settings,
-        upstream,
+        upstream, wire,
     },
     std::{
         net::SocketAddr,
@@ -98,23 +103,32 @@
 
         let platform = Platform::new(network.clone(), settings.platform);
         let book = Peers::default();
-        let documents = documents::start(&mut kernel, platform.clone(), stopped.clone());
-        let listing = listing::start(
-            &mut kernel,
-            platform,
-            book.clone(),
-            &settings,
-            stopped.clone(),
-        );
+        let listing = listing::start(&mut kernel, platform.clone(), stopped.clone());
+        let places = places::start(&mut kernel, platform.clone(), stopped.clone());
 
         let identity = Identity {
             host: settings.name.clone(),
             secret: Arc::from(settings.peer_secret.as_str()),
-            message_limit: settings.body_limit + EXCHANGE_ROOM,
+            message_limit: wire::MESSAGE_LIMIT.max(settings.body_limit + EXCHANGE_ROOM),
             network: network.clone(),
         };
         let link = link::Handle::new(identity.clone(), book.clone());
         kernel.publish("link", link.clone());
+        let fleet = fleet::start(
+            &mut kernel,
+            fleet::Parts {
+                clock: clock.clone(),
+                platform,
+                link: link.clone(),
+                listing: listing.clone(),
+                phase: phases.clone(),
+                metrics: metrics.clone(),
+                stop: stopped.clone(),
+            },
+            &settings,
+            addresses.callers,
+            addresses.peers,
+        );
         let home = route::Home {
             host: settings.name.clone(),
             region: settings.region.clone(),
@@ -124,7 +138,7 @@
             route::Router::new(home.clone(), route::Options::default(), seed),
             home.clone(),
             clock.clone(),
-            documents.snapshot.clone(),
+            fleet.snapshot.clone(),
             listing.clone(),
         );
         kernel.publish("route", router.clone());
@@ -154,7 +168,7 @@
             limit.clone().run(
                 link.clone(),
                 limit::Inputs {
-                    config: documents.snapshot.clone(),
+                    config: fleet.snapshot.clone(),
                     listing: listing.clone(),
                     phase: phases.clone(),
                     mailbox: inbox,
@@ -165,13 +179,17 @@
         let mailboxes = Mailboxes {
             limit: Some(capacity),
             route: Some(digests),
+            member: Some(fleet.members.clone()),
+            config: Some(fleet.documents.clone()),
             ..Mailboxes::default()
         };
         let gateway = Gateway::new(Parts {
             settings: settings.clone(),
             clock: clock.clone(),
-            config: documents.snapshot.clone(),
-            listing: listing.clone(),
+            config: fleet.snapshot.clone(),
+            view: fleet.view.clone(),
+            places,
+            pulse: fleet.pulse.clone(),
             phase: phases.clone(),
             upstreams,
             router,
@@ -197,8 +215,7 @@
             settings: settings.clone(),
             metrics: metrics.clone(),
             phase: phases,
-            documents,
-            listing,
+            fleet,
             limit,
         };
         kernel.spawn(
--- /dev/null
+++ b/src/entry/standing.rs
@@ -0,0 +1,155 @@
+//! What operators see of the documents and the members.
+
+use {
+    crate::{
+        config::{Document, Fault, spread},
+        member::{self, State},
+        metric::Metrics,
+    },
+    prometheus_client::{
+        encoding::EncodeLabelSet,
+        metrics::{counter::Counter, family::Family, gauge::Gauge},
+    },
+    serde::Serialize,
+    std::collections::BTreeMap,
+};
+
+/// What is known of one document.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+pub(super) struct Standing {
+    /// The revision in force.
+    pub(super) revision: u64,
+    /// A later revision that was refused, and why.
+    pub(super) refused: Option<Refused>,
+    /// The service's revision, when it is older than the one known.
+    pub(super) behind: Option<u64>,
+}
+
+/// A refused revision.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub(super) struct Refused {
+    /// Its number.
+    pub(super) revision: u64,
+    /// Everything that is wrong with it.
+    pub(super) faults: Vec<Fault>,
+}
+
+/// What is known of every document.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+pub(super) struct Standings {
+    /// Each document.
+    #[serde(flatten)]
+    pub(super) documents: BTreeMap<Document, Standing>,
+    /// Names that don't join in what is in force.
+    pub(super) unjoined: Vec<Fault>,
+}
+
+impl Standings {
+    /// What a machine knows.
+    pub(super) fn of(machine: &spread::Machine) -> Self {
+        let summary = machine.summary();
+        let standing = |document: Document| {
+            let held = summary.standing(document);
+            let refused = held.refused.map(|version| Refused {
+                revision: version.revision,
+                faults: machine.refused(document).to_vec(),
+            });
+            Standing {
+                revision: held.accepted.map_or(0, |version| version.revision),
+                refused,
+                behind: machine.behind(document),
+            }
+        };
+        Self {
+            documents: Document::ALL
+                .into_iter()
+                .map(|document| (document, standing(document)))
+                .collect(),
+            unjoined: machine.unjoined(),
+        }
+    }
+}
+
+/// Label of a document.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Named {
+    document: String,
+}
+
+/// Label of a state.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct In {
+    state: String,
+}
+
+/// The same for metrics.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Gauges {
+    revision: Family<Named, Gauge>,
+    refused: Family<Named, Gauge>,
+    behind: Family<Named, Gauge>,
+    members: Family<In, Gauge>,
+    /// Whether the documents are confirmed.
+    pub(super) confirmed: Gauge,
+    /// Pauses of the process that were noticed.
+    pub(super) pauses: Counter,
+    /// Reads of the configuration service.
+    pub(super) reads: Counter,
+}
+
+impl Gauges {
+    /// Gauges that `metrics` shows.
+    pub(super) fn new(metrics: &Metrics) -> Self {
+        let gauges = Self::default();
+        let shown = gauges.clone();
+        metrics.register(|registry| {
+            registry.register("document_revision", "Revision in force", shown.revision);
+            registry.register(
+                "document_refused_revision",
+                "Later revision that was refused, or 0",
+                shown.refused,
+            );
+            registry.register(
+                "document_behind_revision",
+                "Older revision that the service gives, or 0",
+                shown.behind,
+            );
+            registry.register("members", "Hosts of this view by state", shown.members);
+            registry.register(
+                "documents_confirmed",
+                "Whether the documents are confirmed by the service or the peers",
+                shown.confirmed,
+            );
+            registry.register("pauses", "Pauses of this process", shown.pauses);
+            registry.register("document_reads", "Reads of the service", shown.reads);
+        });
+        gauges
+    }
+
+    /// Shows the documents.
+    pub(super) fn documents(&self, standings: &Standings) {
+        for (document, standing) in &standings.documents {
+            let label = Named {
+                document: document.to_string(),
+            };
+            let refused = standing.refused.as_ref();
+            let set = |family: &Family<Named, Gauge>, revision: u64| {
+                family.get_or_create(&label).set(revision as i64);
+            };
+            set(&self.revision, standing.revision);
+            set(&self.refused, refused.map_or(0, |held| held.revision));
+            set(&self.behind, standing.behind.unwrap_or(0));
+        }
+    }
+
+    /// Shows the members.
+    pub(super) fn members(&self, view: &member::View) {
+        for state in [State::Live, State::Suspect, State::Leaving, State::Dead] {
+            let hosts = view.hosts.values().filter(|host| host.state == state);
+            let label = In {
+                state: state.to_string(),
+            };
+            self.members.get_or_create(&label).set(hosts.count() as i64);
+        }
+    }
+}
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -6,7 +6,6 @@
         clock::Clock,
         failure::{Code, Failure},
         name,
-        platform::{Kind, State},
         route::{Choice, Prefix, Refusal, Request, Routed, Sent},
     },
     std::{
@@ -77,14 +76,12 @@
 
     /// A host of a region that the call has not visited.
     fn host_in(&self, call: &Call, region: &name::Region) -> Result<name::Host, Failure> {
-        let listing = self.parts().listing.borrow().clone();
+        let view = self.parts().view.borrow().clone();
         let turn = self.0.sequence.load(Ordering::Relaxed) as usize;
-        let hosts: Vec<_> = listing
-            .hosts
-            .iter()
-            .filter(|host| host.kind == Kind::Entry && host.state == State::Live)
-            .filter(|host| host.region == *region)
-            .map(|host| name::Host::from(host.name.as_str()))
+        let hosts: Vec<_> = view
+            .live(&self.parts().settings.name)
+            .filter(|(_, member)| member.region == *region)
+            .map(|(host, _)| host)
             .filter(|host| !call.hosts.contains(host))
             .collect();
         if hosts.is_empty() {
--- a/src/gateway/inbound.rs
+++ b/src/gateway/inbound.rs
@@ -43,6 +43,10 @@
             let message = "this host is shutting down: ask /v1/hosts of another";
             return Err(Failure::not_run(Code::NotReady, message).retry_after(NOT_READY_RETRY));
         }
+        if !self.parts().pulse.is_awake() {
+            let message = "this host was stopped and has not confirmed its configuration since";
+            return Err(Failure::not_run(Code::NotReady, message).retry_after(NOT_READY_RETRY));
+        }
         let snapshot = self.parts().config.borrow().clone();
         snapshot.ok_or_else(|| {
             Failure::not_run(Code::NotReady, "this host has no configuration yet")
@@ -138,6 +142,10 @@
 }
 
 /// Who sent a request with these headers.
+pub(super) fn customer(snapshot: &Snapshot, headers: &HeaderMap) -> Option<Customer> {
+    caller(snapshot, headers).customer.cloned()
+}
+
 fn caller<'a>(snapshot: &'a Snapshot, headers: &'a HeaderMap) -> Caller<'a> {
     let key = headers
         .get(header::AUTHORIZATION)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -20,12 +20,13 @@
     crate::{
         clock::Clock,
         config::Snapshot,
-        entry::Phase,
+        directory,
+        entry::{Phase, Pulse},
         failure::Failure,
         limit,
         link::{Peers, exchange},
+        member,
         metric::{Failed, Metrics},
-        platform::Listing,
         queue, route,
         settings::Settings,
         upstream,
@@ -53,8 +54,12 @@
     pub clock: C,
     /// The configuration in force; `None` until there is one.
     pub config: watch::Receiver<Option<Arc<Snapshot>>>,
-    /// The host list.
-    pub listing: watch::Receiver<Arc<Listing>>,
+    /// The fleet as this host sees it.
+    pub view: watch::Receiver<Arc<member::View>>,
+    /// Where callers are.
+    pub places: watch::Receiver<Arc<directory::Places>>,
+    /// Whether the process was stopped.
+    pub pulse: Pulse<C>,
     /// Whether this host is draining.
     pub phase: watch::Receiver<Phase>,
     /// Calls to upstreams.
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -1,9 +1,10 @@
 //! From an answer or a failure to the HTTP response that the caller reads.
 
 use {
-    super::{Flow, Gateway, headers},
+    super::{Flow, Gateway, headers, inbound::customer},
     crate::{
         clock::Clock,
+        directory,
         failure::{Failure, Ran},
         link::exchange::Head,
         metric::Answered,
@@ -12,12 +13,9 @@
     futures::stream,
     http::{HeaderValue, StatusCode, header},
     std::{convert::Infallible, io},
-    viz::{Body, IntoResponse, Request, Response, Router},
+    viz::{Body, IntoResponse, Request, RequestExt, Response, Router},
 };
 
-/// The longest answer to `GET /v1/hosts` holds, in seconds.
-const HOSTS_HOLD_SECONDS: u64 = 10;
-
 impl<C: Clock> Gateway<C> {
     /// The callers' HTTP surface.
     pub fn router(&self) -> Router {
@@ -29,9 +27,9 @@
                 let gateway = models.clone();
                 async move { Ok::<_, viz::Error>(gateway.models_reply(&request)) }
             })
-            .get("/v1/hosts", move |_: Request| {
+            .get("/v1/hosts", move |request: Request| {
                 let gateway = hosts.clone();
-                async move { Ok::<_, viz::Error>(gateway.hosts_reply()) }
+                async move { Ok::<_, viz::Error>(gateway.hosts_reply(&request)) }
             })
             .any("/*", move |request: Request| {
                 let gateway = calls.clone();
@@ -67,26 +65,38 @@
         }
     }
 
-    fn hosts_reply(&self) -> Response {
-        let listing = self.parts().listing.borrow().clone();
-        let here = &self.parts().settings.region;
-        let mut hosts: Vec<_> = listing
+    fn hosts_reply(&self, request: &Request) -> Response {
+        let caller = self.caller_of(request);
+        let view = self.parts().view.borrow().clone();
+        let answer = directory::answer(&view, &self.parts().settings.region, &caller);
+        let rows: Vec<_> = answer
             .hosts
             .iter()
-            .filter(|host| host.kind == crate::platform::Kind::Entry)
-            .filter(|host| host.state == crate::platform::State::Live)
-            .collect();
-        hosts.sort_by_key(|host| (host.region != *here, host.name.clone()));
-        let rows: Vec<_> = hosts
-            .iter()
-            .map(|host| serde_json::json!({"name": host.name, "address": host.address, "region": host.region}))
+            .map(|host| serde_json::json!({"name": host.name, "address": host.address, "region": host.region, "domain": host.domain}))
             .collect();
         json(
             StatusCode::OK,
-            &serde_json::json!({"hosts": rows, "valid_for_seconds": HOSTS_HOLD_SECONDS}),
+            &serde_json::json!({"hosts": rows, "valid_for_seconds": answer.hold.as_secs()}),
         )
     }
 
+    /// What the directory needs to know of who asks: the customer counts where a key came.
+    fn caller_of(&self, request: &Request) -> directory::Caller {
+        let address = request.remote_addr().map(|address| address.ip());
+        let snapshot = self.parts().config.borrow().clone();
+        let customer = snapshot.and_then(|snapshot| customer(&snapshot, request.headers()));
+        let places = self.parts().places.borrow().clone();
+        directory::Caller {
+            key: format!(
+                "{} {}",
+                address.map_or_else(String::new, |address| address.to_string()),
+                customer.as_ref().map_or("", |row| row.name.as_str())
+            ),
+            region: address.and_then(|address| places.region(address).cloned()),
+            residency: customer.map_or_else(Default::default, |row| row.residency),
+        }
+    }
+
     fn refuse(&self, id: &str, failure: &Failure) -> Response {
         self.count_failure(failure);
         let outcome = if failure.ran == Ran::No {
--- a/src/link/control.rs
+++ b/src/link/control.rs
@@ -4,7 +4,7 @@
 
 use {
     super::socket::{Identity, Purpose, Socket},
-    crate::{clock::Clock, limit, name, route, wire},
+    crate::{clock::Clock, config::spread, limit, member, name, route, wire},
     std::{
         collections::BTreeMap,
         net::SocketAddr,
@@ -70,6 +70,10 @@
     pub route: Option<Sender<Received<route::Digest>>>,
     /// Messages about customers' capacity.
     pub limit: Option<Sender<Received<limit::Message>>>,
+    /// Membership.
+    pub member: Option<Sender<Received<member::Message>>>,
+    /// The spread of documents.
+    pub config: Option<Sender<Received<spread::Message>>>,
 }
 
 /// A mailbox for every message.
@@ -77,14 +81,14 @@
 
 impl Mailboxes {
     fn deliver(&self, from: name::Host, message: wire::Message) {
-        if let (wire::Message::Route(digest), Some(route)) = (&message, &self.route) {
-            let message = digest.clone();
-            route.try_send(Received { from, message }).ok();
-            return;
-        }
-        if let (wire::Message::Limit(message), Some(limit)) = (&message, &self.limit) {
-            let message = message.clone();
-            limit.try_send(Received { from, message }).ok();
+        let taken = match &message {
+            wire::Message::Route(message) => pass(&self.route, &from, message),
+            wire::Message::Limit(message) => pass(&self.limit, &from, message),
+            wire::Message::Member(message) => pass(&self.member, &from, message),
+            wire::Message::Config(message) => pass(&self.config, &from, message),
+            wire::Message::Probe(_) | wire::Message::Echo(_) => false,
+        };
+        if taken {
             return;
         }
         if let Some(tap) = &self.tap {
@@ -93,6 +97,19 @@
     }
 }
 
+/// Puts a message into a mailbox, if there is one.
+fn pass<M: Clone>(mailbox: &Option<Sender<Received<M>>>, from: &name::Host, message: &M) -> bool {
+    let Some(mailbox) = mailbox else {
+        return false;
+    };
+    let received = Received {
+        from: from.clone(),
+        message: message.clone(),
+    };
+    mailbox.try_send(received).ok();
+    true
+}
+
 /// Sends control messages.
 #[derive(Debug, Clone)]
 pub struct Handle {
--- a/src/member/machine.rs
+++ b/src/member/machine.rs
@@ -672,10 +672,12 @@
             if row.host == self.settings.host {
                 continue;
             }
-            actions.push(Action::Address {
-                host: row.host.clone(),
-                peer_address: row.peer_address,
-            });
+            if !self.is_known(now, &row.host) {
+                actions.push(Action::Address {
+                    host: row.host.clone(),
+                    peer_address: row.peer_address,
+                });
+            }
             let peer = self.hearsay(row);
             actions.extend(self.learn(now, &row.host, &peer));
         }
@@ -688,6 +690,16 @@
         actions
     }
 
+    /// Whether a host's address is known from the host itself or from its failure domain.
+    fn is_known(&self, now: Duration, host: &name::Host) -> bool {
+        let near = self
+            .table
+            .get(host)
+            .is_some_and(|peer| peer.incarnation > 0);
+        let told = |digest: &Digest| digest.contacts.iter().any(|contact| contact.host == *host);
+        near || self.domains.fresh(now).any(told)
+    }
+
     fn hearsay(&self, row: &Listed) -> Peer {
         let known = self.table.get(&row.host);
         let incarnation = match self.settings.mutant {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,14 +1,14 @@
 //! What hosts say to each other, encoded as CBOR in binary web socket messages.
 
 use {
-    crate::{Error, Result, limit, name, route},
+    crate::{Error, Result, config::spread, limit, member, name, route},
     bytes::Bytes,
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     std::time::Duration,
 };
 
-/// Largest encoded control message, in bytes.
-pub const MESSAGE_LIMIT: usize = 1024 * 1024;
+/// Largest encoded control message, in bytes: a whole document with room for the rest.
+pub const MESSAGE_LIMIT: usize = 1024 * 1024 + 64 * 1024;
 
 /// A control message on a peer connection: one variant a service.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -21,6 +21,10 @@
     Route(route::Digest),
     /// Capacity of customers.
     Limit(limit::Message),
+    /// Membership.
+    Member(member::Message),
+    /// The spread of documents.
+    Config(spread::Message),
 }
 
 /// A round-trip probe.
--- a/tests/config/spread.rs
+++ b/tests/config/spread.rs
@@ -66,12 +66,16 @@
     network.run(seconds(10));
     assert!(network.everywhere(Document::Pools, 1));
     for host in 0..6 {
-        assert_eq!(network.host(host).faults().len(), 2, "host {host}");
+        assert_eq!(
+            network.host(host).refused(Document::Pools).len(),
+            2,
+            "host {host}"
+        );
     }
     network.publish(Document::Pools, &network::pools(2));
     network.run(seconds(10));
     assert!(network.everywhere(Document::Pools, 3));
-    assert_eq!(network.host(5).faults(), []);
+    assert_eq!(network.host(5).refused(Document::Pools), []);
 }
 
 #[test]
