Spill by the wait and the cold prefix, not by any difference of load

Change: a request goes when its own wait at home exceeds the way, the wait there and the worth of its cached start, with two bounds; what was sent since the digest counts for every host; the share by steps is gone, the slow start of cold replicas brings traffic back instead.

--- a/src/route/affinity.rs
+++ b/src/route/affinity.rs
@@ -91,6 +91,15 @@
         }
     }
 
+    /// Whether any replica is believed to hold a prefix.
+    pub fn known(&self, now: Duration, prefix: u64, life: Duration) -> bool {
+        let holders = self.young.get(&prefix).or_else(|| self.old.get(&prefix));
+        holders.is_some_and(|holders| {
+            let mut times = holders.0.iter().map(|(_, at)| *at);
+            times.any(|at| now.saturating_sub(at) <= life)
+        })
+    }
+
     /// Whether a replica is believed to hold a prefix.
     pub fn holds(&self, now: Duration, prefix: u64, replica: u64, life: Duration) -> bool {
         let holders = self.young.get(&prefix).or_else(|| self.old.get(&prefix));
--- a/src/route/options.rs
+++ b/src/route/options.rs
@@ -36,16 +36,12 @@
     pub region_round_trip: Duration,
     /// How old a region's digest may be before it is no spill target.
     pub digest_life: Duration,
-    /// How much longer home must take than another region before spilling grows.
+    /// Load over capacity from which requests wait at a pool.
+    pub spill_from: f64,
+    /// How much longer home must take than another region for spilling to begin.
     pub spill_enter: Duration,
-    /// How much longer home must take than another region for spilling not to shrink.
+    /// How much longer home must take than another region for spilling to go on.
     pub spill_exit: Duration,
-    /// How often the spilled share is adapted.
-    pub spill_every: Duration,
-    /// How much the spilled share grows at each adaptation.
-    pub spill_grow: f64,
-    /// How much the spilled share shrinks at each adaptation.
-    pub spill_shrink: f64,
     /// Bytes a second that all hosts of a region together may send over the links to others.
     pub link_bytes_per_s: f64,
     /// A deliberate fault, for tests.
@@ -70,11 +66,9 @@
             eject_share: 0.5,
             region_round_trip: Duration::from_millis(100),
             digest_life: Duration::from_secs(10),
-            spill_enter: Duration::from_millis(100),
-            spill_exit: Duration::from_millis(20),
-            spill_every: Duration::from_millis(250),
-            spill_grow: 0.05,
-            spill_shrink: 0.02,
+            spill_from: 0.8,
+            spill_enter: Duration::from_millis(50),
+            spill_exit: Duration::ZERO,
             link_bytes_per_s: 62_500_000.0,
             fault: Fault::None,
         }
--- a/src/route/replica.rs
+++ b/src/route/replica.rs
@@ -186,3 +186,8 @@
     let queue = (utilization - 1.0).max(0.0);
     service.as_secs_f64() * (batch + queue)
 }
+
+/// How long a request waits at a whole pool before it starts, in seconds.
+pub fn wait(utilization: f64, service: Duration, options: &Options) -> f64 {
+    service.as_secs_f64() * (utilization - options.spill_from).max(0.0)
+}
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -12,7 +12,7 @@
         spill::{Digest, Estimate, Regions, Summary, Target},
     },
     crate::{config::Snapshot, name, queue::Engines},
-    rand::{RngExt, SeedableRng, rngs::StdRng},
+    rand::{SeedableRng, rngs::StdRng},
     std::{collections::BTreeMap, sync::Arc, time::Duration},
 };
 
@@ -310,7 +310,6 @@
             return self.forward(now, request, on_demand, Reason::Residency);
         }
         let Some(local) = self.local(now, request, on_demand) else {
-            self.regions.spill_all(request.route);
             return self.forward(now, request, on_demand, Reason::Absent);
         };
         if let Some(choice) = self.spill(now, request, on_demand, &local) {
@@ -328,13 +327,16 @@
                 let members = self.pools.get(&pool.name)?;
                 let total = members.total(now, model, &self.options);
                 let untried = self.untried(now, request, members);
-                (total.live > 0 && untried).then(|| Target {
+                let target = || Target {
                     region: self.home.region.clone(),
                     pool: pool.name.clone(),
-                    cost: members.delay(&total, &self.options),
-                })
+                    cost: members.wait(&total, &self.options),
+                };
+                let delay = members.delay(&total, &self.options);
+                (total.live > 0 && untried).then(|| (delay, target()))
             })
-            .min_by(|one, other| one.cost.total_cmp(&other.cost))
+            .min_by(|(one, _), (other, _)| one.total_cmp(other))
+            .map(|(_, target)| target)
     }
 
     fn untried(&self, now: Duration, request: &Request<'_>, members: &Members) -> bool {
@@ -358,17 +360,36 @@
         }
         let (best, _) = self.away(now, request, on_demand);
         let best = best?;
-        let away = Some(best.cost);
-        let part = self
-            .regions
-            .share(now, &local.pool, local.cost, away, &self.options);
-        if part <= 0.0 || best.cost >= local.cost || !self.rng.random_bool(part) {
+        let gain = local.cost + self.cold_here(now, request) - best.cost;
+        if !self.regions.spills(&local.pool, gain, &self.options) {
             return None;
         }
         self.cross(now, request, best, Reason::Spill, vec![runner_up(local)])
             .ok()
     }
 
+    /// What taking in the request's prefix costs in this region, in seconds.
+    fn cold_here(&self, now: Duration, request: &Request<'_>) -> f64 {
+        let life = self.options.hint_life;
+        request.prefix.map_or(0.0, |prefix| {
+            match self.hints.known(now, prefix.hash, life) {
+                true => 0.0,
+                false => self.options.prefill(f64::from(prefix.tokens)),
+            }
+        })
+    }
+
+    /// What taking in the request's prefix costs in another region, in seconds.
+    fn cold_there(&self, now: Duration, request: &Request<'_>, region: &name::Region) -> f64 {
+        let life = self.options.hint_life;
+        request.prefix.map_or(0.0, |prefix| {
+            match self.regions.holds(now, region, prefix.hash, life) {
+                true => 0.0,
+                false => self.options.prefill(f64::from(prefix.tokens)),
+            }
+        })
+    }
+
     /// Forwards a request that this region can't serve.
     fn forward(
         &mut self,
@@ -401,10 +422,11 @@
         runners_up: Vec<RunnerUp>,
     ) -> Result<Choice, Refusal> {
         let bytes = request.bytes;
+        let prefix = request.prefix.map(|prefix| prefix.hash);
         let region = &target.region;
         let sent = self
             .regions
-            .forward(now, region, bytes, self.hosts, &self.options);
+            .forward(now, region, bytes, prefix, self.hosts, &self.options);
         if !sent {
             return Err(Refusal::Link);
         }
@@ -425,8 +447,6 @@
         on_demand: bool,
     ) -> (Option<Target>, Option<Target>) {
         let fault = self.options.fault;
-        let prefix = request.prefix.map_or(0, |prefix| prefix.tokens);
-        let missing = f64::from(prefix) / self.options.prefill_tokens_per_s;
         let mut known: Option<Target> = None;
         let mut unknown = None;
         for pool in eligible::pools(request, &self.snapshot, on_demand) {
@@ -446,7 +466,7 @@
             };
             match estimate {
                 Some(Estimate::Seconds(cost)) => {
-                    let cost = cost + missing;
+                    let cost = cost + self.cold_there(now, request, region);
                     if known.as_ref().is_none_or(|best| cost < best.cost) {
                         known = Some(target(cost));
                     }
--- a/src/route/select.rs
+++ b/src/route/select.rs
@@ -95,6 +95,12 @@
             .filter(move |(_, replica)| serving(replica) && (ignored || !ejected(replica)))
     }
 
+    /// How long one more request waits before it starts, in seconds.
+    pub(super) fn wait(&self, total: &Total, options: &Options) -> f64 {
+        let utilization = total.outstanding / total.capacity;
+        replica::wait(utilization, self.service, options) + self.backlog.as_secs_f64()
+    }
+
     /// The expected delay of one more request, in seconds.
     pub(super) fn delay(&self, total: &Total, options: &Options) -> f64 {
         let utilization = total.outstanding / total.capacity;
--- a/src/route/spill.rs
+++ b/src/route/spill.rs
@@ -1,15 +1,23 @@
 //! Spill: when another region serves a request.
 //!
-//! Hosts know other regions only by digests of their load. A share of the requests is spilled; it
-//! grows step by step while home is slower by more than one bound and shrinks step by step once it
-//! isn't slower by another, lower one. So a region that lost capacity and returns with cold caches
-//! gets its traffic back little by little.
+//! Hosts know other regions only by digests of their load, corrected by what they have sent there
+//! since. A request is spilled when waiting at home costs more than the way and a cold prefix
+//! there, by one bound to begin with and by a lower one once spilling has begun. A region that
+//! returns with cold caches counts little capacity at first, so its traffic comes back little by
+//! little.
 
 use {
-    super::{options::Options, replica},
-    crate::{config::table, name},
+    super::{
+        affinity::{self, Hints},
+        options::Options,
+        replica,
+    },
+    crate::name,
     serde::{Deserialize, Serialize},
-    std::{collections::BTreeMap, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
 };
 
 /// Seconds of the link's budget that may be used at once.
@@ -43,7 +51,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Regions {
     known: BTreeMap<name::Region, Known>,
-    shares: BTreeMap<name::Pool, Share>,
+    spilling: BTreeSet<name::Pool>,
+    warm: Hints,
     link: Link,
 }
 
@@ -54,13 +63,6 @@
     sent: u32,
 }
 
-/// The share of one pool's requests that is spilled.
-#[derive(Debug, Clone, Copy, Default)]
-struct Share {
-    part: f64,
-    adapted: Duration,
-}
-
 /// A region that could serve a request.
 #[derive(Debug, Clone)]
 pub struct Target {
@@ -106,41 +108,31 @@
         let sent = f64::from(known.sent) * f64::from(hosts.max(1));
         let utilization = (f64::from(summary.outstanding) + sent) / f64::from(summary.capacity);
         let service = Duration::from_millis(u64::from(summary.service_ms));
-        let wait = replica::delay(utilization, service, options);
+        let wait = replica::wait(utilization, service, options);
         let backlog = f64::from(summary.backlog_ms) / 1_000.0;
         let cost = options.region_round_trip.as_secs_f64() + wait + backlog;
         Some(Estimate::Seconds(cost))
     }
 
-    /// Adapts and returns the share of `pool`'s requests to spill, where home takes `home` and the
-    /// best other region `away` seconds.
-    pub fn share(
-        &mut self,
-        now: Duration,
-        pool: &name::Pool,
-        home: f64,
-        away: Option<f64>,
-        options: &Options,
-    ) -> f64 {
-        let share = self.shares.entry(pool.clone()).or_default();
-        if now.saturating_sub(share.adapted) < options.spill_every {
-            return share.part;
-        }
-        share.adapted = now;
-        let gain = away.map_or(f64::NEG_INFINITY, |away| home - away);
-        if gain > options.spill_enter.as_secs_f64() {
-            share.part = (share.part + options.spill_grow).min(1.0);
-        } else if gain < options.spill_exit.as_secs_f64() {
-            share.part = (share.part - options.spill_shrink).max(0.0);
+    /// Whether `pool`'s requests are spilled, where that gains `gain` seconds.
+    pub fn spills(&mut self, pool: &name::Pool, gain: f64, options: &Options) -> bool {
+        let spilling = self.spilling.contains(pool);
+        let bound = match spilling {
+            true => options.spill_exit,
+            false => options.spill_enter,
+        };
+        let spills = gain > bound.as_secs_f64();
+        if spills && !spilling {
+            self.spilling.insert(pool.clone());
+        } else if spilling && !spills {
+            self.spilling.remove(pool);
         }
-        share.part
+        spills
     }
 
-    /// Notes that home has no capacity for a route, so that its return begins from none.
-    pub fn spill_all(&mut self, route: &table::Route) {
-        for pool in &route.pools {
-            self.shares.entry(pool.clone()).or_default().part = 1.0;
-        }
+    /// Whether a region is believed to hold a prefix, from what was forwarded there.
+    pub fn holds(&self, now: Duration, region: &name::Region, prefix: u64, life: Duration) -> bool {
+        self.warm.holds(now, prefix, hash(region), life)
     }
 
     /// Takes `bytes` out of this host's part of the link's budget and notes the send.
@@ -149,6 +141,7 @@
         now: Duration,
         region: &name::Region,
         bytes: u64,
+        prefix: Option<u64>,
         hosts: u32,
         options: &Options,
     ) -> bool {
@@ -159,6 +152,9 @@
         if let Some(known) = self.known.get_mut(region) {
             known.sent += 1;
         }
+        if let Some(prefix) = prefix {
+            self.warm.held(now, prefix, hash(region));
+        }
         true
     }
 }
@@ -191,3 +187,7 @@
         true
     }
 }
+
+fn hash(region: &name::Region) -> u64 {
+    affinity::hash(region.as_str().as_bytes())
+}
