Send calls through the machine of attempts

Cause: the gateway sent each call once, so a lone failure reached the caller, and a broken stream could not be resumed.

Change: gateway::attempts follows attempt::Exchange: lookups and model calls go elsewhere when an upstream breaks, is silent, refuses or answers another request, within the retry budget; a stream is resumed where it broke, event by event, its closing event held until the end mark; a model answer without a stream is held until whole.

--- a/src/attempt/event.rs
+++ b/src/attempt/event.rs
@@ -1,10 +1,8 @@
 //! Events and actions of an exchange.
 
 use {
-    super::{
-        outcome::{Code, Ran},
-        plan::Id,
-    },
+    super::{outcome::Code, plan::Id},
+    crate::failure::Ran,
     serde::{Deserialize, Serialize},
     std::time::Duration,
 };
@@ -21,7 +19,7 @@
         /// When one may be available again.
         retry_after: Option<Duration>,
     },
-    /// No connection could be made; no byte of the request left.
+    /// No connection could be made; no byte of the request left, whatever was about to.
     Unreachable {
         /// The attempt.
         attempt: u32,
@@ -45,7 +43,8 @@
         /// When the far side may accept it.
         retry_after: Option<Duration>,
     },
-    /// A whole part of the answer: for model streams `tokens` whole tokens, else bytes.
+    /// A whole part of the answer: for model streams `tokens` whole tokens, else bytes. With none,
+    /// something came that is not relayed yet.
     Chunk {
         /// The attempt.
         attempt: u32,
--- a/src/attempt/exchange.rs
+++ b/src/attempt/exchange.rs
@@ -9,10 +9,10 @@
         backoff,
         budget::Grant,
         event::{Action, Drop, Event},
-        outcome::{Code, Ran},
+        outcome::Code,
         plan::{Fault, Id, Plan, Work},
     },
-    crate::machine::Machine,
+    crate::{failure::Ran, machine::Machine},
     rand::{SeedableRng, rngs::StdRng},
     std::{collections::BTreeMap, time::Duration},
 };
@@ -314,6 +314,9 @@
             return late(number);
         }
         attempt.progress = now;
+        if tokens == 0 {
+            return Vec::new();
+        }
         let mut actions = Vec::from_iter(self.open(number));
         self.relayed += tokens;
         actions.push(Action::Relay {
@@ -427,6 +430,16 @@
         }
     }
 
+    fn unreachable(&mut self, now: Duration, number: u32) -> Vec<Action> {
+        if !self.live(number) {
+            return Vec::new();
+        }
+        if let Some(attempt) = self.attempts.get_mut(&number) {
+            attempt.sent = false;
+        }
+        self.lost(now, number, Code::UpstreamUnreachable, None)
+    }
+
     fn unavailable(&mut self, number: u32, hint: Option<Duration>) -> Vec<Action> {
         if let Some(attempt) = self.attempts.get_mut(&number) {
             attempt.stage = Stage::Over;
@@ -471,10 +484,7 @@
                 attempt,
                 retry_after,
             } => self.unavailable(attempt, retry_after),
-            Event::Unreachable { attempt } if self.live(attempt) => {
-                self.lost(now, attempt, Code::UpstreamUnreachable, None)
-            }
-            Event::Unreachable { .. } => Vec::new(),
+            Event::Unreachable { attempt } => self.unreachable(now, attempt),
             Event::Sent { attempt } => self.sent(now, attempt),
             Event::Head {
                 attempt,
--- a/src/attempt/mod.rs
+++ b/src/attempt/mod.rs
@@ -13,9 +13,10 @@
 pub mod sse;
 
 pub use {
+    crate::failure::Ran,
     budget::{Budget, Grant},
     event::{Action, Drop, Event},
     exchange::Exchange,
-    outcome::{Code, Ran},
+    outcome::Code,
     plan::{Fault, Id, Plan, Work},
 };
--- a/src/attempt/outcome.rs
+++ b/src/attempt/outcome.rs
@@ -2,29 +2,6 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Whether the work of a failed exchange ran.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum Ran {
-    /// No byte that could start it has left, or the far side refused before running it.
-    No,
-    /// At least in part.
-    Yes,
-    /// It can't be known.
-    Unknown,
-}
-
-impl Ran {
-    /// The value as error answers carry it.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Ran::No => "no",
-            Ran::Yes => "yes",
-            Ran::Unknown => "unknown",
-        }
-    }
-}
-
 /// Why an exchange failed; stable for callers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -48,20 +25,3 @@
     /// The caller's key was withdrawn.
     KeyWithdrawn,
 }
-
-impl Code {
-    /// The code as error answers carry it.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Code::DeadlineExceeded => "deadline_exceeded",
-            Code::NoUpstream => "no_upstream",
-            Code::UpstreamUnreachable => "upstream_unreachable",
-            Code::UpstreamBroken => "upstream_broken",
-            Code::UpstreamSilent => "upstream_silent",
-            Code::UpstreamFailed => "upstream_failed",
-            Code::UpstreamRefused => "upstream_refused",
-            Code::AnswerCrossed => "answer_crossed",
-            Code::KeyWithdrawn => "key_withdrawn",
-        }
-    }
-}
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -75,6 +75,16 @@
             .is_ok_and(|route| route.kind == Kind::Model || route.idempotent)
     }
 
+    /// Whether a pool that serves it has engines that resume a stream.
+    pub fn resumable(&self) -> bool {
+        let pools = self.route().map(|route| route.pools.as_slice());
+        pools
+            .unwrap_or_default()
+            .iter()
+            .filter_map(|name| self.snapshot.pools.get(name))
+            .any(|pool| pool.resume)
+    }
+
     /// Whether its answer is a stream of events.
     pub fn streams(&self) -> bool {
         self.ask.as_ref().is_some_and(|ask| ask.stream)
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -41,11 +41,11 @@
 
 impl<C: Clock> Gateway<C> {
     /// Chooses where a call goes next.
-    pub(super) fn choose(&self, call: &Call) -> Result<Next, Failure> {
+    pub(super) fn choose(&self, call: &Call, tried: &[name::Upstream]) -> Result<Next, Failure> {
         let choice = self
             .parts()
             .router
-            .choose(&request(call)?)
+            .choose(&request(call, tried)?)
             .map_err(failure)?;
         if choice.upstream.is_some() {
             return Ok(Next::Pool(choice.pool));
@@ -61,8 +61,9 @@
         call: &Call,
         pool: &name::Pool,
         waited: Duration,
+        tried: &[name::Upstream],
     ) -> Result<Target<C>, Failure> {
-        let routed = self.parts().router.replica(&request(call)?, pool);
+        let routed = self.parts().router.replica(&request(call, tried)?, pool);
         let Routed { choice, sent } = routed.map_err(failure)?;
         log(call, &choice, None, waited);
         Ok(Target {
@@ -93,7 +94,7 @@
 }
 
 /// What routing looks at of a call.
-fn request(call: &Call) -> Result<Request<'_>, Failure> {
+fn request<'a>(call: &'a Call, tried: &'a [name::Upstream]) -> Result<Request<'a>, Failure> {
     let prompt = call.ask.as_ref().map_or(0, |ask| ask.prompt_tokens);
     let tokens = prompt / BYTES_PER_TOKEN;
     let answer = call.ask.as_ref().map_or(0, |ask| ask.answer_tokens);
@@ -112,7 +113,7 @@
         hosts: &call.hosts,
         hops: call.hops,
         on_demand: false,
-        tried: &[],
+        tried,
     })
 }
 
--- /dev/null
+++ b/src/gateway/events.rs
@@ -0,0 +1,95 @@
+//! A stream of events as it is relayed: whole events only, its tokens counted.
+
+use {
+    crate::attempt::sse::{Frame, Kind, Splitter, TooLong},
+    bytes::Bytes,
+    serde::Deserialize,
+};
+
+/// What one event means for the relay.
+#[derive(Debug, PartialEq, Eq)]
+pub(super) enum Item {
+    /// Carries a token.
+    Token(Bytes),
+    /// Carries none.
+    Other(Bytes),
+    /// The end, with what belongs to it.
+    Done(Bytes),
+}
+
+/// The events of one attempt.
+#[derive(Debug, Default)]
+pub(super) struct Events {
+    splitter: Splitter,
+    /// The closing event, which goes on only together with the end, so that an attempt that
+    /// resumes the stream can give it again.
+    closing: Vec<u8>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct Chunk {
+    #[serde(default)]
+    choices: Vec<Choice>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct Choice {
+    #[serde(default)]
+    text: Option<String>,
+    #[serde(default)]
+    delta: Option<Delta>,
+    #[serde(default)]
+    finish_reason: Option<String>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct Delta {
+    #[serde(default)]
+    content: Option<String>,
+}
+
+impl Choice {
+    fn has_token(&self) -> bool {
+        let delta = self.delta.as_ref().and_then(|delta| delta.content.as_ref());
+        let texts = [self.text.as_ref(), delta];
+        texts.into_iter().flatten().any(|text| !text.is_empty())
+    }
+}
+
+impl Events {
+    pub(super) fn push(&mut self, bytes: &[u8]) -> Result<Vec<Item>, TooLong> {
+        let frames = self.splitter.push(bytes)?;
+        Ok(frames
+            .into_iter()
+            .filter_map(|frame| self.item(frame))
+            .collect())
+    }
+
+    fn item(&mut self, frame: Frame) -> Option<Item> {
+        match frame.kind {
+            Kind::Empty => Some(Item::Other(frame.bytes)),
+            Kind::Done => {
+                let mut bytes = std::mem::take(&mut self.closing);
+                bytes.extend_from_slice(&frame.bytes);
+                Some(Item::Done(bytes.into()))
+            }
+            Kind::Data => self.data(frame),
+        }
+    }
+
+    fn data(&mut self, frame: Frame) -> Option<Item> {
+        let chunk: Chunk = frame
+            .data()
+            .and_then(|data| serde_json::from_slice(data).ok())
+            .unwrap_or_default();
+        if chunk.choices.iter().any(Choice::has_token) {
+            return Some(Item::Token(frame.bytes));
+        }
+        let closes = |choice: &Choice| choice.finish_reason.is_some();
+        if chunk.choices.iter().any(closes) || !self.closing.is_empty() {
+            self.closing.extend_from_slice(&frame.bytes);
+            return None;
+        }
+        Some(Item::Other(frame.bytes))
+    }
+}
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -1,11 +1,11 @@
 //! Forwarding a call to a host of another region.
 
 use {
-    super::{Call, Flow, Gateway, relay::Source, send::late},
+    super::{Call, Gateway, send::late},
     crate::{
         clock::Clock,
         failure::{Code, Failure, Ran},
-        link::exchange::Head,
+        link::exchange::{Body, Head},
         name, wire,
     },
     tokio::time::timeout,
@@ -15,9 +15,9 @@
     /// Forwards a call to a host of another region and waits for the head of its answer.
     pub(super) async fn forward(
         &self,
-        call: Call,
+        call: &Call,
         peer: &name::Host,
-    ) -> Result<(Head, Flow<C>), Failure> {
+    ) -> Result<(Head, Body), Failure> {
         let settings = &self.parts().settings;
         let address = self.parts().peers.get(peer).ok_or_else(|| {
             Failure::not_run(Code::Unreachable, format!("no address for host {peer}"))
@@ -26,7 +26,7 @@
         visited.push(settings.region.clone());
         let mut hosts = call.hosts.clone();
         hosts.push(settings.name.clone());
-        let remaining = self.remaining(&call)?;
+        let remaining = self.remaining(call)?;
         let forwarded = wire::Call {
             request: call.request.clone(),
             route: call.route.clone(),
@@ -46,10 +46,8 @@
             .parts()
             .exchanges
             .open(address, forwarded, call.repeatable());
-        let (head, body) = timeout(remaining, opening)
+        timeout(remaining, opening)
             .await
-            .map_err(|_| late(Ran::Unknown))??;
-        let flow = Flow::new(self, call, Source::Peer(Box::new(body)), None, None);
-        Ok((head, flow))
+            .map_err(|_| late(Ran::Unknown))?
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,9 +1,11 @@
 //! The way of a request: authenticate, route, choose, send or forward, relay.
 
 mod admit;
+mod attempts;
 mod call;
 mod charge;
 mod choose;
+mod events;
 mod forward;
 mod headers;
 mod inbound;
@@ -18,6 +20,7 @@
 
 use {
     crate::{
+        attempt::{Budget, budget},
         clock::Clock,
         config::Snapshot,
         directory,
@@ -83,6 +86,7 @@
     parts: Parts<C>,
     boot: u64,
     sequence: AtomicU64,
+    budget: budget::Shared,
 }
 
 impl<C: Clock> Gateway<C> {
@@ -93,7 +97,9 @@
             .wall()
             .duration_since(SystemTime::UNIX_EPOCH)
             .map_or(0, |since| since.as_millis() as u64);
+        let budget = Budget::new(budget::Limit::default(), parts.clock.now());
         Self(Arc::new(Shared {
+            budget: budget::Shared::new(budget),
             parts,
             boot,
             sequence: AtomicU64::new(0),
@@ -104,6 +110,11 @@
         &self.0.parts
     }
 
+    /// The retry budget of this host.
+    fn budget(&self) -> budget::Shared {
+        self.0.budget.clone()
+    }
+
     /// A request id, unique over hosts and restarts.
     fn request_id(&self) -> String {
         let sequence = self.0.sequence.fetch_add(1, Ordering::Relaxed);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,23 +1,33 @@
 //! An answer's body on its way to the caller or to the host that forwarded the call.
 
 use {
-    super::{Call, Gateway, charge::Charge},
+    super::{
+        Call,
+        attempts::{Attempts, Begun},
+        charge::Charge,
+        events::{Events, Item},
+    },
     crate::{
+        attempt::Event,
         clock::Clock,
         config::Snapshot,
         failure::{Code, Failure, Ran},
-        link::exchange,
-        queue::Slot,
+        link::exchange::{self, Head},
         route::Sent,
         upstream,
     },
     bytes::Bytes,
-    std::{sync::Arc, time::Duration},
-    tokio::{sync::watch, time::timeout},
+    std::{collections::VecDeque, sync::Arc, time::Duration},
+    tokio::{
+        sync::watch,
+        time::{sleep, timeout},
+    },
 };
 
-/// Longest pause between two pieces of a stream.
-const STREAM_PAUSE: Duration = Duration::from_secs(20);
+/// Longest answer that is held until it is whole, in bytes.
+const WHOLE_LIMIT: usize = 8 * 1024 * 1024;
+/// How long an upstream may take to close a stream whose end mark has come.
+const CLOSE_PAUSE: Duration = Duration::from_millis(200);
 
 /// Where the body comes from.
 #[derive(Debug)]
@@ -35,36 +45,40 @@
     }
 }
 
+/// How a body is relayed.
+#[derive(Debug)]
+enum Mode {
+    /// Event by event.
+    Events(Events),
+    /// Held until it is whole, so that a broken one can be had again.
+    Whole(Vec<u8>),
+    /// Piece by piece.
+    Pieces,
+}
+
 /// A body being relayed. It is pulled piece by piece, so that a slow reader slows the upstream;
 /// dropping it cancels the work.
 #[derive(Debug)]
 pub struct Flow<C: Clock> {
-    gateway: Gateway<C>,
-    call: Call,
-    source: Source,
-    config: watch::Receiver<Option<Arc<Snapshot>>>,
-    sent: Option<Sent<C>>,
+    attempts: Attempts<C>,
+    begun: Begun<C>,
+    mode: Mode,
+    ready: VecDeque<Bytes>,
+    ended: bool,
     charge: Option<Charge<C>>,
-    _slot: Option<Slot<C>>,
+    config: watch::Receiver<Option<Arc<Snapshot>>>,
 }
 
 impl<C: Clock> Flow<C> {
-    pub(super) fn new(
-        gateway: &Gateway<C>,
-        call: Call,
-        source: Source,
-        sent: Option<Sent<C>>,
-        slot: Option<Slot<C>>,
-    ) -> Self {
-        gateway.parts().metrics.running.inc();
+    pub(super) fn new(attempts: Attempts<C>, begun: Begun<C>) -> Self {
         Self {
-            config: gateway.parts().config.clone(),
-            gateway: gateway.clone(),
-            call,
-            source,
-            sent,
+            config: attempts.gateway.parts().config.clone(),
+            mode: mode(&attempts.call, &begun.head),
+            attempts,
+            begun,
+            ready: VecDeque::new(),
+            ended: false,
             charge: None,
-            _slot: slot,
         }
     }
 
@@ -76,60 +90,163 @@
 
     /// The call that is answered.
     pub fn call(&self) -> &Call {
-        &self.call
+        &self.attempts.call
+    }
+
+    /// The head of the answer, once its first piece is there where the piece could still fail
+    /// unseen by the caller.
+    pub(super) async fn head(&mut self) -> Result<Head, Failure> {
+        if !matches!(self.mode, Mode::Pieces) {
+            self.fill().await?;
+        }
+        Ok(self.begun.head.clone())
     }
 
     /// The next piece, or `None` at the end of a whole body. Ends with a failure at the deadline,
     /// after a long pause, and when the key is withdrawn.
     pub async fn next(&mut self) -> Result<Option<Bytes>, Failure> {
-        let piece = self.piece().await;
-        match &piece {
-            Ok(Some(bytes)) => {
-                if let Some(charge) = &mut self.charge {
-                    charge.observe(bytes);
-                }
-            }
-            Ok(None) => {
-                self.sent.take().into_iter().for_each(Sent::finished);
+        self.fill().await?;
+        let piece = self.ready.pop_front();
+        match (&piece, &mut self.charge) {
+            (Some(bytes), Some(charge)) => charge.observe(bytes),
+            (Some(_), None) => {}
+            (None, _) => {
+                self.begun.sent.take().into_iter().for_each(Sent::finished);
                 self.charge.take().into_iter().for_each(Charge::finish);
             }
-            Err(failure) if failure.code == Code::UpstreamFailed => {
-                self.sent.take().into_iter().for_each(Sent::failed);
-            }
-            Err(_) => drop(self.sent.take()),
         }
-        piece
-    }
-
-    async fn piece(&mut self) -> Result<Option<Bytes>, Failure> {
-        let left = self
-            .gateway
-            .remaining(&self.call)
-            .map_err(|failure| Failure {
-                ran: Ran::Yes,
-                ..failure
-            })?;
-        let limit = left.min(STREAM_PAUSE);
-        tokio::select! {
+        Ok(piece)
+    }
+
+    /// Pulls until a piece is ready or the body has ended.
+    async fn fill(&mut self) -> Result<(), Failure> {
+        while self.ready.is_empty() && !self.ended {
+            self.pull().await?;
+        }
+        Ok(())
+    }
+
+    async fn pull(&mut self) -> Result<(), Failure> {
+        let call = self.attempts.call.clone();
+        let pause = self.attempts.pause();
+        let piece = tokio::select! {
             biased;
-            failure = withdrawn(&mut self.config, &self.call) => Err(failure),
-            piece = timeout(limit, self.source.next()) => match piece {
-                Ok(piece) => piece,
-                Err(_) => {
-                    let message = "the upstream was silent for too long";
-                    Err(Failure::new(Code::UpstreamFailed, Ran::Unknown, message))
+            failure = withdrawn(&mut self.config, &call) => {
+                drop(self.begun.sent.take());
+                return Err(self.attempts.withdraw(failure));
+            }
+            piece = self.begun.source.next() => piece,
+            () = sleep(pause) => return self.tick().await,
+        };
+        match piece {
+            Ok(Some(bytes)) => self.take(bytes).await,
+            Ok(None) => self.end().await,
+            Err(failure) => self.broken(failure).await,
+        }
+    }
+
+    async fn tick(&mut self) -> Result<(), Failure> {
+        let actions = self.attempts.tick();
+        if actions.is_empty() {
+            return Ok(());
+        }
+        self.begun.sent.take().into_iter().for_each(Sent::failed);
+        let begun = self.attempts.proceed(actions).await?;
+        self.go_on(begun);
+        Ok(())
+    }
+
+    async fn take(&mut self, bytes: Bytes) -> Result<(), Failure> {
+        let attempt = self.begun.attempt;
+        match &mut self.mode {
+            Mode::Pieces => {
+                let tokens = bytes.len() as u64;
+                self.ready.push_back(bytes);
+                self.attempts.step(Event::Chunk { attempt, tokens });
+                Ok(())
+            }
+            Mode::Whole(held) if held.len() + bytes.len() > WHOLE_LIMIT => {
+                self.broken(unusable("the answer is too long")).await
+            }
+            Mode::Whole(held) => {
+                held.extend_from_slice(&bytes);
+                // Keeps the progress deadline moving without opening the answer.
+                self.attempts.step(Event::Chunk { attempt, tokens: 0 });
+                Ok(())
+            }
+            Mode::Events(events) => match events.push(&bytes) {
+                Ok(items) => {
+                    for item in items {
+                        self.item(item).await;
+                    }
+                    Ok(())
                 }
+                Err(error) => self.broken(unusable(&error.to_string())).await,
             },
         }
     }
+
+    async fn item(&mut self, item: Item) {
+        let attempt = self.begun.attempt;
+        match item {
+            Item::Token(bytes) => {
+                self.attempts.step(Event::Chunk { attempt, tokens: 1 });
+                self.ready.push_back(bytes);
+            }
+            Item::Other(bytes) => self.ready.push_back(bytes),
+            Item::Done(bytes) => {
+                self.attempts.step(Event::End { attempt });
+                self.ready.push_back(bytes);
+                self.ended = true;
+                // Reads to the end, so that the connection can be kept.
+                timeout(CLOSE_PAUSE, self.begun.source.next()).await.ok();
+            }
+        }
+    }
+
+    async fn end(&mut self) -> Result<(), Failure> {
+        let attempt = self.begun.attempt;
+        match &mut self.mode {
+            Mode::Events(_) => {
+                return self
+                    .broken(unusable("the stream ended without its end mark"))
+                    .await;
+            }
+            Mode::Whole(held) => self.ready.push_back(std::mem::take(held).into()),
+            Mode::Pieces => {}
+        }
+        self.attempts.step(Event::End { attempt });
+        self.ended = true;
+        Ok(())
+    }
+
+    async fn broken(&mut self, failure: Failure) -> Result<(), Failure> {
+        self.begun.sent.take().into_iter().for_each(Sent::failed);
+        self.begun.slot = None;
+        let begun = self.attempts.broken(self.begun.attempt, failure).await?;
+        self.go_on(begun);
+        Ok(())
+    }
+
+    /// Goes on with another attempt, which takes up the answer where the last one left it.
+    fn go_on(&mut self, begun: Begun<C>) {
+        self.mode = mode(&self.attempts.call, &begun.head);
+        self.begun = begun;
+    }
 }
 
-impl<C: Clock> Drop for Flow<C> {
-    fn drop(&mut self) {
-        self.gateway.parts().metrics.running.dec();
+fn mode(call: &Call, head: &Head) -> Mode {
+    match (&call.ask, head.status) {
+        (Some(ask), 200) if ask.stream => Mode::Events(Events::default()),
+        (Some(_), _) => Mode::Whole(Vec::new()),
+        (None, _) => Mode::Pieces,
     }
 }
 
+fn unusable(message: &str) -> Failure {
+    Failure::new(Code::UpstreamFailed, Ran::Unknown, message)
+}
+
 /// Waits until the call's key is withdrawn.
 pub(super) async fn withdrawn(
     config: &mut watch::Receiver<Option<Arc<Snapshot>>>,
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -1,16 +1,10 @@
 //! One call from its admission to the head of its answer.
 
 use {
-    super::{
-        Call, Flow, Gateway,
-        choose::{Next, failure},
-    },
-    crate::{clock::Clock, failure::Failure, link::exchange::Head, route::Refusal},
+    super::{Call, Flow, Gateway, attempts::Attempts},
+    crate::{clock::Clock, failure::Failure, link::exchange::Head},
 };
 
-/// Choices made for one call whose pool loses its last live replica while it waits.
-const CHOICES: usize = 3;
-
 impl<C: Clock> Gateway<C> {
     /// Runs a call that came from a caller: it is charged here and nowhere else.
     pub(super) async fn run_charged(&self, call: Call) -> Result<(Head, Flow<C>), Failure> {
@@ -26,19 +20,10 @@
 
     /// Runs a call up to the head of its answer.
     pub(super) async fn run(&self, call: Call) -> Result<(Head, Flow<C>), Failure> {
-        for _ in 0..CHOICES {
-            let pool = match self.choose(&call)? {
-                Next::Pool(pool) => pool,
-                Next::Host(host) => return self.forward(call, &host).await,
-            };
-            let arrived = self.parts().clock.now();
-            let Some(slot) = self.admit(&call, &pool).await? else {
-                continue;
-            };
-            let waited = self.parts().clock.now().saturating_sub(arrived);
-            let target = self.target(&call, &pool, waited)?;
-            return self.send(call, target, slot).await;
-        }
-        Err(failure(Refusal::Unavailable))
+        let mut attempts = Attempts::new(self, call);
+        let begun = attempts.start().await?;
+        let mut flow = Flow::new(attempts, begun);
+        let head = flow.head().await?;
+        Ok((head, flow))
     }
 }
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -1,88 +1,35 @@
 //! Sending a call to an upstream of this region.
 
 use {
-    super::{Call, Flow, Gateway, choose::Target, headers, relay::Source},
+    super::{Call, Gateway, headers},
     crate::{
         clock::Clock,
         failure::{Code, Failure, Ran},
         link::exchange::Head,
-        queue::Slot,
-        route::Sent,
-        upstream,
+        name, upstream,
     },
     bytes::Bytes,
     http::{HeaderMap, Request, Response, header},
     http_body_util::Full,
     std::{net::SocketAddr, time::Duration},
-    tokio::time::timeout,
 };
 
 /// Header with the request id, which upstreams repeat in their answers.
-const REQUEST_HEADER: &str = "x-request-id";
+pub(super) const REQUEST_HEADER: &str = "x-request-id";
+/// Header with the number of tokens that an engine skips.
+const OFFSET_HEADER: &str = "x-resume-offset";
 
 impl<C: Clock> Gateway<C> {
-    /// Sends a call to an upstream and waits for the head of its answer.
-    pub(super) async fn send(
-        &self,
-        call: Call,
-        target: Target<C>,
-        slot: Slot<C>,
-    ) -> Result<(Head, Flow<C>), Failure> {
-        let sent = target.sent;
-        let response = match self.response(&call, &sent).await {
-            Ok(response) => response,
-            Err(failure) => {
-                sent.failed();
-                return Err(failure);
-            }
-        };
-        let (parts, body) = response.into_parts();
-        let sent = match parts.status.is_server_error() {
-            true => {
-                sent.failed();
-                None
-            }
-            false => Some(sent),
-        };
-        let head = Head {
-            status: parts.status.as_u16(),
-            headers: headers::to_caller(&parts.headers),
-            upstream: target.upstream,
-            pool: target.pool,
-        };
-        let flow = Flow::new(self, call, Source::Upstream(body), sent, Some(slot));
-        Ok((head, flow))
-    }
-
-    /// The head of the upstream's answer, once it is known to belong to the call.
-    async fn response(
+    /// The upstream's answer up to its head.
+    pub(super) async fn response(
         &self,
         call: &Call,
-        sent: &Sent<C>,
+        address: SocketAddr,
+        offset: u64,
     ) -> Result<Response<upstream::Body>, Failure> {
-        let request = request(call, sent.address)?;
-        let sending = self
-            .parts()
-            .upstreams
-            .send(sent.address, request, call.repeatable());
-        let response = timeout(self.remaining(call)?, sending)
-            .await
-            .map_err(|_| late(Ran::Unknown))??;
-        self.check_id(call, &response)?;
-        Ok(response)
-    }
-
-    /// An answer that carries another exchange's id is dropped and counted.
-    fn check_id<B>(&self, call: &Call, response: &Response<B>) -> Result<(), Failure> {
-        let Some(id) = response.headers().get(REQUEST_HEADER) else {
-            return Ok(());
-        };
-        if id.as_bytes() == call.request.as_bytes() {
-            return Ok(());
-        }
-        self.parts().metrics.crossed.inc();
-        let message = "the upstream answered another request";
-        Err(Failure::new(Code::UpstreamFailed, Ran::Unknown, message))
+        let request = request(call, address, offset)?;
+        let upstreams = &self.parts().upstreams;
+        upstreams.send(address, request, call.repeatable()).await
     }
 
     /// Time left until the call's deadline.
@@ -95,7 +42,7 @@
 }
 
 /// The request for the upstream. Only listed headers go along, and never the caller's key.
-fn request(call: &Call, address: SocketAddr) -> Result<Request<Full<Bytes>>, Failure> {
+fn request(call: &Call, address: SocketAddr, offset: u64) -> Result<Request<Full<Bytes>>, Failure> {
     let mut head = HeaderMap::new();
     headers::add(&mut head, &call.headers);
     let invalid =
@@ -108,9 +55,28 @@
         .body(Full::new(call.body.clone()))
         .map_err(invalid)?;
     request.headers_mut().extend(head);
+    if offset > 0 {
+        request.headers_mut().insert(OFFSET_HEADER, offset.into());
+    }
     Ok(request)
 }
 
+/// What the caller may see of an answer's head, and the body.
+pub(super) fn head(
+    response: Response<upstream::Body>,
+    upstream: name::Upstream,
+    pool: name::Pool,
+) -> (Head, upstream::Body) {
+    let (parts, body) = response.into_parts();
+    let head = Head {
+        status: parts.status.as_u16(),
+        headers: headers::to_caller(&parts.headers),
+        upstream,
+        pool,
+    };
+    (head, body)
+}
+
 pub(super) fn late(ran: Ran) -> Failure {
     Failure::new(Code::Deadline, ran, "the deadline has passed")
 }
--- a/tests/golden.rs
+++ b/tests/golden.rs
@@ -152,6 +152,39 @@
     insta::assert_snapshot!(bench.finish());
 }
 
+#[tokio::test(start_paused = true)]
+async fn broken_stream_is_resumed() {
+    let bench = Bench::start().await;
+    let _south = bench.host("south-a", "south", 1).await;
+    let script = vec![
+        vec![Move::Send(STREAM_HEAD), Move::Send(STREAM_FIRST), Move::Cut],
+        vec![
+            Move::Send(STREAM_HEAD),
+            Move::Send(STREAM_SECOND),
+            Move::Send(STREAM_END),
+        ],
+    ];
+    bench.upstream("engine-1", ENGINE, script).await;
+    bench.settle().await;
+    bench.call("stream", SOUTH, &chat(KOLLAM, true)).await;
+    insta::assert_snapshot!(bench.finish());
+}
+
+#[tokio::test(start_paused = true)]
+async fn silent_lookup_goes_over_a_new_connection() {
+    let bench = Bench::start().await;
+    let _south = bench.host("south-a", "south", 1).await;
+    let script = vec![
+        vec![Move::Wait(Duration::from_secs(100)), Move::Cut],
+        vec![Move::Send(ANSWER)],
+    ];
+    bench.upstream("records-1", RECORDS, script).await;
+    bench.settle().await;
+    let lookup = post("/lookups/1", KOLLAM, "{}");
+    bench.call("lookup", SOUTH, &lookup).await;
+    insta::assert_snapshot!(bench.finish());
+}
+
 #[tokio::test(start_paused = true)]
 async fn bad_input_is_answered_or_closed() {
     let bench = Bench::start().await;
