Send some posts twice, let buckets fill, and end the daemons on a signal

Cause: the demo never sent a post twice with one key unless a connection broke, so it could not see a doubled receipt; hosts start with empty buckets, and the first seconds were all refusals; and a testbed that was told to stop by SIGTERM left its daemons behind.

Change: one in four posts is sent again to another host after its answer; the work begins 10 s after all hosts are ready (--settle); SIGTERM and SIGINT drop the running command, which ends its daemons.

--- a/testbed/src/command/demo.rs
+++ b/testbed/src/command/demo.rs
@@ -6,9 +6,8 @@
     testbed::{
         deployment::Deployment,
         fleet::{self, Fleet, daemon},
-        run::{self, Work},
+        run::{self, SETTLE_SECONDS, Work},
     },
-    tokio::signal::ctrl_c,
 };
 
 /// run three regions of entry hosts with stand-ins of everything else on loopback, send them mixed
@@ -32,6 +31,11 @@
     #[argh(option, default = "1.0")]
     scale: f64,
 
+    /// seconds from when all hosts are ready until the first request, in which customers' buckets fill
+    /// [default: 10]
+    #[argh(option, default = "SETTLE_SECONDS")]
+    settle: u64,
+
     /// a fault as NAME@SECOND or NAME@SECOND+SECONDS; may be given several times; see
     /// docs/testbed.md for the names
     #[argh(option)]
@@ -84,6 +88,7 @@
         length: Duration::from_secs(arguments.seconds),
         scale: arguments.scale,
         faults: arguments.fault,
+        settle: Duration::from_secs(arguments.settle),
     };
     let report = run::trial(&mut fleet, &work).await?;
     println!("\n{report}");
@@ -130,5 +135,5 @@
             host.settings.name, host.listen, host.peer, host.admin
         );
     }
-    ctrl_c().await
+    std::future::pending().await
 }
--- a/testbed/src/command/faults.rs
+++ b/testbed/src/command/faults.rs
@@ -12,7 +12,7 @@
     testbed::{
         deployment::Deployment,
         fleet::{self, Fleet, daemon, incident::Kind},
-        run::{self, Report, Work},
+        run::{self, Report, SETTLE_SECONDS, Work},
     },
 };
 
@@ -110,6 +110,7 @@
         faults: faults
             .map(|fault| format!("{fault}@{third}+{third}"))
             .collect(),
+        settle: Duration::from_secs(SETTLE_SECONDS),
     };
     run::trial(&mut fleet, &work).await
 }
--- a/testbed/src/command/standin.rs
+++ b/testbed/src/command/standin.rs
@@ -5,7 +5,6 @@
     serde::{Serialize, de::DeserializeOwned},
     std::{io, net::SocketAddr, process::ExitCode},
     testbed::{engine, plain, platform, wan, weights},
-    tokio::signal::ctrl_c,
 };
 
 /// run one stand-in until Ctrl-C
@@ -68,8 +67,7 @@
 
 async fn wait(address: SocketAddr) -> io::Result<ExitCode> {
     println!("listening on http://{address}");
-    ctrl_c().await?;
-    Ok(ExitCode::SUCCESS)
+    std::future::pending().await
 }
 
 fn parse<T: DeserializeOwned>(text: &str) -> io::Result<T> {
--- a/testbed/src/main.rs
+++ b/testbed/src/main.rs
@@ -2,7 +2,16 @@
 
 mod command;
 
-use std::process::ExitCode;
+use {
+    std::{io, process::ExitCode},
+    tokio::signal::{
+        ctrl_c,
+        unix::{SignalKind, signal},
+    },
+};
+
+/// Exit status after a signal.
+const STOPPED: u8 = 130;
 
 #[tokio::main]
 async fn main() -> ExitCode {
@@ -10,7 +19,11 @@
         .with_env_filter(tracing_subscriber::EnvFilter::from_default_env())
         .with_writer(std::io::stderr)
         .init();
-    match command::run(argh::from_env()).await {
+    let ended = tokio::select! {
+        ended = command::run(argh::from_env()) => ended,
+        stopped = stopped() => stopped,
+    };
+    match ended {
         Ok(code) => code,
         Err(error) => {
             eprintln!("testbed: {error}");
@@ -18,3 +31,14 @@
         }
     }
 }
+
+/// Waits until the process is told to stop. Dropping a command then ends the processes that it
+/// started.
+async fn stopped() -> io::Result<ExitCode> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        interrupted = ctrl_c() => interrupted?,
+    }
+    Ok(ExitCode::from(STOPPED))
+}
--- a/testbed/src/run/attempt.rs
+++ b/testbed/src/run/attempt.rs
@@ -88,6 +88,11 @@
                 break end;
             }
         };
+        let whole = due.elapsed();
+        if item.again {
+            let other = hosts[tries as usize % hosts.len()];
+            attempt(&place.caller, other, item, &call, due + patience).await;
+        }
         Outcome {
             number: item.number,
             at: item.at,
@@ -97,7 +102,7 @@
             code: end.code,
             ran: end.ran,
             first: end.first.map(|at| at - due),
-            whole: due.elapsed(),
+            whole,
             tries,
         }
     }
--- a/testbed/src/run/mod.rs
+++ b/testbed/src/run/mod.rs
@@ -26,7 +26,7 @@
     },
     tokio::{
         task::JoinSet,
-        time::{Instant, interval, sleep_until, timeout_at},
+        time::{Instant, interval, sleep, sleep_until, timeout_at},
     },
 };
 
@@ -47,8 +47,13 @@
     pub scale: f64,
     /// Faults, as on the command line.
     pub faults: Vec<String>,
+    /// Time from when all hosts are ready until the first request, in which buckets fill.
+    pub settle: Duration,
 }
 
+/// The settling time when nothing is said.
+pub const SETTLE_SECONDS: u64 = 10;
+
 /// What has been sent and answered so far.
 #[derive(Debug, Default)]
 pub struct Tally {
@@ -69,6 +74,11 @@
     let items = workload::schedule(&deployment, work.seed, work.length, work.scale);
     let items = Arc::new(items);
     let seconds = work.length.as_secs();
+    println!(
+        "letting customers' buckets fill for {} s",
+        work.settle.as_secs()
+    );
+    sleep(work.settle).await;
     println!("sending {} requests over {seconds} s", items.len());
     let outcomes = run(fleet, &items, &incidents).await?;
     let evidence = Evidence::of(fleet);
--- a/testbed/src/workload.rs
+++ b/testbed/src/workload.rs
@@ -30,6 +30,9 @@
 const CHAT_TOKENS: u32 = 48;
 const DIGEST_TOKENS: u32 = 160;
 
+/// One in so many posts is sent again by its caller.
+const POSTS_PER_REPEAT: u64 = 4;
+
 /// What a request asks for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -74,6 +77,8 @@
     pub max_tokens: u32,
     /// Idempotency key of a post.
     pub key: String,
+    /// Whether its caller, unsure, sends it once more to another host after the answer.
+    pub again: bool,
 }
 
 impl Kind {
@@ -188,6 +193,7 @@
         prompt,
         max_tokens,
         key: String::new(),
+        again: false,
     }
 }
 
@@ -219,6 +225,7 @@
     fn finish(&mut self, seed: u64, number: u64) {
         self.number = number;
         self.key = format!("{seed}-{number}");
+        self.again = self.kind == Kind::Post && number.is_multiple_of(POSTS_PER_REPEAT);
         if self.kind.is_model() {
             self.prompt
                 .push_str(&format!("\nQuestion {seed}-{number}?"));
