Let a route say how many bytes one token stands for, and charge what was used beyond a charge

Cause: a call was charged one token for each byte of its prompt, four times what the demo's engines count, and an answer that used more than its charge was never charged for the rest. Change: `bytes_per_token` on a route, 1 unless given, so the charge stays a bound where nothing is known of the tokenizer; use beyond the charge is taken from the bucket, which may go below empty.

--- a/src/config/rule.rs
+++ b/src/config/rule.rs
@@ -6,12 +6,15 @@
         table::{Customer, Kind, Pool, Route, Upstream},
     },
     crate::key::Digest,
-    std::collections::BTreeMap,
+    std::{collections::BTreeMap, ops::RangeInclusive},
 };
 
 /// Longest deadline of a route, in milliseconds.
 const MAX_DEADLINE_MS: u64 = 60 * 60 * 1000;
 
+/// Bytes of a prompt for each token.
+const BYTES_PER_TOKEN: RangeInclusive<f64> = 1.0..=16.0;
+
 /// Most keys of a customer at once: the one in use and the one that follows it.
 const MAX_KEYS: usize = 2;
 
@@ -48,6 +51,7 @@
         open,
         customers,
         deadline_ms,
+        bytes_per_token,
         ..
     } = &row.value;
     plain_name(reader, row, "name", name.as_str());
@@ -90,6 +94,13 @@
             "give 1 to 3600000 milliseconds",
         );
     }
+    if !BYTES_PER_TOKEN.contains(bytes_per_token) {
+        reader.fault(
+            row.line("bytes_per_token"),
+            format!("{bytes_per_token} bytes a token on route `{name}`"),
+            "give 1 to 16, at most what the model's tokenizer makes of any prompt",
+        );
+    }
 }
 
 fn prefix(reader: &mut Reader<'_>, row: &Row<Route>, path: &str) {
--- a/src/config/table.rs
+++ b/src/config/table.rs
@@ -48,12 +48,20 @@
     /// Longest time from a call's arrival to its answer's end, in milliseconds.
     #[serde(default = "Route::default_deadline_ms")]
     pub deadline_ms: u64,
+    /// Fewest bytes of a whole prompt that one token of the model stands for. A call is charged by
+    /// it before it runs; one is safe for every tokenizer.
+    #[serde(default = "Route::default_bytes_per_token")]
+    pub bytes_per_token: f64,
 }
 
 impl Route {
     const fn default_deadline_ms() -> u64 {
         120_000
     }
+
+    const fn default_bytes_per_token() -> f64 {
+        1.0
+    }
 }
 
 /// What a route carries.
--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -72,5 +72,5 @@
     let Some(ask) = &call.ask else {
         return 1;
     };
-    (ask.prompt_tokens / BYTES_PER_TOKEN + ask.answer_tokens).max(1)
+    (ask.prompt_bytes / BYTES_PER_TOKEN + ask.answer_tokens).max(1)
 }
--- a/src/gateway/charge.rs
+++ b/src/gateway/charge.rs
@@ -44,7 +44,7 @@
         let Some(customer) = &call.customer else {
             return Ok(None);
         };
-        let tokens = worst(call);
+        let tokens = worst(call)?;
         let limit = &self.parts().limit;
         let mut verdict = limit.admit(customer, tokens);
         if let Verdict::Refused { retry_after } = verdict
@@ -112,11 +112,12 @@
 }
 
 /// Most tokens that a call can take.
-fn worst(call: &Call) -> f64 {
-    match &call.ask {
-        Some(ask) => ask.prompt_tokens.saturating_add(ask.answer_tokens) as f64,
-        None => PLAIN_TOKENS,
-    }
+fn worst(call: &Call) -> Result<f64, Failure> {
+    let Some(ask) = &call.ask else {
+        return Ok(PLAIN_TOKENS);
+    };
+    let prompt = ask.prompt_bytes as f64 / call.route()?.bytes_per_token;
+    Ok(prompt.ceil() + ask.answer_tokens as f64)
 }
 
 /// What the end of an answer says was used.
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -95,7 +95,7 @@
 
 /// What routing looks at of a call.
 fn request<'a>(call: &'a Call, tried: &'a [name::Upstream]) -> Result<Request<'a>, Failure> {
-    let prompt = call.ask.as_ref().map_or(0, |ask| ask.prompt_tokens);
+    let prompt = call.ask.as_ref().map_or(0, |ask| ask.prompt_bytes);
     let tokens = prompt / BYTES_PER_TOKEN;
     let answer = call.ask.as_ref().map_or(0, |ask| ask.answer_tokens);
     let prefix = call.ask.as_ref().map(|ask| Prefix {
--- a/src/gateway/model.rs
+++ b/src/gateway/model.rs
@@ -21,8 +21,8 @@
     pub model: String,
     /// Whether the answer is a stream of events.
     pub stream: bool,
-    /// Most tokens that the prompt can be: one for each byte of its text.
-    pub prompt_tokens: u64,
+    /// Bytes of the prompt's text.
+    pub prompt_bytes: u64,
     /// Most tokens of the answer.
     pub answer_tokens: u64,
     /// Hash of the beginning of the prompt.
@@ -60,7 +60,7 @@
         Ok(Self {
             model,
             stream,
-            prompt_tokens: prompt.len() as u64,
+            prompt_bytes: prompt.len() as u64,
             answer_tokens: bound.unwrap_or(ANSWER_DEFAULT).saturating_mul(choices),
             prefix: prefix(&prompt),
             body,
--- a/src/limit/account.rs
+++ b/src/limit/account.rs
@@ -182,9 +182,11 @@
         })
     }
 
-    /// Gives back what the ticket's request didn't use, as far as the bucket hasn't spilled it.
+    /// Gives back what the ticket's request didn't use, as far as the bucket hasn't spilled it, and
+    /// takes what it used beyond its charge.
     pub(super) fn refund(&mut self, ticket: &Ticket, used: f64) {
         let unused = (ticket.charged - used.max(0.0)).max(0.0);
+        self.level -= (used - ticket.charged).max(0.0);
         self.demand.refund(unused);
         self.open = (self.open - ticket.charged).max(0.0);
         if ticket.epoch != self.epoch {
--- a/testbed/src/deployment.rs
+++ b/testbed/src/deployment.rs
@@ -1,7 +1,7 @@
 //! The two deployments of the demo: regions, pools, routes, customers and their mixed work.
 
 use {
-    crate::{platform, seen::KEY_MARK},
+    crate::{platform, seen::KEY_MARK, text},
     greengagecleat::{
         config::table::{Customer, Customers, Fencing, Kind, Payment, Pool, Pools, Route, Routes},
         key::Digest,
@@ -289,6 +289,7 @@
         idempotent: false,
         deferrable: false,
         deadline_ms: 0,
+        bytes_per_token: text::BYTES_PER_TOKEN as f64,
     }
 }
 
--- a/testbed/src/text.rs
+++ b/testbed/src/text.rs
@@ -1,7 +1,7 @@
 //! Deterministic text: what an engine answers to a prompt, so that a test can tell a whole answer.
 
 /// Bytes of prompt that count as one token.
-const BYTES_PER_TOKEN: usize = 4;
+pub const BYTES_PER_TOKEN: usize = 4;
 
 /// A running 64-bit FNV-1a hash.
 #[derive(Debug, Clone, Copy)]
--- a/tests/limit/behaviour.rs
+++ b/tests/limit/behaviour.rs
@@ -169,3 +169,15 @@
     let back = settled - charged;
     assert!((back - before * 0.75).abs() < 1.0, "{back} of {before}");
 }
+
+#[test]
+fn use_beyond_the_charge_is_paid_before_the_next_admission() {
+    let mut net = fleet(Way::Static);
+    (0..10 * SECOND).for_each(|_| net.slice());
+    let part = QUOTA.burst / 9.0;
+    let verdict = net.admit(0, &customer(), part / 2.0);
+    assert!(matches!(verdict, Verdict::Admitted(_)), "{verdict:?}");
+    net.settle_one(0, 4.0);
+    let verdict = net.admit(0, &customer(), 1.0);
+    assert!(matches!(verdict, Verdict::Refused { .. }), "{verdict:?}");
+}
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -50,6 +50,7 @@
         idempotent: true,
         deferrable: false,
         deadline_ms: 60_000,
+        bytes_per_token: 1.0,
     }
 }
 
