Take the limit's neighbours from membership

Cause: the limit took its neighbours from the platform's list, which lags, so a host that had died kept its replacement without a part until the list said so. A request that was tried again after a short wait for a loan was counted as refused twice.

Change: the limit follows membership's view, dead hosts left out; only a refusal that the caller gets is counted.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -169,7 +169,7 @@
                 link.clone(),
                 limit::Inputs {
                     config: fleet.snapshot.clone(),
-                    listing: listing.clone(),
+                    view: fleet.view.clone(),
                     phase: phases.clone(),
                     mailbox: inbox,
                     stop: stopped.clone(),
--- a/src/gateway/charge.rs
+++ b/src/gateway/charge.rs
@@ -60,6 +60,7 @@
                 tail: Vec::new(),
             })),
             Verdict::Refused { retry_after } => {
+                limit.count_refused(customer);
                 let message = format!("{customer} is over its rate and burst by {tokens} tokens");
                 Err(Failure::not_run(Code::RateLimited, message).retry_after(retry_after))
             }
--- a/src/limit/machine.rs
+++ b/src/limit/machine.rs
@@ -323,6 +323,9 @@
     }
 
     fn meet(&mut self, members: BTreeMap<name::Host, name::Region>) -> Vec<Action> {
+        if members == self.members {
+            return Vec::new();
+        }
         self.backoff.retain(|host, _| members.contains_key(host));
         self.holders.retain(|_, host| members.contains_key(host));
         self.regions.clear();
--- a/src/limit/service.rs
+++ b/src/limit/service.rs
@@ -14,10 +14,9 @@
         entry::Phase,
         link::{self, Received},
         machine::Machine,
+        member,
         metric::Metrics,
-        name,
-        platform::{Kind, Listing},
-        wire,
+        name, wire,
     },
     prometheus_client::{
         encoding::EncodeLabelSet,
@@ -44,6 +43,14 @@
     customer: String,
 }
 
+impl Label {
+    fn of(customer: &name::Customer) -> Self {
+        Self {
+            customer: customer.to_string(),
+        }
+    }
+}
+
 /// The limit's metrics.
 #[derive(Debug, Clone, Default)]
 struct Meters {
@@ -123,8 +130,8 @@
 pub struct Inputs {
     /// The configuration in force.
     pub config: watch::Receiver<Option<Arc<Snapshot>>>,
-    /// The host list.
-    pub listing: watch::Receiver<Arc<Listing>>,
+    /// The fleet as this host sees it.
+    pub view: watch::Receiver<Arc<member::View>>,
     /// Where this host is in its life.
     pub phase: watch::Receiver<Phase>,
     /// Messages of other hosts.
@@ -164,22 +171,21 @@
         let mut limit = self.lock();
         let verdict = limit.admit(self.clock.now(), customer, tokens);
         drop(limit);
-        let label = Label {
-            customer: customer.to_string(),
-        };
-        match &verdict {
-            Verdict::Admitted(_) => {
-                let counter = self.meters.admitted.get_or_create(&label);
-                counter.inc_by(tokens);
-            }
-            Verdict::Refused { .. } => {
-                self.meters.refused.get_or_create(&label).inc();
-            }
-            Verdict::TooLarge { .. } | Verdict::Unknown => {}
+        if matches!(verdict, Verdict::Admitted(_)) {
+            let counter = self.meters.admitted.get_or_create(&Label::of(customer));
+            counter.inc_by(tokens);
         }
         verdict
     }
 
+    /// Counts a request that was refused for good.
+    pub fn count_refused(&self, customer: &name::Customer) {
+        self.meters
+            .refused
+            .get_or_create(&Label::of(customer))
+            .inc();
+    }
+
     /// Settles an admitted request at what it used.
     pub fn settle(&self, ticket: Ticket, used: f64) {
         let mut limit = self.lock();
@@ -220,12 +226,12 @@
         let mut ticks = interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         inputs.config.mark_changed();
-        inputs.listing.mark_changed();
+        inputs.view.mark_changed();
         loop {
             let event = tokio::select! {
                 _ = inputs.stop.changed() => return,
                 Ok(()) = inputs.config.changed() => self.configured(&mut inputs.config),
-                Ok(()) = inputs.listing.changed() => self.members(&mut inputs.listing),
+                Ok(()) = inputs.view.changed() => self.members(&mut inputs.view),
                 Ok(()) = inputs.phase.changed() => phase(&mut inputs.phase),
                 Some(received) = inputs.mailbox.recv() => Some(Event::Received {
                     from: received.from,
@@ -272,15 +278,15 @@
         })
     }
 
-    fn members(&self, listing: &mut watch::Receiver<Arc<Listing>>) -> Option<Event> {
-        let listing = listing.borrow_and_update();
-        let others = listing
+    fn members(&self, view: &mut watch::Receiver<Arc<member::View>>) -> Option<Event> {
+        let view = view.borrow_and_update();
+        let others = view
             .hosts
             .iter()
-            .filter(|host| host.kind == Kind::Entry && host.name != self.host.as_str());
+            .filter(|(host, member)| **host != self.host && member.state != member::State::Dead);
         Some(Event::Members(
             others
-                .map(|host| (host.name.as_str().into(), host.region.clone()))
+                .map(|(host, member)| (host.clone(), member.region.clone()))
                 .collect(),
         ))
     }
