Ask peers before a fresh host confirms its documents

Cause: real daemons, restarted over a platform restored from a backup, said ready after the service alone had answered: the first tick asked nobody because no peer was known yet, and nobody asked means nobody left to answer. The in-memory network gave hosts their peers before their first tick and so never met it. Ruled out: a longer patience (only hides it). Change: a host counts as having asked only once it has asked with its peers known; the network gives a fresh host its peers 150 ms after its start.

--- a/src/config/spread/mod.rs
+++ b/src/config/spread/mod.rs
@@ -109,6 +109,7 @@
     heard: Option<Duration>,
     round: u64,
     next_ask: Duration,
+    has_asked: bool,
     asked: BTreeSet<name::Host>,
     answered: BTreeSet<name::Host>,
     ready: bool,
@@ -209,6 +210,7 @@
             heard: None,
             round: 0,
             next_ask: Duration::ZERO,
+            has_asked: false,
             asked: BTreeSet::new(),
             answered: BTreeSet::new(),
             ready: false,
@@ -273,6 +275,9 @@
     }
 
     fn look(&mut self, view: View) {
+        if !self.has_asked {
+            self.next_ask = Duration::ZERO;
+        }
         self.view = view;
         self.viewed = true;
         self.watched = Document::ALL
@@ -295,6 +300,7 @@
         self.heard = None;
         self.round += 1;
         self.next_ask = now;
+        self.has_asked = false;
         self.asked.clear();
         self.answered.clear();
         for document in Document::ALL {
@@ -321,6 +327,7 @@
             return Vec::new();
         }
         self.next_ask = now + ASK_AGAIN;
+        self.has_asked = self.viewed;
         let view = &self.view;
         self.asked
             .retain(|host| view.near.contains(host) || view.far.contains(host));
@@ -405,7 +412,7 @@
     fn is_confirmed(&self) -> bool {
         let current = |slot: &Slot| slot.asked_service && !slot.held.lacks(&slot.best);
         let hasty = self.settings.mutant == Some(Mutant::HastyReady);
-        let peers = self.viewed && self.asked.is_subset(&self.answered);
+        let peers = self.has_asked && self.asked.is_subset(&self.answered);
         self.slots.values().all(current) && (hasty || peers)
     }
 
--- a/tests/config/network.rs
+++ b/tests/config/network.rs
@@ -30,6 +30,9 @@
 /// One way between regions.
 const FAR_DELAY: Duration = Duration::from_millis(50);
 
+/// From a host's start until it knows of peers.
+const VIEW_DELAY: Duration = Duration::from_millis(150);
+
 /// One way to the configuration service and back.
 const SERVICE_DELAY: Duration = Duration::from_millis(5);
 
@@ -240,7 +243,8 @@
 
     fn boot(&mut self, host: usize) {
         let view = self.views[host].clone();
-        self.push(host, self.now, Delivery::Step(Event::View(view)));
+        let listed = self.now + VIEW_DELAY;
+        self.push(host, listed, Delivery::Step(Event::View(view)));
         let first = self.now + TICK.mul_f64(self.rng.random());
         self.push(host, first, Delivery::Tick);
         let first = self.now + HEARTBEAT.mul_f64(self.rng.random());
--- a/tests/config/spread.rs
+++ b/tests/config/spread.rs
@@ -105,6 +105,22 @@
     );
 }
 
+#[test]
+fn a_service_that_went_back_is_told_on_every_reader() {
+    let mut network = fleet(plan(None));
+    network.run(seconds(10));
+    network.publish(Document::Customers, &network::customers(3, 0, 2));
+    network.run(seconds(10));
+    network.put(Document::Customers, 1, &network::customers(3, 0, 1));
+    network.run(seconds(120));
+    assert!(network.everywhere(Document::Customers, 2));
+    let behind = |host| network.host(host).behind(Document::Customers);
+    assert!((0..6).all(|host| behind(host) == Some(1)));
+    network.put(Document::Customers, 3, &network::customers(3, 0, 3));
+    network.run(seconds(6));
+    assert!(network.everywhere(Document::Customers, 3));
+}
+
 #[test]
 fn a_fresh_host_catches_up_from_peers_while_the_service_is_down() {
     let mut network = fleet(plan(None));
