--- a/src/member/machine.rs
+++ b/src/member/machine.rs
@@ -17,6 +17,7 @@
     },
     std::{
         collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
         time::Duration,
     },
 };
@@ -493,10 +494,7 @@
                 target,
                 peer_address,
             } => {
-                let address = Action::Address {
-                    host: target.clone(),
-                    peer_address,
-                };
+                let address = self.address(&target, peer_address);
                 let purpose = Purpose::Relay { from, sequence };
                 vec![address, self.ping(now, target, purpose)]
             }
@@ -533,10 +531,7 @@
     fn listen(&mut self, now: Duration, from: &name::Host, gossip: Gossip) -> Vec<Action> {
         let near = gossip.own.domain == self.own.domain;
         let mut actions = vec![
-            Action::Address {
-                host: from.clone(),
-                peer_address: gossip.own.peer_address,
-            },
+            self.address(from, gossip.own.peer_address),
             Action::Heard {
                 from: from.clone(),
                 summary: gossip.revisions,
@@ -557,10 +552,7 @@
                 continue;
             }
             for contact in &digest.contacts {
-                actions.push(Action::Address {
-                    host: contact.host.clone(),
-                    peer_address: contact.peer_address,
-                });
+                actions.push(self.address(&contact.host, contact.peer_address));
             }
             if self.domains.merge(now, digest) {
                 actions.push(Action::Changed);
@@ -629,10 +621,7 @@
         if peer.state == State::Suspect {
             self.doubt(now, host, peer.incarnation);
         }
-        let mut actions = vec![Action::Address {
-            host: host.clone(),
-            peer_address: peer.peer_address,
-        }];
+        let mut actions = vec![self.address(host, peer.peer_address)];
         actions.extend(report.map(Action::Report));
         actions.push(Action::Changed);
         actions
@@ -672,7 +661,7 @@
             if row.host == self.settings.host {
                 continue;
             }
-            if !self.is_known(now, &row.host) {
+            if row.region != self.own.region || !self.is_known(now, &row.host) {
                 actions.push(Action::Address {
                     host: row.host.clone(),
                     peer_address: row.peer_address,
@@ -690,6 +679,17 @@
         actions
     }
 
+    /// Where a host is reached. The list may know a way into another region that the host itself
+    /// does not; within a region a host's own word is newer.
+    fn address(&self, host: &name::Host, told: SocketAddr) -> Action {
+        let listed = self.listed.get(host);
+        let elsewhere = listed.filter(|row| row.region != self.own.region);
+        Action::Address {
+            host: host.clone(),
+            peer_address: elsewhere.map_or(told, |row| row.peer_address),
+        }
+    }
+
     /// Whether a host's address is known from the host itself or from its failure domain.
     fn is_known(&self, now: Duration, host: &name::Host) -> bool {
         let near = self
