Let fresh hosts read only once they know how many they are

Cause: a host that starts reads before it knows of any other, so all hosts of a fleet that start together read at once: 1,632 calls in one second for 500 hosts (trial run of the spread example with peers known 150 ms after the start), where the budget for first reads is 500. Change: the readers begin when the first view arrives; without one, a host reads after 1 to 3 s.

--- a/src/config/spread/mod.rs
+++ b/src/config/spread/mod.rs
@@ -274,16 +274,35 @@
         Role::Listener
     }
 
-    fn look(&mut self, view: View) {
+    fn look(&mut self, now: Duration, view: View) {
         if !self.has_asked {
             self.next_ask = Duration::ZERO;
         }
+        let first = !self.viewed;
         self.view = view;
         self.viewed = true;
         self.watched = Document::ALL
             .into_iter()
             .filter(|document| self.is_watcher(*document))
             .collect();
+        if first && self.started.is_some() {
+            self.start_readers(now);
+        }
+    }
+
+    /// Lets each reader begin anew; without a view none does before long, lest all hosts that
+    /// start together read at once.
+    fn start_readers(&mut self, now: Duration) {
+        for document in Document::ALL {
+            let role = self.role(now, document);
+            let reader = match self.viewed {
+                true => Reader::start(now, role, &self.view, &mut self.rng),
+                false => Reader::blind(now, &mut self.rng),
+            };
+            if let Some(slot) = self.slots.get_mut(&document) {
+                slot.reader = reader;
+            }
+        }
     }
 
     /// Whether this host is one of its failure domain's readers of a document.
@@ -304,16 +323,14 @@
         self.asked.clear();
         self.answered.clear();
         for document in Document::ALL {
-            let role = self.role(now, document);
-            let reader = Reader::start(now, role, &self.view, &mut self.rng);
             let slot = self
                 .slots
                 .entry(document)
                 .or_insert_with(|| Slot::new(document));
-            slot.reader = reader;
             slot.fetching = None;
             slot.asked_service = false;
         }
+        self.start_readers(now);
         if !self.ready {
             return Vec::new();
         }
@@ -604,7 +621,7 @@
         self.last_step = now;
         let mut actions = Vec::new();
         if let Event::View(view) = &event {
-            self.look(view.clone());
+            self.look(now, view.clone());
         }
         if self.started.is_none() || slept > PAUSE {
             actions.extend(self.begin(now));
--- a/src/config/spread/reader.rs
+++ b/src/config/spread/reader.rs
@@ -42,6 +42,9 @@
 /// Longest time between tries while reads fail.
 const MAX_BACKOFF: Duration = Duration::from_secs(8);
 
+/// Until a host that knows nothing of the fleet's size reads, before jitter.
+const BLIND: Duration = Duration::from_secs(2);
+
 /// A read that has not ended this long after its wait is taken to have failed.
 const GRACE: Duration = Duration::from_secs(5);
 
@@ -91,6 +94,18 @@
         }
     }
 
+    /// A reader of a host that knows nothing of the fleet yet.
+    pub(super) fn blind(now: Duration, rng: &mut impl Rng) -> Self {
+        let first = now + jitter(BLIND, rng);
+        Self {
+            next: first,
+            audit: first,
+            quiet: first,
+            lone: true,
+            ..Self::default()
+        }
+    }
+
     /// The read that is due at `now`, if one is.
     pub(super) fn due(
         &mut self,
