Prove the queue and the router in the daemon, and settle the queue by what calls took

Cause: fairness, withdrawal while waiting, early refusal and leaving upstreams were proved on the machines only; and a call counted at its most in the queue although its answer says what it took. Change: tests over one engine that runs one call at a time; a slot is settled by the answer's usage, or at nothing when the call surely didn't run; a gauge of calls that wait. Conclusion: a flood of twelve calls lets another customer's through among the first six; a waiting call of a withdrawn key is refused as not run and never reaches the engine.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -143,6 +143,7 @@
         );
         kernel.publish("route", router.clone());
         let queue = queue::Handle::new(queue::Options::default(), clock.clone(), router.clone());
+        queue.register(&metrics);
         kernel.spawn("queue", queue.clone().run(stopped.clone()));
         let upstreams = upstream::Client::new(network);
         let (digests, arrived) = mpsc::channel(DIGESTS);
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -229,7 +229,7 @@
         attempt: u32,
         offset: u64,
         target: super::choose::Target<C>,
-        slot: Slot<C>,
+        mut slot: Slot<C>,
     ) -> Result<Step<C>, Failure> {
         let actions = self.step(Event::Sent { attempt });
         if !actions.is_empty() {
@@ -256,6 +256,9 @@
             Ok(response) => response,
             Err(failure) => {
                 sent.failed();
+                if failure.ran == Ran::No {
+                    slot.settle(0);
+                }
                 return Ok(Step::Next(self.unsent(attempt, failure)));
             }
         };
--- a/src/gateway/charge.rs
+++ b/src/gateway/charge.rs
@@ -86,13 +86,14 @@
         self.tail.drain(..surplus);
     }
 
-    /// The answer is whole: what it didn't use comes back.
-    pub(super) fn finish(mut self) {
-        let Some(ticket) = self.ticket.take() else {
-            return;
-        };
-        let used = used(&self.tail).unwrap_or(ticket.charged);
-        self.limit.settle(ticket, used);
+    /// The answer is whole: what it didn't use comes back. Returns the tokens used, if the answer
+    /// says.
+    pub(super) fn finish(mut self) -> Option<f64> {
+        let ticket = self.ticket.take()?;
+        let used = used(&self.tail);
+        let taken = used.unwrap_or(ticket.charged);
+        self.limit.settle(ticket, taken);
+        used
     }
 
     /// The call failed: what surely didn't run comes back whole.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -112,7 +112,10 @@
             (Some(_), None) => {}
             (None, _) => {
                 self.begun.sent.take().into_iter().for_each(Sent::finished);
-                self.charge.take().into_iter().for_each(Charge::finish);
+                let used = self.charge.take().and_then(Charge::finish);
+                if let (Some(slot), Some(used)) = (&mut self.begun.slot, used) {
+                    slot.settle(used as u64);
+                }
             }
         }
         Ok(piece)
--- a/src/queue/service.rs
+++ b/src/queue/service.rs
@@ -7,7 +7,8 @@
         scheduler::Scheduler,
         slots,
     },
-    crate::{clock::Clock, machine::Machine as _, name, route},
+    crate::{clock::Clock, machine::Machine as _, metric::Metrics, name, route},
+    prometheus_client::metrics::gauge::Gauge,
     std::{
         collections::BTreeMap,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -36,6 +37,7 @@
 #[derive(Debug)]
 struct State {
     scheduler: Scheduler,
+    waiting: Gauge,
     tickets: u64,
     waiters: BTreeMap<Ticket, Waiter>,
 }
@@ -99,12 +101,21 @@
             router,
             state: Mutex::new(State {
                 scheduler: Scheduler::new(options),
+                waiting: Gauge::default(),
                 tickets: 0,
                 waiters: BTreeMap::new(),
             }),
         }))
     }
 
+    /// Lets operators see how many requests wait.
+    pub fn register(&self, metrics: &Metrics) {
+        let waiting = self.state().waiting.clone();
+        metrics.register(|registry| {
+            registry.register("waiting", "Calls that wait for their turn", waiting);
+        });
+    }
+
     /// Waits until the request may start. Dropping the future takes the request out.
     pub async fn admit(&self, entrant: Entrant<'_>) -> Result<Slot<C>, Refusal> {
         let (ticket, turn) = self.arrive(&entrant);
@@ -236,6 +247,7 @@
                 }
             }
         }
+        self.waiting.set(self.waiters.len() as i64);
     }
 
     /// Starts a request, unless its caller has just left.
--- a/tests/queue.rs
+++ b/tests/queue.rs
@@ -1,6 +1,11 @@
-//! Fair admission: what must hold under any schedule, and how single requests fare.
+//! Fair admission: what must hold under any schedule, how single requests fare, and the queue in
+//! the daemon.
+
+mod common;
 
 use {
+    common::{Bed, KOLLAM, Running, THRISSUR, chat, customers, until},
+    futures::future::join_all,
     greengagecleat::{
         machine::Machine as _,
         name,
@@ -12,6 +17,7 @@
         collections::{BTreeMap, BTreeSet},
         time::Duration,
     },
+    testbed::engine,
 };
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -410,3 +416,100 @@
     assert_eq!(part(engines(32.0), 20, 4), 8);
     assert_eq!(part(engines(50.0), 0, 4), 8);
 }
+
+/// A daemon before one engine that runs one request at a time.
+async fn narrow() -> (Bed, Running) {
+    let engine = engine::Settings {
+        slots: 1,
+        step: Duration::from_millis(5),
+        ..engine::Settings::instant()
+    };
+    let mut bed = Bed::with(engine, Default::default()).await;
+    let open = customers(&[KOLLAM], &[THRISSUR]).replace(r#"residency = ["north"]"#, "");
+    bed.platform.publish("customers", &open);
+    let pools = common::pools(bed.engine.address, bed.plain.address);
+    let narrow = pools.replacen("region = \"south\"", "region = \"south\"\nslots = 1", 1);
+    bed.platform.publish("pools", &narrow);
+    let host = bed.host("south-a", "south").await;
+    bed.ready(&host).await;
+    (bed, host)
+}
+
+#[tokio::test]
+async fn flood_in_the_daemon_lets_another_customer_through() {
+    let (bed, host) = narrow().await;
+    let flood = join_all((0..12).map(|at| {
+        let prompt = format!("flood {at}");
+        let (bed, host) = (&bed, &host);
+        async move { bed.send(host, KOLLAM, chat(&prompt, 8, false)).await }
+    }));
+    let other = async {
+        until(async || !bed.engine.seen().is_empty()).await;
+        bed.send(&host, THRISSUR, chat("the other", 8, false)).await
+    };
+    let (flood, other) = tokio::join!(flood, other);
+    assert_eq!(other.status, 200);
+    assert!(flood.iter().all(|answer| answer.status == 200));
+    let seen = bed.engine.seen();
+    let place = seen.iter().position(|one| one.body.contains("the other"));
+    assert!(place.unwrap() < 6, "{place:?}");
+}
+
+#[tokio::test]
+async fn waiting_call_of_a_withdrawn_key_is_refused_and_never_runs() {
+    let (bed, host) = narrow().await;
+    let running = bed.send(&host, KOLLAM, chat("a long answer", 5_000, true));
+    let waiting = async {
+        until(async || host.entry.running() == 1).await;
+        bed.send(&host, KOLLAM, chat("waits", 8, false)).await
+    };
+    let withdrawing = async {
+        until(async || {
+            let page = bed.get(host.addresses.admin, "/metrics").await;
+            let page = String::from_utf8(page.body.to_vec()).expect("text");
+            page.contains("greengagecleat_waiting 1")
+        })
+        .await;
+        bed.platform
+            .publish("customers", &customers(&[], &[THRISSUR]));
+    };
+    let (_, refused, ()) = tokio::join!(running, waiting, withdrawing);
+    assert_eq!(refused.json()["code"], "key_withdrawn");
+    assert_eq!(refused.json()["ran"], "no");
+    assert_eq!(bed.engine.seen().len(), 1);
+}
+
+#[tokio::test]
+async fn call_that_cannot_meet_its_deadline_is_refused_at_once() {
+    let (bed, host) = narrow().await;
+    let hasty = common::ROUTES.replacen(
+        "kind = \"model\"",
+        "kind = \"model\"\ndeadline_ms = 1500",
+        1,
+    );
+    for round in 0..3 {
+        let answer = bed
+            .send(&host, KOLLAM, chat(&format!("{round}"), 100, false))
+            .await;
+        assert_eq!(answer.status, 200);
+    }
+    bed.platform.publish("routes", &hasty);
+    let sent = join_all((0..12).map(|at| {
+        let prompt = format!("hasty {at}");
+        let (bed, host) = (&bed, &host);
+        async move { bed.send(host, KOLLAM, chat(&prompt, 100, false)).await }
+    }));
+    until(async || {
+        let status = bed.get(host.addresses.admin, "/status").await.json();
+        status["documents"]["routes"]["revision"].as_u64() >= Some(2)
+    })
+    .await;
+    let answers = sent.await;
+    let refused = answers.iter().filter(|answer| answer.status != 200);
+    let late: Vec<_> = refused
+        .filter(|answer| answer.json()["code"] == "deadline" && answer.json()["ran"] == "no")
+        .filter(|answer| answer.headers.contains_key("retry-after"))
+        .collect();
+    assert!(!late.is_empty());
+    assert!(bed.engine.seen().len() < 15);
+}
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -1,7 +1,10 @@
 //! Routing: what must hold whatever the load, the lists and the faults, and how single choices are
-//! made.
+//! made; and the router in the daemon.
+
+mod common;
 
 use {
+    common::{Bed, KOLLAM, chat, until},
     greengagecleat::{
         config::{
             Snapshot,
@@ -16,6 +19,10 @@
     quickcheck::{Gen, QuickCheck, Testable},
     rand::{RngExt, SeedableRng, rngs::StdRng},
     std::{collections::BTreeMap, sync::Arc, time::Duration},
+    testbed::{
+        engine,
+        platform::{self, Hosts},
+    },
 };
 
 const REGIONS: [&str; 3] = ["north", "middle", "south"];
@@ -583,3 +590,46 @@
     };
     assert_eq!(router.choose(SECOND, &nowhere), Err(Refusal::Hops));
 }
+
+#[tokio::test]
+async fn upstream_that_the_host_list_calls_leaving_gets_no_new_call() {
+    let mut bed = Bed::start().await;
+    let host = bed.host("south-a", "south").await;
+    bed.ready(&host).await;
+    let second = engine::Engine::start(engine::Settings::instant())
+        .await
+        .unwrap();
+    let row = |name: &str, address, state| platform::Host {
+        name: name.into(),
+        kind: platform::Kind::Upstream,
+        address,
+        peer_address: None,
+        region: "south".into(),
+        domain: "south-1".into(),
+        pool: Some("engines".into()),
+        state,
+    };
+    bed.platform.hosts(Hosts {
+        hosts: vec![
+            row("engine-1", bed.engine.address, platform::State::Leaving),
+            row("engine-2", second.address, platform::State::Live),
+        ],
+    });
+    let call = async |at: usize| {
+        let answer = bed
+            .send(&host, KOLLAM, chat(&format!("{at}"), 2, false))
+            .await;
+        assert_eq!(answer.status, 200);
+    };
+    until(async || {
+        call(0).await;
+        !second.seen().is_empty()
+    })
+    .await;
+    let (first, before) = (bed.engine.seen().len(), second.seen().len());
+    for at in 0..20 {
+        call(at).await;
+    }
+    assert_eq!(bed.engine.seen().len(), first);
+    assert_eq!(second.seen().len(), before + 20);
+}
