Print each trial of the fault table as it ends

Cause: a table of all faults takes minutes, and a run that is stopped half way told nothing.

Change: each trial prints its line when it ends, and the table at the end repeats them.

Measured: nothing; it changes only when lines are printed.

--- a/testbed/src/command/faults.rs
+++ b/testbed/src/command/faults.rs
@@ -66,6 +66,7 @@
     for name in &names {
         println!("\n{name}");
         let report = trial(&arguments, &program, &logs.join(name), name).await?;
+        println!("{}", summary(&report));
         reports.insert(name.clone(), report);
     }
     table(&names, &reports);
@@ -129,20 +130,7 @@
         "broken"
     );
     for name in names {
-        let report = &reports[name];
-        let ends = report.ends;
-        println!(
-            "{:<28} {:>6.1}% {:>8} {:>11} {:>7} {:>6} {:>10.3} {:>8.0} ms {:>7}",
-            name,
-            100.0 * ends.whole as f64 / ends.sent.max(1) as f64,
-            ends.refused,
-            ends.refused_within_rate,
-            ends.failed,
-            ends.wrong,
-            report.engines.runs_per_request,
-            report.kinds["brief"].first.p95,
-            report.violations.len()
-        );
+        println!("{name:<28} {}", summary(&reports[name]));
     }
     for name in names {
         for line in &reports[name].violations {
@@ -150,3 +138,19 @@
         }
     }
 }
+
+/// One line of the table.
+fn summary(report: &Report) -> String {
+    let ends = report.ends;
+    format!(
+        "{:>6.1}% {:>8} {:>11} {:>7} {:>6} {:>10.3} {:>8.0} ms {:>7}",
+        100.0 * ends.whole as f64 / ends.sent.max(1) as f64,
+        ends.refused,
+        ends.refused_within_rate,
+        ends.failed,
+        ends.wrong,
+        report.engines.runs_per_request,
+        report.kinds["brief"].first.p95,
+        report.violations.len()
+    )
+}
