--- a/src/limit/account.rs
+++ b/src/limit/account.rs
@@ -155,9 +155,9 @@
         self.pending = room;
     }
 
-    /// Empties the bucket, refunds included.
+    /// Empties the bucket, refunds included. A debt stays.
     pub(super) fn empty(&mut self) {
-        self.level = 0.0;
+        self.level = self.level.min(0.0);
         self.forget();
     }
 
@@ -274,13 +274,13 @@
         loans.rate > ROUNDING || loans.depth > ROUNDING
     }
 
-    /// Takes out the tokens that go with `depth` of the bucket.
+    /// Takes out the tokens that go with `depth` of the bucket. A debt stays here.
     pub(super) fn take(&mut self, depth: f64) -> f64 {
         let held = self.held().depth;
         if held <= 0.0 {
             return 0.0;
         }
-        let tokens = self.level * (depth / held).clamp(0.0, 1.0);
+        let tokens = self.level.max(0.0) * (depth / held).clamp(0.0, 1.0);
         self.level -= tokens;
         tokens
     }
--- a/tests/limit/behaviour.rs
+++ b/tests/limit/behaviour.rs
@@ -181,3 +181,17 @@
     let verdict = net.admit(0, &customer(), 1.0);
     assert!(matches!(verdict, Verdict::Refused { .. }), "{verdict:?}");
 }
+
+#[test]
+fn debt_is_not_forgiven_by_giving_a_loan_back() {
+    let mut net = fleet(Way::Leases);
+    offer(&mut net, 4, 0.9, &[4]);
+    assert!(net.processes[4].limit.loans().0 > 0);
+    net.admit(4, &customer(), REQUEST);
+    (0..net.open(4)).for_each(|_| net.settle_one(4, 20.0));
+    let (_, before) = net.processes[4].limit.share(&customer()).unwrap();
+    assert!(before < 0.0);
+    net.step(4, Event::Drain);
+    let (_, after) = net.processes[4].limit.share(&customer()).unwrap();
+    assert!(after <= before + 1.0, "{before} became {after}");
+}
