--- a/src/config/spread/mod.rs
+++ b/src/config/spread/mod.rs
@@ -9,6 +9,7 @@
 mod message;
 mod patch;
 mod reader;
+mod slot;
 
 pub use {
     message::{
@@ -23,9 +24,10 @@
         accept::{self, Parsed},
     },
     crate::{machine, name, rendezvous},
-    held::{Change, Held},
+    held::Change,
     rand::{SeedableRng, rngs::StdRng, seq::IndexedRandom},
     reader::{Due, READERS, Reader, Role},
+    slot::Slot,
     std::{
         collections::{BTreeMap, BTreeSet, VecDeque},
         sync::Arc,
@@ -67,12 +69,6 @@
 /// A host to which no peer has spoken for this long takes itself for cut off from its peers.
 const SILENCE: Duration = Duration::from_secs(4);
 
-/// A fetch that is not answered by then goes to another peer that offered the version.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(400);
-
-/// Peers that are remembered to have offered what is being fetched.
-const MAX_OFFERS: usize = 4;
-
 /// Deliberate mistakes, for tests that must be seen to fail.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Mutant {
@@ -117,84 +113,6 @@
     snapshot: Arc<Snapshot>,
 }
 
-/// Everything about one document.
-#[derive(Debug)]
-struct Slot {
-    held: Held,
-    reader: Reader,
-    best: Standing,
-    fetching: Option<Fetch>,
-    asked_service: bool,
-    behind: Option<u64>,
-    dropped: Option<Version>,
-}
-
-/// A version that a peer offered and that is under way.
-#[derive(Debug)]
-struct Fetch {
-    sent: Duration,
-    offers: VecDeque<name::Host>,
-}
-
-impl Slot {
-    /// Begins to fetch what a peer has offered, or remembers the offer.
-    fn offered(&mut self, now: Duration, from: &name::Host, offered: &Standing) -> Option<Action> {
-        self.best.accepted = self.best.accepted.max(offered.accepted);
-        self.best.refused = self.best.refused.max(offered.refused);
-        if !self.held.lacks(offered) {
-            return None;
-        }
-        if let Some(fetch) = &mut self.fetching {
-            if fetch.offers.len() < MAX_OFFERS {
-                fetch.offers.push_back(from.clone());
-            }
-            return None;
-        }
-        self.fetching = Some(Fetch {
-            sent: now,
-            offers: VecDeque::new(),
-        });
-        Some(self.fetch(from.clone()))
-    }
-
-    /// Turns to another peer when one has not answered.
-    fn fetch_again(&mut self, now: Duration) -> Option<Action> {
-        let fetch = self.fetching.as_mut()?;
-        if now < fetch.sent + FETCH_TIMEOUT {
-            return None;
-        }
-        fetch.sent = now;
-        let next = fetch.offers.pop_front();
-        if next.is_none() || !self.held.lacks(&self.best) {
-            self.fetching = None;
-            return None;
-        }
-        next.map(|to| self.fetch(to))
-    }
-
-    fn fetch(&self, to: name::Host) -> Action {
-        Action::Send {
-            to,
-            message: Message::Fetch {
-                document: self.held.document(),
-                have: self.held.standing(),
-            },
-        }
-    }
-
-    fn new(document: Document) -> Self {
-        Self {
-            held: Held::new(document),
-            reader: Reader::default(),
-            best: Standing::default(),
-            fetching: None,
-            asked_service: false,
-            behind: None,
-            dropped: None,
-        }
-    }
-}
-
 impl Machine {
     /// A host that holds nothing.
     pub fn new(settings: Settings) -> Self {
--- a/src/member/machine.rs
+++ b/src/member/machine.rs
@@ -7,7 +7,6 @@
         peer::{Contact, Digest, Peer, State, Update},
         probe::{Probe, Probes, Purpose},
         table::Table,
-        view::{Member, Size, Source, View},
     },
     crate::{config::spread, machine, name, rendezvous},
     rand::{
@@ -58,17 +57,17 @@
 /// The membership of one host.
 #[derive(Debug)]
 pub struct Machine {
-    settings: Settings,
+    pub(super) settings: Settings,
     rng: StdRng,
-    own: Peer,
-    table: Table,
-    domains: Domains,
+    pub(super) own: Peer,
+    pub(super) table: Table,
+    pub(super) domains: Domains,
     probes: Probes,
-    listed: BTreeMap<name::Host, Listed>,
+    pub(super) listed: BTreeMap<name::Host, Listed>,
     suspects: BTreeMap<name::Host, Suspicion>,
     revisions: spread::Summary,
-    load: u8,
-    loads: BTreeMap<name::Host, u8>,
+    pub(super) load: u8,
+    pub(super) loads: BTreeMap<name::Host, u8>,
     ring: Vec<name::Host>,
     last_step: Option<Duration>,
     next_near: Duration,
@@ -121,107 +120,6 @@
         &self.own
     }
 
-    /// The fleet as this host sees it.
-    pub fn view(&self, now: Duration) -> View {
-        let mut view = View::default();
-        self.view_near(&mut view);
-        self.view_far(now, &mut view);
-        self.view_listed(now, &mut view);
-        view
-    }
-
-    fn view_near(&self, view: &mut View) {
-        let own = (&self.settings.host, &self.own);
-        for (host, peer) in self.table.iter().chain([own]) {
-            let listed = self.listed.get(host).is_some_and(|row| row.leaving);
-            let load = match *host == self.settings.host {
-                true => self.load,
-                false => self.loads.get(host).copied().unwrap_or(0),
-            };
-            let state = match peer.state {
-                State::Live if listed => State::Leaving,
-                state => state,
-            };
-            let source = match peer.incarnation {
-                0 => Source::List,
-                _ => Source::Heartbeat,
-            };
-            view.hosts.insert(
-                host.clone(),
-                Member {
-                    region: peer.region.clone(),
-                    domain: peer.domain.clone(),
-                    address: peer.address,
-                    peer_address: peer.peer_address,
-                    state,
-                    incarnation: peer.incarnation,
-                    source,
-                    load,
-                },
-            );
-        }
-        let live = view.hosts.values().filter(|host| host.state == State::Live);
-        let size = Size {
-            region: self.own.region.clone(),
-            live: live.count(),
-        };
-        view.domains.insert(self.own.domain.clone(), size);
-    }
-
-    fn view_far(&self, now: Duration, view: &mut View) {
-        for digest in self.domains.fresh(now) {
-            let size = Size {
-                region: digest.region.clone(),
-                live: digest.live as usize,
-            };
-            view.domains.insert(digest.domain.clone(), size);
-            for contact in self.domains.reachable(now, digest) {
-                let leaving = self
-                    .listed
-                    .get(&contact.host)
-                    .is_some_and(|row| row.leaving);
-                let member = Member {
-                    region: digest.region.clone(),
-                    domain: digest.domain.clone(),
-                    address: contact.address,
-                    peer_address: contact.peer_address,
-                    state: if leaving { State::Leaving } else { State::Live },
-                    incarnation: 0,
-                    source: Source::Digest,
-                    load: 0,
-                };
-                view.hosts.insert(contact.host.clone(), member);
-            }
-        }
-    }
-
-    /// Listed hosts of other failure domains of which no digest tells more.
-    fn view_listed(&self, now: Duration, view: &mut View) {
-        let complete: BTreeSet<_> = self
-            .domains
-            .fresh(now)
-            .filter(|digest| digest.contacts.len() >= digest.live as usize)
-            .map(|digest| &digest.domain)
-            .collect();
-        for row in self.listed.values() {
-            let told = row.domain == self.own.domain || complete.contains(&row.domain);
-            if told || view.hosts.contains_key(&row.host) {
-                continue;
-            }
-            let state = match row.leaving {
-                true => State::Leaving,
-                false if self.domains.is_avoided(now, &row.host) => State::Suspect,
-                false => State::Live,
-            };
-            view.hosts.insert(row.host.clone(), member(row, state));
-            let size = Size {
-                region: row.region.clone(),
-                live: 0,
-            };
-            view.domains.entry(row.domain.clone()).or_insert(size);
-        }
-    }
-
     fn tick(&mut self, now: Duration) -> Vec<Action> {
         let mut actions = Vec::new();
         for probe in self.probes.overdue(now) {
@@ -784,16 +682,3 @@
         actions
     }
 }
-
-fn member(row: &Listed, state: State) -> Member {
-    Member {
-        region: row.region.clone(),
-        domain: row.domain.clone(),
-        address: row.address,
-        peer_address: row.peer_address,
-        state,
-        incarnation: 0,
-        source: Source::List,
-        load: 0,
-    }
-}
