Keep idle exchange connections open, and let a slow reader take its time

Cause: the demo lost seven forwarded calls with "connection reset". The serving host pinged the connection while it waited for the next call; a peer does not read a connection that lies idle, so no answer came, the host closed it after 9 s, and the peer, which keeps idle connections for 20 s, used it again. The same ping would have cut a caller slower than 9 s a piece once the system's buffers were full. Ruled out: the testbed's relays, since the test in memory shows it without them. Change: a host that waits for its peer only looks for a closed connection; an idle connection ends after 60 s, and so does an answer of which nothing is taken for 60 s.

--- a/src/link/server.rs
+++ b/src/link/server.rs
@@ -15,10 +15,15 @@
         wire,
     },
     bytes::Bytes,
-    std::{future::Future, net::SocketAddr},
-    tokio::sync::watch,
+    std::{future::Future, net::SocketAddr, time::Duration},
+    tokio::{sync::watch, time::timeout},
 };
 
+/// How long a connection may wait for its next exchange: longer than a peer keeps it idle.
+const IDLE_LIMIT: Duration = Duration::from_secs(60);
+/// How long a peer, and the caller behind it, may take nothing of an answer.
+const STALL_LIMIT: Duration = Duration::from_secs(60);
+
 /// Serves forwarded calls.
 pub trait Handler: Clone + Send + Sync + 'static {
     /// The body of an answer. Dropping it cancels the work.
@@ -115,10 +120,10 @@
 ) {
     loop {
         let ask = tokio::select! {
-            ask = socket.receive::<wire::Ask>() => ask,
+            ask = timeout(IDLE_LIMIT, socket.receive_quiet::<wire::Ask>()) => ask,
             _ = stop.changed() => return,
         };
-        let Ok(Some(wire::Ask::Call { id, call })) = ask else {
+        let Ok(Ok(Some(wire::Ask::Call { id, call }))) = ask else {
             return;
         };
         if exchange(&mut socket, &from, handler, id, *call)
@@ -153,7 +158,10 @@
     socket.send(&head).await.ok()?;
     loop {
         match unless_closed(socket, handler.next(&mut body)).await? {
-            Ok(Some(bytes)) => socket.send(&wire::Answer::Data { id, bytes }).await.ok()?,
+            Ok(Some(bytes)) => {
+                let piece = wire::Answer::Data { id, bytes };
+                timeout(STALL_LIMIT, socket.send(&piece)).await.ok()?.ok()?;
+            }
             Ok(None) => return socket.send(&wire::Answer::End { id }).await.ok(),
             Err(failure) => return socket.send(&wire::Answer::Fail { id, failure }).await.ok(),
         }
@@ -165,6 +173,6 @@
 async fn unless_closed<T>(socket: &mut Socket, work: impl Future<Output = T>) -> Option<T> {
     tokio::select! {
         done = work => Some(done),
-        _ = socket.receive::<wire::Ask>() => None,
+        _ = socket.receive_quiet::<wire::Ask>() => None,
     }
 }
--- a/src/link/socket.rs
+++ b/src/link/socket.rs
@@ -194,6 +194,23 @@
         wire::decode(&bytes, &self.peer).map(Some)
     }
 
+    /// Like [`Self::receive`], for a peer that need not read now and so can't answer a ping: only
+    /// a closed connection ends the wait.
+    pub(super) async fn receive_quiet<M: DeserializeOwned>(&mut self) -> Result<Option<M>> {
+        loop {
+            match self.stream.next().await {
+                None | Some(Ok(Message::Close(_))) => return Ok(None),
+                Some(Ok(Message::Binary(bytes))) => {
+                    return wire::decode(&bytes, &self.peer).map(Some);
+                }
+                Some(Ok(_)) => {}
+                Some(Err(error)) => {
+                    return Err(protocol("receiving from a peer", &self.peer, error));
+                }
+            }
+        }
+    }
+
     async fn receive_bytes(&mut self) -> Result<Option<Bytes>> {
         let mut heard = Instant::now();
         let mut pinged = false;
--- /dev/null
+++ b/tests/link.rs
@@ -0,0 +1,144 @@
+//! Exchanges between hosts, on a network inside the process under paused time.
+
+use {
+    bytes::Bytes,
+    greengagecleat::{
+        clock::Monotonic,
+        failure::Failure,
+        link::{
+            Handle, Handler, Identity, Mailboxes, Peers,
+            exchange::{Client, Head},
+            serve,
+        },
+        name,
+        net::{Memory, Network},
+        wire,
+    },
+    std::{net::SocketAddr, time::Duration},
+    tokio::{sync::watch, time::sleep},
+};
+
+/// Pieces of each answer.
+const PIECES: usize = 3;
+
+/// Answers every call with a few pieces.
+#[derive(Debug, Clone)]
+struct Pieces;
+
+impl Handler for Pieces {
+    type Body = usize;
+
+    async fn call(&self, _: &name::Host, _: wire::Call) -> Result<(Head, usize), Failure> {
+        let head = Head {
+            status: 200,
+            headers: Vec::new(),
+            upstream: "upstream".into(),
+            pool: "pool".into(),
+        };
+        Ok((head, PIECES))
+    }
+
+    async fn next(&self, left: &mut usize) -> Result<Option<Bytes>, Failure> {
+        if *left == 0 {
+            return Ok(None);
+        }
+        *left -= 1;
+        Ok(Some(Bytes::from(vec![b'x'; 40_000])))
+    }
+}
+
+fn identity(network: &Network, host: &str, secret: &str) -> Identity {
+    Identity {
+        host: host.into(),
+        secret: secret.into(),
+        message_limit: 1 << 20,
+        network: network.clone(),
+    }
+}
+
+/// A serving host; it stops when the sender is dropped.
+async fn start(network: &Network) -> (SocketAddr, watch::Sender<()>) {
+    let listener = network
+        .bind(([10, 0, 0, 1], 90).into())
+        .await
+        .expect("a free address");
+    let address = listener.local_addr().expect("bound");
+    let (stop, stopped) = watch::channel(());
+    let own = identity(network, "serving", "secret");
+    let handle = Handle::new(own.clone(), Peers::default());
+    let clock = Monotonic::new();
+    tokio::spawn(serve(
+        listener,
+        own,
+        Mailboxes::default(),
+        handle,
+        clock,
+        Pieces,
+        stopped,
+    ));
+    (address, stop)
+}
+
+fn call() -> wire::Call {
+    wire::Call {
+        request: "a-1".into(),
+        route: "route".into(),
+        customer: None,
+        digest: None,
+        method: "GET".into(),
+        target: "/".into(),
+        headers: Vec::new(),
+        body: Bytes::new(),
+        remaining: Duration::from_secs(300),
+        visited: Vec::new(),
+        hosts: Vec::new(),
+        hops: 1,
+    }
+}
+
+/// Makes one exchange, with a pause before each piece is taken, and returns the bytes.
+async fn exchange(client: &Client, to: SocketAddr, pause: Duration) -> usize {
+    let (head, mut body) = client.open(to, call(), true).await.expect("a head");
+    assert_eq!(head.status, 200);
+    let mut bytes = 0;
+    loop {
+        sleep(pause).await;
+        match body.next().await.expect("the next piece") {
+            Some(piece) => bytes += piece.len(),
+            None => return bytes,
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn idle_connection_still_works_when_it_is_used_again() {
+    let network = Network::Memory(Memory::new());
+    let (address, _stop) = start(&network).await;
+    let client = Client::new(identity(&network, "asking", "secret"));
+    for idle in [0, 5, 12, 19, 30] {
+        sleep(Duration::from_secs(idle)).await;
+        let bytes = exchange(&client, address, Duration::ZERO).await;
+        assert_eq!(bytes, PIECES * 40_000, "after {idle} s");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn slow_reader_gets_the_whole_answer() {
+    let network = Network::Memory(Memory::new());
+    let (address, _stop) = start(&network).await;
+    let client = Client::new(identity(&network, "asking", "secret"));
+    let bytes = exchange(&client, address, Duration::from_secs(25)).await;
+    assert_eq!(bytes, PIECES * 40_000);
+}
+
+#[tokio::test(start_paused = true)]
+async fn peer_with_another_secret_is_refused_and_nothing_ran() {
+    let network = Network::Memory(Memory::new());
+    let (address, _stop) = start(&network).await;
+    let client = Client::new(identity(&network, "asking", "guess"));
+    let failure = client
+        .open(address, call(), true)
+        .await
+        .expect_err("refused");
+    assert_eq!(failure.ran, greengagecleat::failure::Ran::No);
+}
