--- /dev/null
+++ b/examples/capacity.rs
@@ -0,0 +1,365 @@
+//! Measures the slopes from which `docs/CAPACITY.md` works out each role at the size of two
+//! thousand hosts: `cargo run --release --example capacity`. It takes some minutes.
+//!
+//! The machines run over the same in-memory networks as the property tests, at three sizes each.
+
+#[allow(dead_code, reason = "the tests use the rest")]
+#[path = "../tests/limit/net.rs"]
+mod limit_net;
+#[allow(dead_code, reason = "the tests use the rest")]
+#[path = "../tests/member/network.rs"]
+mod member_net;
+#[allow(dead_code, reason = "the tests use the rest")]
+#[path = "../tests/config/network.rs"]
+mod spread_net;
+
+use {
+    greengagecleat::{
+        config::{
+            Document, Snapshot,
+            table::{Customers, Pools, Routes},
+        },
+        directory::{self, Caller},
+        limit::{Quota, Way},
+        machine::Machine,
+        name,
+        queue::{Arrival, Event, Options as QueueOptions, Scheduler, Ticket},
+        route::{Home, Listed, Options, Prefix, Report, Request, Router, State},
+    },
+    std::{
+        collections::BTreeSet,
+        fs,
+        hint::black_box,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Fleets: hosts and failure domains.
+const FLEETS: [(usize, usize); 3] = [(92, 4), (460, 20), (2300, 101)];
+/// Regions of the limit's fleets, each with this many hosts.
+const REGION_HOSTS: [usize; 3] = [3, 23, 68];
+/// Customers of the limit's fleets.
+const CUSTOMERS: [usize; 3] = [10, 50, 200];
+/// Replicas of one region.
+const REPLICAS: [usize; 3] = [30, 300, 1200];
+/// Time before a measurement begins.
+const WARM: Duration = Duration::from_secs(30);
+/// Measured time on the fake networks.
+const MEASURED: Duration = Duration::from_secs(30);
+/// Between two changes of a document, for 18,000 a day.
+const CHANGE: Duration = Duration::from_millis(4800);
+/// Repetitions of a decision whose time is taken.
+const REPEATS: u32 = 20_000;
+/// Slices of the limit's network in a second.
+const SLICES: u32 = 50;
+
+fn main() {
+    membership();
+    spread();
+    limit();
+    router();
+    queue();
+    directory();
+}
+
+/// Resident memory of this process, in KiB.
+fn resident_kib() -> i64 {
+    let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
+    status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmRSS:"))
+        .and_then(|rest| rest.trim().trim_end_matches(" kB").parse().ok())
+        .unwrap_or(0)
+}
+
+/// Share of a core, in percent, that one host spends.
+fn core_percent(busy: Duration, hosts: usize, time: Duration) -> f64 {
+    100.0 * busy.as_secs_f64() / hosts as f64 / time.as_secs_f64()
+}
+
+fn membership() {
+    println!("membership: hosts domains bytes/s most_bytes/s core_% KiB_a_host");
+    for (hosts, domains) in FLEETS {
+        let before = resident_kib();
+        let mut network = member_net::Network::new(member_net::Plan {
+            hosts,
+            domains,
+            loss: 0.01,
+            late: 0.0,
+            seed: 1,
+            mutant: None,
+        });
+        network.run(WARM);
+        network.bytes.iter_mut().for_each(|bytes| *bytes = 0);
+        network
+            .busy
+            .iter_mut()
+            .for_each(|busy| *busy = Duration::ZERO);
+        network.run(MEASURED);
+        let seconds = MEASURED.as_secs_f64();
+        let most = network.bytes.iter().max().copied().unwrap_or(0);
+        println!(
+            "{hosts:17} {domains:7} {:7.0} {:12.0} {:6.3} {:10.0}",
+            network.bytes.iter().sum::<u64>() as f64 / hosts as f64 / seconds,
+            most as f64 / seconds,
+            core_percent(network.busy.iter().sum(), hosts, MEASURED),
+            (resident_kib() - before) as f64 / hosts as f64,
+        );
+    }
+}
+
+fn spread() {
+    println!("configuration: hosts domains bytes/s most_bytes/s core_% calls/s KiB_a_host");
+    for (hosts, domains) in FLEETS {
+        let before = resident_kib();
+        let mut network = spread_net::Network::new(spread_net::Plan {
+            hosts,
+            domains,
+            loss: 0.01,
+            seed: 4,
+            mutant: None,
+        });
+        network.publish(Document::Routes, &spread_net::routes(1000));
+        network.publish(Document::Pools, &spread_net::pools(1));
+        network.publish(Document::Customers, &spread_net::customers(200, 0, 1));
+        network.run(WARM);
+        network.service.calls.clear();
+        network
+            .tallies
+            .iter_mut()
+            .for_each(|tally| *tally = Default::default());
+        let start = network.now;
+        let mut change = 0;
+        while network.now < start + MEASURED {
+            change += 1;
+            let text = spread_net::customers(200, change, 1 + change as u64);
+            network.publish(Document::Customers, &text);
+            network.run(CHANGE);
+        }
+        let time = network.now - start;
+        let seconds = time.as_secs_f64();
+        let bytes = network.tallies.iter().map(|tally| tally.bytes);
+        println!(
+            "{hosts:20} {domains:7} {:7.0} {:12.0} {:6.3} {:7.1} {:10.0}",
+            bytes.clone().sum::<u64>() as f64 / hosts as f64 / seconds,
+            bytes.max().unwrap_or(0) as f64 / seconds,
+            core_percent(
+                network.tallies.iter().map(|tally| tally.busy).sum(),
+                hosts,
+                time
+            ),
+            network.service.calls.values().sum::<u64>() as f64 / seconds,
+            (resident_kib() - before) as f64 / hosts as f64,
+        );
+    }
+}
+
+fn limit() {
+    println!("limit, three regions: hosts_a_region customers messages/s bytes/s core_% KiB_a_host");
+    for hosts in REGION_HOSTS {
+        for customers in CUSTOMERS {
+            limit_at(hosts, customers);
+        }
+    }
+}
+
+/// Even traffic at half the rate; each host offers each customer one request a second.
+fn limit_at(hosts: usize, customers: usize) {
+    let before = resident_kib();
+    let regions = [(hosts as u32, 1.0); 3];
+    let mut net = limit_net::Net::new(7, Way::Leases, None, &regions);
+    let all = hosts * regions.len();
+    let quota = Quota {
+        rate: 200.0 * all as f64,
+        burst: 800.0 * all as f64,
+    };
+    let names: Vec<name::Customer> = (0..customers)
+        .map(|at| format!("customer-{at}").into())
+        .collect();
+    net.quotas = names.iter().map(|name| (name.clone(), quota)).collect();
+    for region in 0..regions.len() {
+        for _ in 0..hosts {
+            net.start(region, None);
+        }
+    }
+    net.tell_all();
+    let mut busy = Duration::ZERO;
+    let mut offer = |net: &mut limit_net::Net, slices: u32| {
+        let started = Instant::now();
+        for slice in 0..slices {
+            net.slice();
+            for host in (0..all).filter(|host| *host as u32 % SLICES == slice % SLICES) {
+                for name in &names {
+                    net.admit(host, name, 100.0);
+                    net.settle_one(host, 0.5);
+                }
+            }
+        }
+        busy = started.elapsed();
+    };
+    offer(&mut net, 20 * SLICES);
+    net.counts = Default::default();
+    net.weigh = true;
+    let seconds = 10;
+    offer(&mut net, seconds * SLICES);
+    net.admissions.clear();
+    println!(
+        "{hosts:35} {customers:9} {:10.1} {:7.0} {:6.3} {:10.0}",
+        net.counts.messages as f64 / all as f64 / f64::from(seconds),
+        net.counts.bytes as f64 / all as f64 / f64::from(seconds),
+        core_percent(busy, all, Duration::from_secs(seconds.into())),
+        (resident_kib() - before) as f64 / all as f64,
+    );
+}
+
+fn router() {
+    println!("router: replicas_in_region microseconds_a_choice microseconds_a_report KiB");
+    for replicas in REPLICAS {
+        let before = resident_kib();
+        let snapshot = tables();
+        let home = Home {
+            host: "host-1".into(),
+            region: "home".into(),
+        };
+        let mut router = Router::new(home, Options::default(), 1);
+        router.config(snapshot.clone());
+        let listed: Vec<Listed> = (0..replicas)
+            .map(|at| Listed {
+                name: format!("replica-{at}").into(),
+                pool: "pool".into(),
+                state: State::Live,
+            })
+            .collect();
+        router.upstreams(Duration::ZERO, &listed);
+        let followed: Vec<_> = router
+            .followed()
+            .map(|(upstream, _)| upstream.clone())
+            .collect();
+        let route = &snapshot.routes["chat"];
+        let choosing = time(|turn| {
+            let request = Request {
+                route,
+                customer: None,
+                prefix: Some(Prefix {
+                    hash: u64::from(turn % 500),
+                    tokens: 200,
+                }),
+                prompt_tokens: 300,
+                bytes: 4000,
+                deadline: Duration::from_secs(1000),
+                visited: &[],
+                hosts: &[],
+                hops: 2,
+                on_demand: false,
+                tried: &[],
+            };
+            let now = Duration::from_millis(u64::from(turn));
+            black_box(router.choose(now, &request).is_ok());
+        });
+        let report = Report {
+            running: 3,
+            slots: 16,
+            ..Report::default()
+        };
+        let reporting = time(|turn| {
+            let upstream = &followed[turn as usize % followed.len()];
+            let report = Report {
+                at_ms: u64::from(turn),
+                ..report.clone()
+            };
+            router.report(Duration::from_millis(u64::from(turn)), upstream, &report);
+        });
+        println!(
+            "{replicas:26} {choosing:21.2} {reporting:21.2} {:3}",
+            resident_kib() - before
+        );
+    }
+}
+
+fn tables() -> Arc<Snapshot> {
+    let routes: Routes = toml::from_str(
+        "[[route]]\nname = \"chat\"\nkind = \"model\"\nmodel = \"m\"\npools = [\"pool\"]\nopen = true\n",
+    )
+    .expect("valid routes");
+    let pools: Pools = toml::from_str("[[pool]]\nname = \"pool\"\nregion = \"home\"\nslots = 16\n")
+        .expect("valid pools");
+    Arc::new(Snapshot::new(routes, pools, Customers::default()))
+}
+
+fn queue() {
+    println!("queue: customers microseconds_a_call (arrive, start, done)");
+    for customers in CUSTOMERS {
+        let mut scheduler = Scheduler::new(QueueOptions::default());
+        let pool = name::Pool::from("pool");
+        let names: Vec<name::Customer> = (0..customers)
+            .map(|at| format!("customer-{at}").into())
+            .collect();
+        scheduler.step(
+            Duration::ZERO,
+            Event::Capacity {
+                pool: pool.clone(),
+                slots: 64,
+            },
+        );
+        let taken = time(|turn| {
+            let now = Duration::from_micros(u64::from(turn) * 100);
+            let ticket = Ticket(u64::from(turn));
+            let arrival = Arrival {
+                ticket,
+                pool: pool.clone(),
+                customer: Some(names[turn as usize % customers].clone()),
+                weight: 1,
+                priority: 5,
+                tokens: 300,
+                deadline: now + Duration::from_secs(60),
+            };
+            black_box(scheduler.step(now, Event::Arrive(arrival)));
+            black_box(scheduler.step(
+                now,
+                Event::Done {
+                    ticket,
+                    tokens: 250,
+                },
+            ));
+        });
+        println!("{customers:16} {taken:19.2}");
+    }
+}
+
+fn directory() {
+    println!("directory: hosts domains microseconds_an_answer");
+    for (hosts, domains) in FLEETS {
+        let mut network = member_net::Network::new(member_net::Plan {
+            hosts,
+            domains,
+            loss: 0.0,
+            late: 0.0,
+            seed: 1,
+            mutant: None,
+        });
+        network.run(Duration::from_secs(15));
+        let view = network.view(0);
+        let here = view
+            .hosts
+            .values()
+            .next()
+            .map_or_else(|| "home".into(), |member| member.region.clone());
+        let taken = time(|turn| {
+            let caller = Caller {
+                key: format!("10.0.{}.{}", turn >> 8 & 255, turn & 255),
+                region: None,
+                residency: BTreeSet::new(),
+            };
+            black_box(directory::answer(&view, &here, &caller));
+        });
+        println!("{hosts:16} {domains:7} {taken:22.2}");
+    }
+}
+
+/// Microseconds that one call takes.
+fn time(mut call: impl FnMut(u32)) -> f64 {
+    let start = Instant::now();
+    (0..REPEATS).for_each(&mut call);
+    start.elapsed().as_secs_f64() * 1e6 / f64::from(REPEATS)
+}
--- a/src/attempt/register/mod.rs
+++ b/src/attempt/register/mod.rs
@@ -11,10 +11,12 @@
 mod message;
 mod record;
 mod roster;
+mod service;
 mod voter;
 
 pub use {
     machine::{Fault, Register, Setting},
     message::{Action, Body, Event, Message, Nonce, Outcome, Reason},
     record::{Claim, Entry, Key, State},
+    service::{Handle, Inputs, Permit, Refusal},
 };
--- /dev/null
+++ b/src/attempt/register/service.rs
@@ -0,0 +1,230 @@
+//! The service around the register: its timer, its mailbox, and the requests that wait for it.
+
+use {
+    super::{Action, Event, Key, Message, Outcome, Reason, Register, Setting},
+    crate::{
+        clock::Clock,
+        link::{self, Received},
+        machine::Machine,
+        name,
+        platform::{Kind, Listing},
+        wire,
+    },
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+    tokio::{
+        sync::{mpsc, oneshot, watch},
+        time::{MissedTickBehavior, interval},
+    },
+};
+
+/// What the service learns from others.
+#[derive(Debug)]
+pub struct Inputs {
+    /// The host list.
+    pub listing: watch::Receiver<Arc<Listing>>,
+    /// Messages of other hosts.
+    pub mailbox: mpsc::Receiver<Received<Message>>,
+    /// Closes when the service must end.
+    pub stop: watch::Receiver<()>,
+}
+
+/// Why a request with a key may not run.
+#[derive(Debug, Clone, Copy)]
+pub struct Refusal {
+    /// Why.
+    pub reason: Reason,
+    /// When it may be known.
+    pub retry_after: Option<Duration>,
+}
+
+type Verdict = Result<(), Refusal>;
+
+#[derive(Debug)]
+struct Waiting {
+    key: Key,
+    verdict: oneshot::Sender<Verdict>,
+}
+
+#[derive(Debug)]
+struct State {
+    register: Register,
+    waiting: BTreeMap<u64, Waiting>,
+    ticket: u64,
+}
+
+/// The register, for the request path.
+#[derive(Debug, Clone)]
+pub struct Handle<C> {
+    state: Arc<Mutex<State>>,
+    link: link::Handle,
+    clock: C,
+}
+
+/// A key that this host may run once. Dropped without an outcome, it stays in doubt.
+#[derive(Debug)]
+pub struct Permit<C: Clock> {
+    handle: Handle<C>,
+    key: Key,
+    outcome: Outcome,
+}
+
+impl<C: Clock> Handle<C> {
+    /// A register that starts with nothing.
+    pub fn new(setting: Setting, link: link::Handle, clock: C) -> Self {
+        let state = State {
+            register: Register::new(setting, clock.now()),
+            waiting: BTreeMap::new(),
+            ticket: 0,
+        };
+        Self {
+            state: Arc::new(Mutex::new(state)),
+            link,
+            clock,
+        }
+    }
+
+    /// Asks whether a request with this key may run.
+    pub async fn claim(&self, key: Key, home: name::Region) -> Result<Permit<C>, Refusal> {
+        let (sender, answer) = oneshot::channel();
+        let ticket = {
+            let mut state = self.lock();
+            state.ticket += 1;
+            let ticket = state.ticket;
+            let waiting = Waiting {
+                key,
+                verdict: sender,
+            };
+            state.waiting.insert(ticket, waiting);
+            ticket
+        };
+        self.step(Event::Request { ticket, key, home });
+        let doubtful = Refusal {
+            reason: Reason::Doubtful,
+            retry_after: None,
+        };
+        answer.await.unwrap_or(Err(doubtful))?;
+        Ok(Permit {
+            handle: self.clone(),
+            key,
+            outcome: Outcome::Unknown,
+        })
+    }
+
+    /// Whether this host notes claims.
+    pub fn ready(&self) -> bool {
+        self.lock().register.is_active()
+    }
+
+    /// Runs until it is stopped.
+    pub async fn run(self, mut inputs: Inputs) {
+        let mut ticks = interval(Register::TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        self.list(&inputs.listing.borrow_and_update().clone());
+        loop {
+            tokio::select! {
+                _ = inputs.stop.changed() => return,
+                _ = ticks.tick() => self.step(Event::Tick),
+                changed = inputs.listing.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                    self.list(&inputs.listing.borrow_and_update().clone());
+                }
+                received = inputs.mailbox.recv() => {
+                    let Some(Received { from, message }) = received else {
+                        return;
+                    };
+                    self.step(Event::Received { from, message });
+                }
+            }
+        }
+    }
+
+    fn list(&self, listing: &Listing) {
+        let mut regions: BTreeMap<name::Region, BTreeSet<name::Host>> = BTreeMap::new();
+        let entries = listing.hosts.iter().filter(|host| host.kind == Kind::Entry);
+        for host in entries {
+            let hosts = regions.entry(host.region.clone()).or_default();
+            hosts.insert(host.name.as_str().into());
+        }
+        for (region, hosts) in regions {
+            self.step(Event::Listed { region, hosts });
+        }
+    }
+
+    /// The clock is read under the lock, so that the machine sees the time go forward only.
+    fn step(&self, event: Event) {
+        let mut state = self.lock();
+        let was_active = state.register.is_active();
+        let now = self.clock.now();
+        let actions = state.register.step(now, event);
+        let active = state.register.is_active();
+        if active != was_active {
+            tracing::debug!(active, "idempotency register");
+        }
+        let mut unclaimed = Vec::new();
+        for action in actions {
+            match action {
+                Action::Send { to, message } => {
+                    self.link.send(&to, wire::Message::Register(message));
+                }
+                Action::Run { ticket } => unclaimed.extend(state.answer(ticket, Ok(()))),
+                Action::Refuse {
+                    ticket,
+                    reason,
+                    retry_after,
+                } => {
+                    let refusal = Refusal {
+                        reason,
+                        retry_after,
+                    };
+                    state.answer(ticket, Err(refusal));
+                }
+            }
+        }
+        drop(state);
+        for key in unclaimed {
+            let outcome = Outcome::NotRun;
+            self.step(Event::Finished { key, outcome });
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    /// Answers a request. The key comes back if nobody waits for it any more.
+    fn answer(&mut self, ticket: u64, verdict: Verdict) -> Option<Key> {
+        let waiting = self.waiting.remove(&ticket)?;
+        let left = waiting.verdict.send(verdict).is_err();
+        left.then_some(waiting.key)
+    }
+}
+
+impl<C: Clock> Permit<C> {
+    /// Whether the first byte may still leave.
+    pub fn may_send(&self) -> bool {
+        let state = self.handle.lock();
+        state.register.may_send(self.handle.clock.now(), self.key)
+    }
+
+    /// Notes what became of the request.
+    pub fn settle(mut self, outcome: Outcome) {
+        self.outcome = outcome;
+    }
+}
+
+impl<C: Clock> Drop for Permit<C> {
+    fn drop(&mut self) {
+        self.handle.step(Event::Finished {
+            key: self.key,
+            outcome: self.outcome,
+        });
+    }
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -12,6 +12,7 @@
 use {
     crate::{
         Error, Result,
+        attempt::register,
         clock::Clock,
         gateway::{Gateway, Parts},
         kernel::Kernel,
@@ -28,7 +29,7 @@
     std::{
         net::SocketAddr,
         sync::{Arc, Mutex, PoisonError},
-        time::Duration,
+        time::{Duration, SystemTime},
     },
     tokio::{
         sync::{mpsc, watch},
@@ -40,7 +41,11 @@
 const EXCHANGE_ROOM: usize = 64 * 1024;
 /// Digests of other regions that may wait to be read.
 const DIGESTS: usize = 256;
-/// Messages about capacity that may wait to be read.
+/// Idempotency keys that a host remembers.
+const KEY_RECORDS: usize = 50_000;
+/// How long an idempotency key is known.
+const KEY_RETENTION: Duration = Duration::from_secs(3_600);
+/// Messages about customers' capacity, or about keys, that may wait to be read.
 const CAPACITY_MESSAGES: usize = 1024;
 /// How often a draining host looks whether its work has ended.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
@@ -177,7 +182,18 @@
                 },
             ),
         );
+        let (claims, claimed) = mpsc::channel(CAPACITY_MESSAGES);
+        let register = register(&settings, link.clone(), clock.clone());
+        kernel.spawn(
+            "register",
+            register.clone().run(register::Inputs {
+                listing: listing.clone(),
+                mailbox: claimed,
+                stop: stopped.clone(),
+            }),
+        );
         let mailboxes = Mailboxes {
+            register: Some(claims),
             limit: Some(capacity),
             route: Some(digests),
             member: Some(fleet.members.clone()),
@@ -195,6 +211,7 @@
             upstreams,
             router,
             queue,
+            register,
             limit: limit.clone(),
             exchanges: exchange::Client::new(identity.clone()),
             peers: book,
@@ -278,6 +295,21 @@
     }
 }
 
+/// The idempotency register of a process that starts.
+fn register<C: Clock>(settings: &Settings, link: link::Handle, clock: C) -> register::Handle<C> {
+    let since = clock.wall().duration_since(SystemTime::UNIX_EPOCH);
+    let setting = register::Setting {
+        host: settings.name.clone(),
+        region: settings.region.clone(),
+        incarnation: since.map_or(0, |since| since.as_millis() as u64),
+        quarantine: settings.limit.quarantine(),
+        retention: KEY_RETENTION,
+        records: KEY_RECORDS,
+        fault: register::Fault::None,
+    };
+    register::Handle::new(setting, link, clock)
+}
+
 /// The limit of a process that starts.
 fn limit<C: Clock>(settings: &Settings, clock: C, metrics: &Metrics) -> limit::Handle<C> {
     let setup = limit::Setup {
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -8,7 +8,10 @@
         send,
     },
     crate::{
-        attempt::{Action, Code as Cause, Event, Exchange, Fault, Id, Plan, Work, budget},
+        attempt::{
+            Action, Code as Cause, Event, Exchange, Fault, Id, Plan, Work, budget,
+            register::{Outcome, Permit},
+        },
         clock::Clock,
         failure::{Code, Failure, Ran},
         link::exchange::Head,
@@ -29,6 +32,8 @@
 const CHOICES: usize = 3;
 /// Most attempts of one call.
 const ATTEMPTS: u32 = 4;
+/// When to come back after a claim has run out.
+const CLAIM_RETRY: Duration = Duration::from_secs(1);
 /// Longest time to connect and send.
 const CONNECT_LIMIT: Duration = Duration::from_secs(2);
 /// Longest pause between two pieces of an answer that can be had again elsewhere.
@@ -45,6 +50,7 @@
     exchange: Exchange<budget::Shared>,
     tried: Vec<name::Upstream>,
     last: Option<Failure>,
+    permit: Option<Permit<C>>,
 }
 
 /// An attempt whose answer has begun.
@@ -79,7 +85,37 @@
             call,
             tried: Vec::new(),
             last: None,
+            permit: None,
+        }
+    }
+
+    /// The same, with the claim of its idempotency key.
+    pub(super) fn permitted(mut self, permit: Option<Permit<C>>) -> Self {
+        self.permit = permit;
+        self
+    }
+
+    /// The answer was whole.
+    pub(super) fn settle_done(&mut self, status: u16) {
+        if let Some(permit) = self.permit.take() {
+            permit.settle(Outcome::Done(status));
+        }
+    }
+
+    /// There was no answer. What isn't surely unrun leaves the key in doubt.
+    pub(super) fn settle_failed(&mut self, failure: &Failure) {
+        if let Some(permit) = self.permit.take_if(|_| failure.ran == Ran::No) {
+            permit.settle(Outcome::NotRun);
+        }
+    }
+
+    /// Whether the claim of the idempotency key is still good, just before the first byte leaves.
+    fn check_permit(&self) -> Result<(), Failure> {
+        if self.permit.as_ref().is_none_or(Permit::may_send) {
+            return Ok(());
         }
+        let message = "the call waited for longer than the claim of its idempotency key holds";
+        Err(Failure::not_run(Code::NoCapacity, message).retry_after(CLAIM_RETRY))
     }
 
     /// Starts, and waits until an answer begins.
@@ -231,6 +267,7 @@
         target: super::choose::Target<C>,
         mut slot: Slot<C>,
     ) -> Result<Step<C>, Failure> {
+        self.check_permit()?;
         let actions = self.step(Event::Sent { attempt });
         if !actions.is_empty() {
             return Ok(Step::Next(actions));
@@ -347,6 +384,7 @@
     }
 
     async fn forward(&mut self, attempt: u32, host: &name::Host) -> Result<Step<C>, Failure> {
+        self.check_permit()?;
         let actions = self.step(Event::Sent { attempt });
         if !actions.is_empty() {
             return Ok(Step::Next(actions));
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 mod call;
 mod charge;
 mod choose;
+mod claim;
 mod events;
 mod forward;
 mod headers;
@@ -20,7 +21,7 @@
 
 use {
     crate::{
-        attempt::{Budget, budget},
+        attempt::{Budget, budget, register},
         clock::Clock,
         config::Snapshot,
         directory,
@@ -67,6 +68,8 @@
     pub phase: watch::Receiver<Phase>,
     /// Calls to upstreams.
     pub upstreams: upstream::Client,
+    /// Keys of requests that may not repeat.
+    pub register: register::Handle<C>,
     /// The customers' rates and bursts.
     pub limit: limit::Handle<C>,
     /// Calls forwarded to other hosts.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -112,6 +112,7 @@
             (Some(_), None) => {}
             (None, _) => {
                 self.begun.sent.take().into_iter().for_each(Sent::finished);
+                self.attempts.settle_done(self.begun.head.status);
                 let used = self.charge.take().and_then(Charge::finish);
                 if let (Some(slot), Some(used)) = (&mut self.begun.slot, used) {
                     slot.settle(used as u64);
--- a/src/link/control.rs
+++ b/src/link/control.rs
@@ -4,7 +4,7 @@
 
 use {
     super::socket::{Identity, Purpose, Socket},
-    crate::{clock::Clock, config::spread, limit, member, name, route, wire},
+    crate::{attempt::register, clock::Clock, config::spread, limit, member, name, route, wire},
     std::{
         collections::BTreeMap,
         net::SocketAddr,
@@ -74,6 +74,8 @@
     pub member: Option<Sender<Received<member::Message>>>,
     /// The spread of documents.
     pub config: Option<Sender<Received<spread::Message>>>,
+    /// The idempotency register.
+    pub register: Option<Sender<Received<register::Message>>>,
 }
 
 /// A mailbox for every message.
@@ -86,6 +88,7 @@
             wire::Message::Limit(message) => pass(&self.limit, &from, message),
             wire::Message::Member(message) => pass(&self.member, &from, message),
             wire::Message::Config(message) => pass(&self.config, &from, message),
+            wire::Message::Register(message) => pass(&self.register, &from, message),
             wire::Message::Probe(_) | wire::Message::Echo(_) => false,
         };
         if taken {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,7 +1,7 @@
 //! What hosts say to each other, encoded as CBOR in binary web socket messages.
 
 use {
-    crate::{Error, Result, config::spread, limit, member, name, route},
+    crate::{Error, Result, attempt::register, config::spread, limit, member, name, route},
     bytes::Bytes,
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     std::time::Duration,
@@ -25,6 +25,8 @@
     Member(member::Message),
     /// The spread of documents.
     Config(spread::Message),
+    /// The idempotency register.
+    Register(register::Message),
 }
 
 /// A round-trip probe.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -147,7 +147,7 @@
         admin_listen: EPHEMERAL,
         platform,
         peer_secret: "a test's secret".into(),
-        region_hosts: 1,
+        region_hosts: 2,
         limit: Timing {
             term: Duration::from_millis(700),
             lease: Duration::from_secs(1),
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -183,3 +183,22 @@
         .await;
     assert_eq!(answer.json()["code"], "bad_request");
 }
+
+#[tokio::test]
+async fn idempotency_key_runs_once_over_two_hosts() {
+    let mut bed = Bed::start().await;
+    let first = bed.host("south-a", "south").await;
+    let second = bed.host("south-b", "south").await;
+    bed.ready(&first).await;
+    bed.ready(&second).await;
+    let receipt = || {
+        let mut call = Call::get("/receipts/1").header("idempotency-key", "receipt-1");
+        call.method = Method::POST;
+        call
+    };
+    until(async || bed.send(&first, KOLLAM, receipt()).await.status == 200).await;
+    let again = bed.send(&second, KOLLAM, receipt()).await;
+    assert_eq!(again.status, 409);
+    assert_eq!(again.json()["code"], "duplicate");
+    assert_eq!(again.json()["ran"], "yes");
+}
