--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -26,6 +26,7 @@
         name,
         queue::{Arrival, Event, Options as QueueOptions, Scheduler, Ticket},
         route::{Home, Listed, Options, Prefix, Report, Request, Router, State},
+        wire,
     },
     std::{
         collections::BTreeSet,
@@ -225,7 +226,9 @@
 }
 
 fn router() {
-    println!("router: replicas_in_region microseconds_a_choice microseconds_a_report KiB");
+    println!(
+        "router: replicas_in_region microseconds_a_choice microseconds_a_report KiB digest_bytes"
+    );
     for replicas in REPLICAS {
         let before = resident_kib();
         let snapshot = tables();
@@ -268,6 +271,8 @@
             let now = Duration::from_millis(u64::from(turn));
             black_box(router.choose(now, &request).is_ok());
         });
+        let summary = router.summary(Duration::from_secs(20));
+        let digest = wire::encode(&wire::Message::Route(summary)).len();
         let report = Report {
             running: 3,
             slots: 16,
@@ -282,7 +287,7 @@
             router.report(Duration::from_millis(u64::from(turn)), upstream, &report);
         });
         println!(
-            "{replicas:26} {choosing:21.2} {reporting:21.2} {:3}",
+            "{replicas:26} {choosing:21.2} {reporting:21.2} {:3} {digest:12}",
             resident_kib() - before
         );
     }
--- a/testbed/src/overhead.rs
+++ b/testbed/src/overhead.rs
@@ -10,6 +10,7 @@
         platform::{self, Platform},
         seen::KEY_MARK,
     },
+    futures::future::try_join_all,
     greengagecleat::key::Digest,
     serde::{Deserialize, Serialize},
     serde_json::json,
@@ -274,16 +275,13 @@
         let before_kib = self.resident();
         let call = ask(true, HELD_TOKENS);
         let caller = Caller::new(None);
-        let mut open = Vec::new();
-        for _ in 0..connections {
-            let response = caller.send(self.host.listen, &call).await?;
-            if !response.status().is_success() {
-                return Err(io::Error::other(format!(
-                    "a stream got {}",
-                    response.status()
-                )));
+        let opening = (0..connections).map(|_| caller.send(self.host.listen, &call));
+        let open = try_join_all(opening).await?;
+        for response in &open {
+            let status = response.status();
+            if !status.is_success() {
+                return Err(io::Error::other(format!("a stream got {status}")));
             }
-            open.push(response);
         }
         sleep(SETTLE).await;
         Ok(Memory {
@@ -340,7 +338,7 @@
     platform.publish(
         "customers",
         &format!(
-            "[[customer]]\nname = \"overhead\"\nkeys = [\"{digest}\"]\nrate = 1e9\nburst = 1e10\n"
+            "[[customer]]\nname = \"overhead\"\nkeys = [\"{digest}\"]\nrate = 1e12\nburst = 1e12\n"
         ),
     );
     let entry = platform::Host {
