--- a/tests/attempt/register.rs
+++ b/tests/attempt/register.rs
@@ -68,6 +68,15 @@
         .quickcheck(holds as fn(u64) -> bool);
 }
 
+#[test]
+#[ignore = "fails: KNOWN-RED.txt"]
+fn key_runs_once_through_the_rolling_replacement_of_seed_4155() {
+    assert_eq!(
+        doubled(&runs(rolling(Fault::None), 4155), Duration::MAX / 2),
+        0
+    );
+}
+
 #[test]
 fn key_runs_once_within_the_quarantine_whatever_fails() {
     fn holds(seed: u64) -> bool {
