Hand control messages on by value, and drop the mailbox that nobody had

Cause: read once more, `Mailboxes::tap` was set nowhere, and only for its sake was each control message cloned before it went into its service's mailbox. Change: the tap is gone and messages move. What services receive is unchanged.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -198,7 +198,6 @@
             route: Some(digests),
             member: Some(fleet.members.clone()),
             config: Some(fleet.documents.clone()),
-            ..Mailboxes::default()
         };
         let gateway = Gateway::new(Parts {
             settings: settings.clone(),
--- a/src/link/control.rs
+++ b/src/link/control.rs
@@ -64,8 +64,6 @@
 /// The mailboxes of the services that take control messages. A full mailbox loses the message.
 #[derive(Debug, Clone, Default)]
 pub struct Mailboxes {
-    /// Every message besides, for tests and for services without a mailbox of their own.
-    pub tap: Option<Tap>,
     /// Digests of other regions' load.
     pub route: Option<Sender<Received<route::Digest>>>,
     /// Messages about customers' capacity.
@@ -78,39 +76,24 @@
     pub register: Option<Sender<Received<register::Message>>>,
 }
 
-/// A mailbox for every message.
-pub type Tap = Sender<Received<wire::Message>>;
-
 impl Mailboxes {
     fn deliver(&self, from: name::Host, message: wire::Message) {
-        let taken = match &message {
-            wire::Message::Route(message) => pass(&self.route, &from, message),
-            wire::Message::Limit(message) => pass(&self.limit, &from, message),
-            wire::Message::Member(message) => pass(&self.member, &from, message),
-            wire::Message::Config(message) => pass(&self.config, &from, message),
-            wire::Message::Register(message) => pass(&self.register, &from, message),
-            wire::Message::Probe(_) | wire::Message::Echo(_) => false,
-        };
-        if taken {
-            return;
-        }
-        if let Some(tap) = &self.tap {
-            tap.try_send(Received { from, message }).ok();
+        match message {
+            wire::Message::Route(message) => pass(&self.route, from, message),
+            wire::Message::Limit(message) => pass(&self.limit, from, message),
+            wire::Message::Member(message) => pass(&self.member, from, message),
+            wire::Message::Config(message) => pass(&self.config, from, message),
+            wire::Message::Register(message) => pass(&self.register, from, message),
+            wire::Message::Probe(_) | wire::Message::Echo(_) => {}
         }
     }
 }
 
 /// Puts a message into a mailbox, if there is one.
-fn pass<M: Clone>(mailbox: &Option<Sender<Received<M>>>, from: &name::Host, message: &M) -> bool {
-    let Some(mailbox) = mailbox else {
-        return false;
-    };
-    let received = Received {
-        from: from.clone(),
-        message: message.clone(),
-    };
-    mailbox.try_send(received).ok();
-    true
+fn pass<M>(mailbox: &Option<Sender<Received<M>>>, from: name::Host, message: M) {
+    if let Some(mailbox) = mailbox {
+        mailbox.try_send(Received { from, message }).ok();
+    }
 }
 
 /// Sends control messages.
@@ -217,7 +200,6 @@
             wire::Message::Echo(probe) => {
                 let round_trip = clock.now().saturating_sub(probe.sent);
                 tracing::debug!(peer = %from, ?round_trip, "round trip");
-                mailboxes.deliver(frame.from, wire::Message::Echo(probe));
             }
             message => mailboxes.deliver(frame.from, message),
         }
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -7,7 +7,7 @@
 mod socket;
 
 pub use {
-    control::{Handle, Mailboxes, Peers, Received, Tap},
+    control::{Handle, Mailboxes, Peers, Received},
     server::{Handler, serve},
     socket::Identity,
 };
