--- a/src/attempt/register/service.rs
+++ b/src/attempt/register/service.rs
@@ -7,7 +7,7 @@
         link::{self, Received},
         machine::Machine,
         name,
-        platform::{Kind, Listing},
+        source::{Kind, Listing},
         wire,
     },
     std::{
--- a/src/attempt/sse.rs
+++ b/src/attempt/sse.rs
@@ -38,6 +38,17 @@
     }
 }
 
+impl Frame {
+    /// The number in the event's `id` field.
+    pub fn id(&self) -> Option<u64> {
+        self.bytes
+            .split(|&byte| byte == b'\n')
+            .filter_map(|line| line.strip_prefix(b"id:"))
+            .filter_map(|id| std::str::from_utf8(id).ok()?.trim().parse().ok())
+            .next_back()
+    }
+}
+
 /// An event longer than [`EVENT_LIMIT`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
 #[display("a server-sent event is longer than {EVENT_LIMIT} bytes")]
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -5,6 +5,7 @@
 //! late can tell how long it slept.
 
 use {
+    rustix::time::{ClockId, clock_gettime},
     std::time::{Duration, SystemTime},
     tokio::time::Instant,
 };
@@ -48,3 +49,39 @@
         SystemTime::now()
     }
 }
+
+/// The machine's clock since its boot, which also counts while the machine is suspended.
+#[derive(Debug, Clone, Copy)]
+pub struct Boot {
+    origin: Duration,
+}
+
+impl Boot {
+    /// A clock whose origin is now.
+    pub fn new() -> Self {
+        Self {
+            origin: since_boot(),
+        }
+    }
+}
+
+impl Default for Boot {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Clock for Boot {
+    fn now(&self) -> Duration {
+        since_boot().saturating_sub(self.origin)
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::now()
+    }
+}
+
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+}
--- a/src/directory.rs
+++ b/src/directory.rs
@@ -7,7 +7,7 @@
 use {
     crate::{
         member::{Member, State, View},
-        name, platform, rendezvous,
+        name, rendezvous, source,
     },
     serde::{Deserialize, Serialize},
     std::{
@@ -199,8 +199,8 @@
 
 impl Places {
     /// The directory's rows; those whose network is no address with a prefix length are left out.
-    pub fn new(directory: &platform::Directory) -> Self {
-        let place = |client: &platform::Client| {
+    pub fn new(directory: &source::Directory) -> Self {
+        let place = |client: &source::Client| {
             let (network, length) = client.network.split_once('/')?;
             let network: IpAddr = network.parse().ok()?;
             let length = length
--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -18,8 +18,8 @@
         member::{self, Listed, View},
         metric::Metrics,
         name,
-        platform::{Documents, Kind, Listing, State},
         settings::Settings,
+        source::{Documents, Kind, Listing, State},
         wire,
     },
     std::{
--- a/src/entry/listing.rs
+++ b/src/entry/listing.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         kernel::Kernel,
-        platform::{Hosts, Kind, Listing},
+        source::{Hosts, Kind, Listing},
     },
     std::{sync::Arc, time::Duration},
     tokio::{sync::watch, time::sleep},
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -21,9 +21,9 @@
         listen,
         metric::Metrics,
         net::{Listener, Network},
-        platform::http::Platform,
         queue, route,
         settings::Settings,
+        source::http::Platform,
         upstream, wire,
     },
     std::{
@@ -194,6 +194,7 @@
         );
         let mailboxes = Mailboxes {
             register: Some(claims),
+            report: None,
             limit: Some(capacity),
             route: Some(digests),
             member: Some(fleet.members.clone()),
--- a/src/entry/places.rs
+++ b/src/entry/places.rs
@@ -1,7 +1,7 @@
 //! Follows the platform's client directory.
 
 use {
-    crate::{directory::Places, kernel::Kernel, platform::Clients},
+    crate::{directory::Places, kernel::Kernel, source::Clients},
     std::{sync::Arc, time::Duration},
     tokio::{sync::watch, time::sleep},
 };
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -40,6 +40,8 @@
             visited,
             hosts,
             hops: call.hops.saturating_sub(1),
+            version: 0,
+            elapsed: std::time::Duration::ZERO,
         };
         self.parts().metrics.forwarded.inc();
         let opening = self
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,11 +21,12 @@
 pub mod metric;
 pub mod name;
 pub mod net;
-pub mod platform;
+pub mod proxy;
 pub mod queue;
 pub mod rendezvous;
 pub mod route;
 pub mod settings;
+pub mod source;
 pub mod upstream;
 pub mod wire;
 
--- a/src/link/control.rs
+++ b/src/link/control.rs
@@ -4,7 +4,10 @@
 
 use {
     super::socket::{Identity, Purpose, Socket},
-    crate::{attempt::register, clock::Clock, config::spread, limit, member, name, route, wire},
+    crate::{
+        attempt::register, clock::Clock, config::spread, limit, member, name, proxy::fleet, route,
+        wire,
+    },
     std::{
         collections::BTreeMap,
         net::SocketAddr,
@@ -74,6 +77,8 @@
     pub config: Option<Sender<Received<spread::Message>>>,
     /// The idempotency register.
     pub register: Option<Sender<Received<register::Message>>>,
+    /// Other hosts' reports.
+    pub report: Option<Sender<Received<Box<fleet::Report>>>>,
 }
 
 impl Mailboxes {
@@ -84,6 +89,7 @@
             wire::Message::Member(message) => pass(&self.member, from, message),
             wire::Message::Config(message) => pass(&self.config, from, message),
             wire::Message::Register(message) => pass(&self.register, from, message),
+            wire::Message::Report(message) => pass(&self.report, from, message),
             wire::Message::Probe(_) | wire::Message::Echo(_) => {}
         }
     }
--- /dev/null
+++ b/src/proxy/core.rs
@@ -0,0 +1,638 @@
+//! What one host knows and decides, without input or output: where a request goes, whether it
+//! waits, and when it is refused.
+
+use {
+    super::{
+        catalog::{Catalog, Change},
+        fleet::{Due, Fleet, Identity, News, Report, Spare},
+        place::{self, Choice, Job, ON_TIME_REMOTE},
+        rate::Limiter,
+        replica::{Outcome, Replica, Tally, millis},
+        table::{Match, Pool, Table},
+    },
+    crate::{
+        attempt::budget::{self, Budget, Grant as _},
+        name,
+        route::affinity,
+    },
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+    std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration},
+};
+
+/// Time that the way to another region and back adds to an answer, in milliseconds.
+const FAR_MS: f64 = 115.0;
+/// Share of the goal for which a request may wait here for an upstream.
+const WAIT_SHARE: f64 = 0.3;
+/// Waiting requests that are looked at when something becomes free.
+const LOOK_AT: usize = 48;
+/// Share of the goal up to which a region's spare room is counted.
+const SPARE_SHARE: f64 = 0.45;
+/// Shortest time after which a refused caller is asked to come back.
+const RETRY_AFTER_LEAST: Duration = Duration::from_millis(150);
+/// Longest time after which a refused caller is asked to come back.
+const RETRY_AFTER_MOST: Duration = Duration::from_secs(3);
+/// Share of a cold upstream's bound that all hosts together use; the rest covers differing views.
+const COLD_SHARE: f64 = 1.2;
+/// A host that runs for less may not know its neighbours yet.
+const SETTLED: Duration = Duration::from_secs(5);
+/// Share of the fleet's allowed ratio of retries that is used.
+const RETRY_RATIO_SHARE: f64 = 0.7;
+/// Share of the fleet's allowed extra retries that is used; a restart begins with a new budget.
+const RETRY_SLACK_SHARE: f64 = 0.35;
+
+/// What a host is told at its start.
+#[derive(Debug, Clone)]
+pub struct Setup {
+    /// This host.
+    pub own: Identity,
+    /// Failure domains of all regions.
+    pub domains: BTreeMap<name::Domain, name::Region>,
+    /// Where other hosts may be asked.
+    pub seeds: Vec<SocketAddr>,
+    /// Retries allowed over the whole fleet.
+    pub retries: Retries,
+    /// Seeds the choices among equals.
+    pub seed: u64,
+}
+
+/// Retries allowed over the whole fleet, in a window.
+#[derive(Debug, Clone, Copy)]
+pub struct Retries {
+    /// For each request.
+    pub ratio: f64,
+    /// Besides.
+    pub slack: f64,
+}
+
+/// A request's reservation at an upstream.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Grant {
+    /// Names the reservation.
+    pub ticket: u64,
+    /// The upstream.
+    pub upstream: name::Upstream,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Predicted time to the first byte, in milliseconds.
+    pub predicted_ms: f64,
+    /// Prompt tokens that it must read for this request.
+    pub uncached: u32,
+}
+
+/// Where a request goes.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Placement {
+    /// To an upstream of this region.
+    Here(Grant),
+    /// To a host of another region.
+    Away(Away),
+    /// Nowhere yet; it may wait.
+    Wait,
+}
+
+/// A host of another region that should place a request.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Away {
+    /// The host.
+    pub host: name::Host,
+    /// Where it is reached.
+    pub peers: SocketAddr,
+    /// Its region.
+    pub region: name::Region,
+    /// Predicted time to the first byte, in milliseconds.
+    pub predicted_ms: f64,
+}
+
+#[derive(Debug)]
+struct Held {
+    upstream: name::Upstream,
+    pool: name::Pool,
+    rank: u8,
+    uncached: u32,
+    memory: u32,
+    reading: f64,
+    sent: Duration,
+    engine: bool,
+    started: bool,
+}
+
+/// The state of one host.
+#[derive(Debug)]
+pub struct Core {
+    /// The upstreams of this region.
+    pub catalog: Catalog,
+    /// The other hosts.
+    pub fleet: Fleet,
+    /// The customers' rates.
+    pub limiter: Limiter,
+    setup: Setup,
+    table: Option<Arc<Table>>,
+    held: BTreeMap<u64, Held>,
+    tickets: u64,
+    waiting: BTreeMap<(u8, u64), Job>,
+    retries: BTreeMap<name::Pool, Budget>,
+    retry_hosts: usize,
+    rng: StdRng,
+    started: Duration,
+}
+
+impl Core {
+    /// A host that knows nothing yet.
+    pub fn new(now: Duration, setup: Setup) -> Self {
+        let own_region = setup.own.region.clone();
+        let domains = setup
+            .domains
+            .iter()
+            .filter(|(_, region)| **region == own_region)
+            .map(|(domain, _)| domain.clone())
+            .chain([setup.own.domain.clone()])
+            .collect();
+        Self {
+            catalog: Catalog::new(domains),
+            fleet: Fleet::new(setup.own.clone(), setup.seeds.clone()),
+            limiter: Limiter::new(now),
+            table: None,
+            held: BTreeMap::new(),
+            tickets: 0,
+            waiting: BTreeMap::new(),
+            retries: BTreeMap::new(),
+            retry_hosts: 0,
+            rng: StdRng::seed_from_u64(setup.seed),
+            started: now,
+            setup,
+        }
+    }
+
+    /// The configuration in force.
+    pub fn table(&self) -> Option<&Arc<Table>> {
+        self.table.as_ref()
+    }
+
+    /// Whether callers can be served.
+    pub fn is_ready(&self) -> bool {
+        self.table.is_some() && self.catalog.is_listed()
+    }
+
+    /// Installs a configuration, unless a newer one is in force.
+    pub fn configure(&mut self, now: Duration, table: Table) -> bool {
+        if self.version() >= table.version {
+            return false;
+        }
+        self.limiter.configure(now, table.customers());
+        self.table = Some(Arc::new(table));
+        true
+    }
+
+    /// The version of the configuration in force; zero before the first.
+    pub fn version(&self) -> u64 {
+        self.table.as_ref().map_or(0, |table| table.version)
+    }
+
+    /// Another host reports.
+    pub fn hear(&mut self, now: Duration, report: Report) -> News {
+        let news = self.fleet.hear(now, &report);
+        if news == News::Stale {
+            return news;
+        }
+        let host = &report.from.host;
+        if report.leaving {
+            self.limiter.leave(host);
+        } else {
+            let incarnation = report.from.incarnation;
+            self.limiter.hear(now, host, incarnation, &report.spent);
+        }
+        if report.from.region == self.setup.own.region {
+            for replica in self.catalog.all_mut() {
+                replica.silence(host);
+            }
+            for (upstream, tally) in report.tallies {
+                if let Some(replica) = self.catalog.get_mut(&upstream) {
+                    replica.hear(now, host, tally);
+                }
+            }
+        }
+        news
+    }
+
+    /// The reports that are due now.
+    pub fn reports(&mut self, now: Duration, ready: bool, leaving: bool) -> Vec<(Due, Report)> {
+        let due = self.fleet.due(now);
+        if due.is_empty() {
+            return Vec::new();
+        }
+        let spent = self.limiter.spent(now);
+        let spare = self.spare(now);
+        let tallies: Vec<_> = self
+            .catalog
+            .all()
+            .filter(|replica| !replica.own.is_empty())
+            .map(|replica| (replica.entry.id.clone(), replica.own.clone()))
+            .collect();
+        let contacts: Vec<_> = self
+            .fleet
+            .peers()
+            .map(|peer| (peer.identity.host.clone(), peer.identity.peers))
+            .collect();
+        let version = self.version();
+        let mut reports = Vec::with_capacity(due.len());
+        for due in due {
+            let report = Report {
+                from: self.setup.own.clone(),
+                sequence: self.fleet.next_sequence(),
+                ready,
+                leaving,
+                version,
+                spent: spent.clone(),
+                tallies: if due.near {
+                    tallies.clone()
+                } else {
+                    Vec::new()
+                },
+                spare: if due.near { Vec::new() } else { spare.clone() },
+                contacts: if due.contacts {
+                    contacts.clone()
+                } else {
+                    Vec::new()
+                },
+            };
+            reports.push((due, report));
+        }
+        reports
+    }
+
+    /// What this region's upstreams could take beside what they have.
+    fn spare(&self, now: Duration) -> Vec<(name::Pool, Spare)> {
+        let Some(table) = &self.table else {
+            return Vec::new();
+        };
+        table
+            .pools()
+            .map(|pool| (pool.name.clone(), self.spare_of(now, pool, table)))
+            .collect()
+    }
+
+    fn spare_of(&self, now: Duration, pool: &Pool, table: &Table) -> Spare {
+        let goal = table.longest_goal(&pool.name);
+        let (rate, base) = place::speed(&self.catalog, &pool.name);
+        let mut spare = Spare {
+            wait_ms: f32::MAX,
+            rate: rate as f32,
+            ..Spare::default()
+        };
+        let open = self.catalog.eligible(&pool.name).filter(|replica| {
+            replica.is_open(now) && !(pool.cold_per_s > 0.0 && replica.is_cold(now))
+        });
+        for replica in open {
+            let running = f64::from(replica.running(now));
+            let slots = pool
+                .engine
+                .map_or(replica.entry.slots, |engine| engine.slots);
+            let free = f64::from(slots) - running;
+            let (wait, tokens) = if pool.engine.is_some() {
+                let wait = replica.slowness(now) * replica.ahead(now, u8::MAX, rate) / rate;
+                (wait + base, (SPARE_SHARE * millis(goal) - wait) * rate)
+            } else {
+                let service = self
+                    .catalog
+                    .learned(&pool.name)
+                    .map_or(0.0, |model| model.service_ms);
+                (
+                    (1.0 - free).max(0.0) * service / f64::from(slots.max(1)) + service,
+                    0.0,
+                )
+            };
+            spare.wait_ms = spare.wait_ms.min(wait as f32);
+            if free > 0.0 {
+                spare.requests += free as f32;
+                spare.tokens += tokens.max(0.0) as f32;
+            }
+        }
+        spare
+    }
+
+    /// Where a request goes now. An upstream of this region that answers on time goes first; then
+    /// another region, if it may be used; then one of this region that answers late.
+    pub fn place(&mut self, now: Duration, job: &Job, may_leave: bool) -> Placement {
+        let here = self.choose(now, job);
+        if let Some(choice) = &here
+            && choice.on_time
+        {
+            return Placement::Here(self.reserve(now, job, here.expect("it was just seen")));
+        }
+        if may_leave && let Some(away) = self.away(now, job) {
+            return Placement::Away(away);
+        }
+        match here {
+            Some(choice) => Placement::Here(self.reserve(now, job, choice)),
+            None => Placement::Wait,
+        }
+    }
+
+    fn choose(&self, now: Duration, job: &Job) -> Option<Choice> {
+        if !job.matched.allows(&self.setup.own.region) {
+            return None;
+        }
+        let pool = self.table.as_ref()?.pool(&job.pool)?;
+        place::choose(&self.catalog, pool, job, now, |replica, pool| {
+            self.cold_share(now, replica, pool)
+        })
+    }
+
+    /// Requests a second that this host may send to a cold upstream: its part among the hosts of
+    /// the region, which all order themselves alike for each upstream.
+    fn cold_share(&self, now: Duration, replica: &Replica, pool: &Pool) -> usize {
+        let all = (pool.cold_per_s * COLD_SHARE).floor() as usize;
+        let hosts = self.fleet.near();
+        if hosts > all {
+            let own = self.cold_weight(&self.setup.own.host, replica);
+            let region = &self.setup.own.region;
+            let before = self
+                .fleet
+                .peers()
+                .filter(|peer| peer.identity.region == *region && !peer.leaving)
+                .filter(|peer| self.cold_weight(&peer.identity.host, replica) > own)
+                .count();
+            return usize::from(before < all);
+        }
+        if now.saturating_sub(self.started) < SETTLED {
+            return 1;
+        }
+        (all / hosts.max(2)).max(1)
+    }
+
+    fn cold_weight(&self, host: &name::Host, replica: &Replica) -> u64 {
+        affinity::weight(affinity::hash(host.as_str().as_bytes()), replica.point)
+    }
+
+    /// The best host of another region, if one can answer in time.
+    fn away(&mut self, now: Duration, job: &Job) -> Option<Away> {
+        let own = &self.setup.own.region;
+        let prompt = f64::from(job.tokens.0);
+        let elapsed = job.elapsed_ms(now);
+        let at_home = job.matched.allows(own);
+        let patience = millis(job.deadline.saturating_sub(job.arrived));
+        let mut best: Option<(f64, name::Region)> = None;
+        for peer in self.fleet.working(now) {
+            let region = &peer.identity.region;
+            if region == own || !job.matched.allows(region) {
+                continue;
+            }
+            let Some(spare) = peer.spare.get(&job.pool) else {
+                continue;
+            };
+            if spare.wait_ms == f32::MAX {
+                continue;
+            }
+            let reading = prompt / f64::from(spare.rate.max(1.0));
+            let predicted = f64::from(spare.wait_ms) + reading + FAR_MS;
+            let on_time = elapsed + predicted <= ON_TIME_REMOTE * job.goal_ms();
+            let room = f64::from(spare.tokens) >= prompt && spare.requests >= 1.0;
+            // A request that may not be served here has no better choice than a late answer.
+            let useful = if at_home {
+                on_time && room
+            } else {
+                elapsed + predicted <= patience
+            };
+            if useful && best.as_ref().is_none_or(|(least, _)| predicted < *least) {
+                best = Some((predicted, region.clone()));
+            }
+        }
+        let (predicted_ms, region) = best?;
+        let session = job.chain.iter().rev().nth(1).map(|link| link.hash);
+        let key = session.unwrap_or_else(|| self.rng.random());
+        let in_region = self
+            .fleet
+            .working(now)
+            .filter(|peer| peer.identity.region == region);
+        let host = in_region
+            .max_by_key(|peer| {
+                let point = affinity::hash(peer.identity.host.as_str().as_bytes());
+                affinity::weight(key, point)
+            })?
+            .identity
+            .clone();
+        self.charge_away(&region, job);
+        Some(Away {
+            host: host.host,
+            peers: host.peers,
+            region,
+            predicted_ms,
+        })
+    }
+
+    /// Takes a forwarded request off what a region has to spare, until it reports again.
+    fn charge_away(&mut self, region: &name::Region, job: &Job) {
+        let hosts: Vec<_> = self
+            .fleet
+            .peers()
+            .filter(|peer| peer.identity.region == *region)
+            .map(|peer| peer.identity.host.clone())
+            .collect();
+        for host in hosts {
+            let Some(peer) = self.fleet.get_mut(&host) else {
+                continue;
+            };
+            if let Some(spare) = peer.spare.get_mut(&job.pool) {
+                spare.tokens -= job.tokens.0 as f32;
+                spare.requests -= 1.0;
+            }
+        }
+    }
+
+    fn reserve(&mut self, now: Duration, job: &Job, choice: Choice) -> Grant {
+        self.tickets += 1;
+        let ticket = self.tickets;
+        let pool = self.table.as_ref().and_then(|table| table.pool(&job.pool));
+        let engine = pool.and_then(|pool| pool.engine);
+        let memory = job.tokens.0 + job.tokens.1;
+        let rank = job.matched.priority.min(9);
+        let replica = self
+            .catalog
+            .get_mut(&choice.upstream)
+            .expect("the choice is one of the catalog's");
+        replica.own.running += 1;
+        replica.own.memory += memory;
+        replica.own.waiting[usize::from(rank)] += choice.uncached;
+        replica.send(now);
+        if let Some(engine) = engine {
+            replica.cache.note(now, &job.chain, engine.memory);
+        }
+        let address = replica.entry.address;
+        let held = Held {
+            upstream: choice.upstream.clone(),
+            pool: job.pool.clone(),
+            rank,
+            uncached: choice.uncached,
+            memory,
+            reading: choice.reading,
+            sent: now,
+            engine: engine.is_some(),
+            started: false,
+        };
+        self.held.insert(ticket, held);
+        Grant {
+            ticket,
+            upstream: choice.upstream,
+            address,
+            predicted_ms: choice.predicted_ms,
+            uncached: choice.uncached,
+        }
+    }
+
+    /// The first byte of an answer's body came.
+    pub fn begin(&mut self, now: Duration, ticket: u64) {
+        let Some(held) = self.held.get_mut(&ticket) else {
+            return;
+        };
+        if held.started {
+            return;
+        }
+        held.started = true;
+        let took = millis(now.saturating_sub(held.sent));
+        let (reading, engine) = (held.reading, held.engine);
+        let (pool, upstream) = (held.pool.clone(), held.upstream.clone());
+        let (rank, uncached) = (usize::from(held.rank), held.uncached);
+        let model = self.catalog.model(&pool);
+        let foretold = if engine {
+            model.speed.base_ms() + reading / model.speed.rate()
+        } else {
+            model.service_ms
+        };
+        if engine {
+            model.speed.observe(reading, took);
+        }
+        if let Some(replica) = self.catalog.get_mut(&upstream) {
+            replica.own.waiting[rank] = replica.own.waiting[rank].saturating_sub(uncached);
+            replica.observe(now, took / foretold.max(1.0));
+        }
+    }
+
+    /// A reservation ends.
+    pub fn end(&mut self, now: Duration, ticket: u64, outcome: Outcome) -> Option<Change> {
+        let held = self.held.remove(&ticket)?;
+        if let Some(replica) = self.catalog.get_mut(&held.upstream) {
+            let own: &mut Tally = &mut replica.own;
+            own.running = own.running.saturating_sub(1);
+            own.memory = own.memory.saturating_sub(held.memory);
+            if !held.started {
+                let waiting = &mut own.waiting[usize::from(held.rank)];
+                *waiting = waiting.saturating_sub(held.uncached);
+            }
+        }
+        if outcome == Outcome::Whole && !held.engine {
+            let took = millis(now.saturating_sub(held.sent));
+            self.catalog.served(&held.pool, took);
+        }
+        self.catalog.end(now, &held.upstream, outcome)
+    }
+
+    /// Lets a request wait; returns its place in the queue.
+    pub fn enqueue(&mut self, job: Job) -> (u8, u64) {
+        self.tickets += 1;
+        let place = (job.matched.priority, self.tickets);
+        self.waiting.insert(place, job);
+        place
+    }
+
+    /// Takes a request out of the queue.
+    pub fn dequeue(&mut self, place: (u8, u64)) -> Option<Job> {
+        self.waiting.remove(&place)
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Places waiting requests in order, as far as that can be done now.
+    pub fn pump(&mut self, now: Duration) -> Vec<((u8, u64), Placement)> {
+        if self.waiting.is_empty() {
+            return Vec::new();
+        }
+        let first: Vec<_> = self.waiting.keys().take(LOOK_AT).copied().collect();
+        let mut placed = Vec::new();
+        for place in first {
+            let Some(job) = self.waiting.remove(&place) else {
+                continue;
+            };
+            match self.place(now, &job, true) {
+                Placement::Wait => {
+                    self.waiting.insert(place, job);
+                }
+                placement => placed.push((place, placement)),
+            }
+        }
+        placed
+    }
+
+    /// How long a request may wait here for an upstream.
+    pub fn wait_limit(&self, now: Duration, job: &Job) -> Duration {
+        let until = job.arrived + job.matched.route.goal.mul_f64(WAIT_SHARE);
+        until.min(job.deadline).saturating_sub(now)
+    }
+
+    /// When a refused caller should come back: when the queue of the least loaded upstream will
+    /// have been read, spread so that callers don't all come back at once.
+    pub fn retry_after(&mut self, now: Duration, pool: &name::Pool) -> Duration {
+        let (rate, _) = place::speed(&self.catalog, pool);
+        let ahead = self
+            .catalog
+            .eligible(pool)
+            .map(|replica| replica.ahead(now, u8::MAX, rate) / rate)
+            .fold(f64::INFINITY, f64::min);
+        let wait = if ahead.is_finite() {
+            Duration::from_secs_f64(ahead / 1_000.0)
+        } else {
+            RETRY_AFTER_MOST / 2
+        };
+        let spread = self.rng.random_range(0.75..1.5);
+        wait.clamp(RETRY_AFTER_LEAST, RETRY_AFTER_MOST)
+            .mul_f64(spread)
+    }
+
+    /// Notes a request for a pool, which earns a part of a retry.
+    pub fn note_request(&mut self, now: Duration, pool: &name::Pool) {
+        self.budget(now, pool).deposit(now);
+    }
+
+    /// Whether a request may be sent to one more upstream.
+    pub fn may_retry(&mut self, now: Duration, pool: &name::Pool) -> bool {
+        self.budget(now, pool).withdraw(now)
+    }
+
+    fn budget(&mut self, now: Duration, pool: &name::Pool) -> &mut Budget {
+        let hosts = self.fleet.most().max(self.setup.domains.len());
+        if hosts != self.retry_hosts {
+            self.retry_hosts = hosts;
+            self.retries.clear();
+        }
+        let retries = self.setup.retries;
+        let limit = budget::Limit {
+            ratio: retries.ratio * RETRY_RATIO_SHARE,
+            per_second: 0.0,
+            burst: (retries.slack * RETRY_SLACK_SHARE / hosts as f64).max(1.0),
+        };
+        self.retries
+            .entry(pool.clone())
+            .or_insert_with(|| Budget::new(limit, now))
+    }
+
+    /// The pool that serves a request, drawn by weight; the same for all requests of a session.
+    pub fn draw_pool(&mut self, matched: &Match, session: Option<u64>) -> Option<name::Pool> {
+        let pools = &matched.route.pools;
+        let total: u64 = pools.iter().map(|(_, weight)| u64::from(*weight)).sum();
+        if total == 0 || pools.len() == 1 {
+            return pools.first().map(|(pool, _)| pool.clone());
+        }
+        let lot = session.unwrap_or_else(|| self.rng.random());
+        let mut at = affinity::mix(lot) % total;
+        for (pool, weight) in pools {
+            let weight = u64::from(*weight);
+            if at < weight {
+                return Some(pool.clone());
+            }
+            at -= weight;
+        }
+        None
+    }
+}
--- /dev/null
+++ b/src/proxy/dialect.rs
@@ -0,0 +1,89 @@
+//! How requests and answers are spoken: an adapter translates its platform's headers into these
+//! types, and back.
+
+use {
+    crate::{failure::Failure, name},
+    http::{HeaderMap, request},
+    std::{sync::Arc, time::Duration},
+};
+
+/// What a request's head says besides method and target.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Call {
+    /// Identifies this attempt of the caller.
+    pub id: Option<Arc<str>>,
+    /// The caller's key, never sent on.
+    pub key: Option<Vec<u8>>,
+    /// How long the caller waits, counted from when the head arrived.
+    pub patience: Option<Duration>,
+    /// Prompt tokens and the most output tokens.
+    pub tokens: Option<(u32, u32)>,
+    /// The prompt's parts, in order; the last one is this request's own.
+    pub parts: Vec<Part>,
+    /// The caller has this event and all before it.
+    pub resume_after: Option<u64>,
+}
+
+/// A part of a prompt that other requests may share.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Part {
+    /// Names its content.
+    pub id: u64,
+    /// Its length.
+    pub tokens: u32,
+}
+
+/// What an upstream is told with a request.
+#[derive(Debug, Clone)]
+pub struct Order<'a> {
+    /// The upstream that is meant.
+    pub upstream: &'a name::Upstream,
+    /// Whose request it is.
+    pub customer: Option<&'a name::Customer>,
+    /// How long an answer is of use.
+    pub remaining: Duration,
+    /// Rank, zero the most urgent.
+    pub priority: u8,
+    /// Whether the upstream orders its queue by rank.
+    pub ranked: bool,
+    /// Take the stream up after this event.
+    pub resume_after: Option<u64>,
+}
+
+/// What the head of an upstream's answer says.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Reply {
+    /// The request that it answers, if it names one.
+    pub id: Option<Arc<str>>,
+    /// The upstream promises that the request has not run.
+    pub not_run: bool,
+    /// The address belongs to another upstream now.
+    pub misdirected: bool,
+    /// Bears the upstream's integrity code, without which a success can't be passed on.
+    pub sealed: bool,
+    /// Requests running, waiting, and slots.
+    pub load: Option<(u32, u32, u32)>,
+    /// How long the upstream keeps an idle connection.
+    pub keep_alive: Option<Duration>,
+}
+
+/// Translates between a platform's headers and the gateway's types.
+pub trait Dialect: Clone + Send + Sync + 'static {
+    /// Reads a request's head.
+    fn call(&self, head: &request::Parts) -> Call;
+
+    /// Removes the caller's key from a request's headers.
+    fn conceal(&self, headers: &mut HeaderMap);
+
+    /// Asks in a request's headers for a stream from after an event on.
+    fn resume(&self, headers: &mut HeaderMap, after: u64);
+
+    /// Turns a request's headers into those that the upstream gets.
+    fn order(&self, headers: &mut HeaderMap, order: &Order<'_>);
+
+    /// Reads the head of an answer.
+    fn reply(&self, status: u16, headers: &HeaderMap) -> Reply;
+
+    /// The status that tells a caller of a failure.
+    fn status(&self, failure: &Failure) -> u16;
+}
--- /dev/null
+++ b/src/proxy/fleet.rs
@@ -0,0 +1,332 @@
+//! The other hosts, from the reports that they send each other. A report is a heartbeat and
+//! carries the load that its sender put on upstreams and what its region has to spare, so that
+//! hosts of a region don't all choose the same idle upstream, and regions know each other's room.
+
+use {
+    super::{rate::Spent, replica::Tally},
+    crate::name,
+    serde::{Deserialize, Serialize},
+    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
+};
+
+/// Time between reports to hosts of the same region, in a small fleet.
+const NEAR_EVERY: Duration = Duration::from_millis(250);
+/// Time between reports to hosts of other regions, in a small fleet.
+const FAR_EVERY: Duration = Duration::from_millis(400);
+/// Peers up to which those times hold; beyond, they grow in proportion, so that a host's messages
+/// a second stay bounded.
+const SMALL: usize = 16;
+/// A host that was silent for longer gets no work.
+pub const SILENT: Duration = Duration::from_millis(1_500);
+/// A host that was silent for longer is not named to callers.
+pub const GONE: Duration = Duration::from_millis(3_500);
+/// A host that was silent for longer is forgotten.
+const FORGET: Duration = Duration::from_secs(60);
+/// Reports between two that name the hosts which the sender knows.
+const CONTACTS_EVERY: u64 = 8;
+/// Seeds that are not known yet are tried this often.
+const SEEDS_EVERY: Duration = Duration::from_millis(500);
+
+/// Where a host is and is reached.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Identity {
+    /// Its name.
+    pub host: name::Host,
+    /// Its region.
+    pub region: name::Region,
+    /// Its failure domain.
+    pub domain: name::Domain,
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For other hosts.
+    pub peers: SocketAddr,
+    /// Grows with each start of the process.
+    pub incarnation: u64,
+}
+
+/// What a host tells the others.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// The sender.
+    pub from: Identity,
+    /// Grows with each report of a process.
+    pub sequence: u64,
+    /// It takes callers.
+    pub ready: bool,
+    /// It is about to go.
+    pub leaving: bool,
+    /// The version of its configuration.
+    pub version: u64,
+    /// What it has admitted of each customer's rate.
+    pub spent: Vec<Spent>,
+    /// Its requests at the upstreams of its region; to hosts of the same region.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub tallies: Vec<(name::Upstream, Tally)>,
+    /// What its region has to spare; to hosts of other regions.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub spare: Vec<(name::Pool, Spare)>,
+    /// Other hosts that it knows; now and then.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub contacts: Vec<(name::Host, SocketAddr)>,
+}
+
+/// What the upstreams of a pool in one region could take beside what they have.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct Spare {
+    /// Wait at the least loaded upstream, in milliseconds.
+    #[serde(rename = "w")]
+    pub wait_ms: f32,
+    /// Prompt tokens that could still be read in time.
+    #[serde(rename = "t")]
+    pub tokens: f32,
+    /// Requests for which there is a slot.
+    #[serde(rename = "r")]
+    pub requests: f32,
+    /// Prompt tokens that one upstream reads in a millisecond.
+    #[serde(rename = "s")]
+    pub rate: f32,
+}
+
+/// Another host as its last report describes it.
+#[derive(Debug)]
+pub struct Peer {
+    /// Where it is.
+    pub identity: Identity,
+    /// When it was last heard.
+    pub heard: Duration,
+    /// It takes callers.
+    pub ready: bool,
+    /// It is about to go.
+    pub leaving: bool,
+    /// The version of its configuration.
+    pub version: u64,
+    /// What its region has to spare, less what was forwarded there since.
+    pub spare: BTreeMap<name::Pool, Spare>,
+    sequence: u64,
+    due: Duration,
+    sent: u64,
+}
+
+/// The hosts that this one knows.
+#[derive(Debug)]
+pub struct Fleet {
+    /// This host.
+    pub own: Identity,
+    peers: BTreeMap<name::Host, Peer>,
+    contacts: BTreeMap<name::Host, (SocketAddr, Duration)>,
+    seeds: Vec<SocketAddr>,
+    seeds_due: Duration,
+    sequence: u64,
+    most: usize,
+}
+
+/// To whom a report is due.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Due {
+    /// The host, or the address by which a seed is known.
+    pub to: name::Host,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Whether it is of the same region.
+    pub near: bool,
+    /// Whether to name other hosts.
+    pub contacts: bool,
+}
+
+/// What a report changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum News {
+    /// It is older than one that was heard before.
+    Stale,
+    /// The host was not known, or has started again.
+    Joined,
+    /// It is leaving.
+    Left,
+    /// Nothing but its figures.
+    Same,
+}
+
+impl Fleet {
+    /// A host that knows only where to ask.
+    pub fn new(own: Identity, seeds: Vec<SocketAddr>) -> Self {
+        let seeds = seeds
+            .into_iter()
+            .filter(|seed| *seed != own.peers)
+            .collect();
+        Self {
+            own,
+            peers: BTreeMap::new(),
+            contacts: BTreeMap::new(),
+            seeds,
+            seeds_due: Duration::ZERO,
+            sequence: 0,
+            most: 1,
+        }
+    }
+
+    /// A host reports.
+    pub fn hear(&mut self, now: Duration, report: &Report) -> News {
+        if report.from.host == self.own.host {
+            return News::Stale;
+        }
+        for (host, address) in &report.contacts {
+            if *host != self.own.host && !self.peers.contains_key(host) {
+                self.contacts.insert(host.clone(), (*address, now));
+            }
+        }
+        let known = self.peers.get(&report.from.host);
+        let order = (report.from.incarnation, report.sequence);
+        if known.is_some_and(|peer| order <= (peer.identity.incarnation, peer.sequence)) {
+            return News::Stale;
+        }
+        let joined = known.is_none_or(|peer| peer.identity.incarnation != report.from.incarnation);
+        let left = report.leaving && known.is_none_or(|peer| !peer.leaving);
+        let (due, sent) = known.map_or((Duration::ZERO, 0), |peer| (peer.due, peer.sent));
+        self.contacts.remove(&report.from.host);
+        let peer = Peer {
+            identity: report.from.clone(),
+            heard: now,
+            ready: report.ready,
+            leaving: report.leaving,
+            version: report.version,
+            spare: report.spare.iter().cloned().collect(),
+            sequence: report.sequence,
+            due,
+            sent,
+        };
+        self.peers.insert(report.from.host.clone(), peer);
+        self.most = self.most.max(self.peers.len() + 1);
+        match (joined, left) {
+            (_, true) => News::Left,
+            (true, false) => News::Joined,
+            (false, false) => News::Same,
+        }
+    }
+
+    /// The reports that are due; each is noted as sent.
+    pub fn due(&mut self, now: Duration) -> Vec<Due> {
+        self.peers
+            .retain(|_, peer| now.saturating_sub(peer.heard) < FORGET);
+        self.contacts
+            .retain(|_, (_, since)| now.saturating_sub(*since) < FORGET);
+        let stretch = (self.peers.len() as f64 / SMALL as f64).max(1.0);
+        let own = &self.own;
+        let mut due = Vec::new();
+        for (host, peer) in &mut self.peers {
+            if now < peer.due || (peer.leaving && now.saturating_sub(peer.heard) > GONE) {
+                continue;
+            }
+            let near = peer.identity.region == own.region;
+            let every = if near { NEAR_EVERY } else { FAR_EVERY };
+            peer.due = now + every.mul_f64(stretch);
+            peer.sent += 1;
+            due.push(Due {
+                to: host.clone(),
+                address: peer.identity.peers,
+                near,
+                contacts: peer.sent % CONTACTS_EVERY == 1,
+            });
+        }
+        if now >= self.seeds_due {
+            self.seeds_due = now + SEEDS_EVERY;
+            due.extend(self.unknown());
+        }
+        due
+    }
+
+    /// Addresses at which there may be hosts that have not reported.
+    fn unknown(&self) -> Vec<Due> {
+        let known: Vec<_> = self
+            .peers
+            .values()
+            .map(|peer| peer.identity.peers)
+            .collect();
+        let first = |to: name::Host, address: SocketAddr| Due {
+            to,
+            address,
+            near: false,
+            contacts: true,
+        };
+        let seeds = self
+            .seeds
+            .iter()
+            .map(|seed| first(seed.to_string().into(), *seed));
+        let contacts = self
+            .contacts
+            .iter()
+            .map(|(host, (address, _))| first(host.clone(), *address));
+        seeds
+            .chain(contacts)
+            .filter(|due| !known.contains(&due.address))
+            .collect()
+    }
+
+    /// Makes every report due now.
+    pub fn hasten(&mut self) {
+        for peer in self.peers.values_mut() {
+            peer.due = Duration::ZERO;
+        }
+    }
+
+    /// The number of the next report.
+    pub fn next_sequence(&mut self) -> u64 {
+        self.sequence += 1;
+        self.sequence
+    }
+
+    /// A host by name.
+    pub fn get(&self, host: &name::Host) -> Option<&Peer> {
+        self.peers.get(host)
+    }
+
+    /// A host by name.
+    pub fn get_mut(&mut self, host: &name::Host) -> Option<&mut Peer> {
+        self.peers.get_mut(host)
+    }
+
+    /// All other hosts that are known.
+    pub fn peers(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values()
+    }
+
+    /// Hosts that can be given work now.
+    pub fn working(&self, now: Duration) -> impl Iterator<Item = &Peer> {
+        self.peers.values().filter(move |peer| {
+            peer.ready && !peer.leaving && now.saturating_sub(peer.heard) < SILENT
+        })
+    }
+
+    /// Most hosts that were known at once, this one included.
+    pub fn most(&self) -> usize {
+        self.most
+    }
+
+    /// Hosts of this region that were heard lately or may only be silent, this one included.
+    pub fn near(&self) -> usize {
+        let near = |peer: &&Peer| peer.identity.region == self.own.region && !peer.leaving;
+        1 + self.peers.values().filter(near).count()
+    }
+
+    /// The hosts that callers of a region should use, by address, this one included if it `serves`.
+    pub fn directory(
+        &self,
+        now: Duration,
+        region: &name::Region,
+        domain: &name::Domain,
+        serves: bool,
+    ) -> Vec<SocketAddr> {
+        let own = serves.then_some(&self.own);
+        let peers = self.peers.values().filter_map(|peer| {
+            let heard = now.saturating_sub(peer.heard) < GONE;
+            (peer.ready && !peer.leaving && heard).then_some(&peer.identity)
+        });
+        let live: Vec<_> = own.into_iter().chain(peers).collect();
+        let near: Vec<_> = live
+            .iter()
+            .copied()
+            .filter(|identity| identity.region == *region || identity.domain == *domain)
+            .collect();
+        let named = if near.is_empty() { live } else { near };
+        named.into_iter().map(|identity| identity.callers).collect()
+    }
+}
--- /dev/null
+++ b/src/proxy/follow.rs
@@ -0,0 +1,245 @@
+//! Keeps a host's view of the platform fresh: a list, then a watch from its revision on, and a list
+//! again when the watch has lost its place.
+//!
+//! The platform prices each call and upstreams describe themselves all the time, so changes of
+//! upstreams are taken in batches. A watch waits for less than a configuration may take to come
+//! into force, since a connection that has gone silent shows only when the wait is over.
+
+use {
+    super::{dialect::Dialect, entry::Entry, host::Host, server::until, table::Table},
+    crate::{Result, clock::Clock, entry::Phase, name},
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+    std::{collections::BTreeSet, future::Future, time::Duration},
+    tokio::{
+        sync::watch,
+        time::{sleep, timeout},
+    },
+};
+
+/// Longest wait of one watch.
+const WATCH: Duration = Duration::from_millis(2_500);
+/// How much longer than its wait a call may take.
+const SLACK: Duration = Duration::from_millis(800);
+/// Pause between two batches of changes of upstreams; a leaving one must be known well within
+/// three seconds.
+const BATCH: Duration = Duration::from_millis(900);
+/// First pause after a failed call.
+const BACKOFF: Duration = Duration::from_millis(150);
+/// Longest pause after failed calls in a row.
+const BACKOFF_MOST: Duration = Duration::from_millis(1_000);
+
+/// A part of what the platform publishes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Section {
+    /// The configuration, and the evacuations.
+    Operator,
+    /// The upstreams.
+    Upstreams,
+}
+
+/// Something published.
+#[derive(Debug)]
+pub enum Item {
+    /// A configuration.
+    Table(Table),
+    /// A failure domain is evacuated.
+    Evacuated(name::Domain),
+    /// A failure domain is given back.
+    Restored(name::Domain),
+    /// An upstream describes itself.
+    Upstream(Entry),
+    /// An upstream is not listed any more.
+    Removed(name::Upstream),
+    /// It can't be read and stands for nothing.
+    Unreadable {
+        /// Its key.
+        key: String,
+        /// What is wrong.
+        reason: String,
+    },
+}
+
+/// What a call brought.
+#[derive(Debug)]
+pub struct Batch {
+    /// The revision from which to go on.
+    pub revision: u64,
+    /// What was read, the latest last.
+    pub items: Vec<Item>,
+}
+
+/// What a watch brought.
+#[derive(Debug)]
+pub enum Watched {
+    /// Changes, or none within the wait.
+    Changes(Batch),
+    /// The changes since the revision are not known any more.
+    Lost,
+}
+
+/// What the platform publishes, as it can be read.
+pub trait Store: Clone + Send + Sync + 'static {
+    /// All of a section.
+    fn list(&self, section: Section) -> impl Future<Output = Result<Batch>> + Send;
+
+    /// What changes in a section after a revision, as soon as there is something.
+    fn watch(
+        &self,
+        section: Section,
+        after: u64,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Watched>> + Send;
+}
+
+/// Follows one section until the host has closed.
+pub async fn follow<D: Dialect, C: Clock, S: Store>(
+    host: Host<D, C>,
+    store: S,
+    section: Section,
+    mut phase: watch::Receiver<Phase>,
+) {
+    let mut follower = Follower {
+        host,
+        store,
+        section,
+        after: None,
+        failures: 0,
+        evacuated: BTreeSet::new(),
+        rng: StdRng::from_rng(&mut rand::rng()),
+    };
+    loop {
+        tokio::select! {
+            () = follower.step() => {}
+            () = until(&mut phase, |phase| phase == Phase::Closed) => return,
+        }
+    }
+}
+
+struct Follower<D, C, S> {
+    host: Host<D, C>,
+    store: S,
+    section: Section,
+    after: Option<u64>,
+    failures: u32,
+    evacuated: BTreeSet<name::Domain>,
+    rng: StdRng,
+}
+
+impl<D: Dialect, C: Clock, S: Store> Follower<D, C, S> {
+    async fn step(&mut self) {
+        let read = match self.after {
+            None => timeout(SLACK, self.store.list(self.section))
+                .await
+                .map(|listed| listed.map(Watched::Changes)),
+            Some(after) => {
+                let watching = self.store.watch(self.section, after, WATCH);
+                let operator = self.section == Section::Operator;
+                tokio::select! {
+                    watched = timeout(WATCH + SLACK, watching) => watched,
+                    () = self.host.behind(), if operator => {
+                        self.after = None;
+                        return;
+                    }
+                }
+            }
+        };
+        match read {
+            Ok(Ok(Watched::Changes(batch))) => {
+                self.reached();
+                let whole = self.after.is_none();
+                let changed = !batch.items.is_empty();
+                let newest = self.after.unwrap_or(0).max(batch.revision);
+                self.after = Some(newest);
+                self.take(batch.items, whole);
+                if changed && self.section == Section::Upstreams {
+                    sleep(BATCH).await;
+                }
+            }
+            Ok(Ok(Watched::Lost)) => {
+                self.reached();
+                tracing::info!(event = "store", section = ?self.section, state = "history lost");
+                self.after = None;
+            }
+            Ok(Err(error)) => self.failed(&error.to_string()).await,
+            Err(_) => self.failed("no answer in time").await,
+        }
+    }
+
+    fn reached(&mut self) {
+        if std::mem::take(&mut self.failures) > 0 {
+            tracing::info!(event = "store", section = ?self.section, state = "back");
+        }
+        if self.section == Section::Upstreams {
+            let now = self.host.clock.now();
+            self.host.core().catalog.reach(now, true);
+        }
+    }
+
+    async fn failed(&mut self, reason: &str) {
+        if self.failures == 0 {
+            tracing::warn!(event = "store", section = ?self.section, state = "lost", reason);
+        }
+        self.failures += 1;
+        if self.section == Section::Upstreams {
+            let now = self.host.clock.now();
+            self.host.core().catalog.reach(now, false);
+        }
+        let pause = BACKOFF * 2_u32.saturating_pow(self.failures.min(4) - 1);
+        let spread = self.rng.random_range(0.7..1.3);
+        sleep(pause.min(BACKOFF_MOST).mul_f64(spread)).await;
+    }
+
+    fn take(&mut self, items: Vec<Item>, whole: bool) {
+        let now = self.host.clock.now();
+        let mut entries = Vec::new();
+        let mut removed = Vec::new();
+        let before = self.evacuated.clone();
+        if whole {
+            self.evacuated.clear();
+        }
+        for item in items {
+            match item {
+                Item::Table(table) => self.host.configure(table),
+                Item::Evacuated(domain) => {
+                    self.evacuated.insert(domain);
+                }
+                Item::Restored(domain) => {
+                    self.evacuated.remove(&domain);
+                }
+                Item::Upstream(entry) => {
+                    removed.retain(|id| *id != entry.id);
+                    entries.push(entry);
+                }
+                Item::Removed(id) => {
+                    entries.retain(|entry: &Entry| entry.id != id);
+                    removed.push(id);
+                }
+                Item::Unreadable { key, reason } => {
+                    tracing::warn!(event = "store", key, reason, "an entry can't be read");
+                }
+            }
+        }
+        let changes = {
+            let mut core = self.host.core();
+            if self.section == Section::Operator {
+                if self.evacuated != before {
+                    tracing::info!(event = "evacuation", domains = ?self.evacuated);
+                    core.catalog.evacuate(now, self.evacuated.clone());
+                }
+                Vec::new()
+            } else if whole {
+                core.catalog.list(now, entries)
+            } else {
+                let put = entries.into_iter();
+                let mut changes: Vec<_> = put
+                    .filter_map(|entry| core.catalog.put(now, entry))
+                    .collect();
+                let gone = removed.iter();
+                changes.extend(gone.filter_map(|id| core.catalog.remove(now, id)));
+                changes
+            }
+        };
+        self.host.note(changes);
+        self.host.pump();
+    }
+}
--- /dev/null
+++ b/src/proxy/host.rs
@@ -0,0 +1,460 @@
+//! A running host: the decisions of [`Core`] with the sockets around them.
+
+use {
+    super::{
+        answer::{Answer, Ask},
+        catalog::Change,
+        core::{Core, Grant, Placement, Setup},
+        dialect::Dialect,
+        fleet::{self, News},
+        place::Job,
+        replica::Outcome,
+        server::until,
+        table::Table,
+    },
+    crate::{
+        clock::Clock,
+        entry::Phase,
+        failure::{Code, Failure},
+        link::{self, exchange},
+        metric::{self, Metrics},
+        name, upstream, wire,
+    },
+    bytes::Bytes,
+    http::{HeaderMap, StatusCode},
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        sync::{
+            Arc, Mutex, MutexGuard, OnceLock, PoisonError,
+            atomic::{AtomicUsize, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{
+        sync::{Notify, mpsc, oneshot, watch},
+        time::sleep,
+    },
+};
+
+/// How often due reports are looked for; a fraction of the shortest time between two.
+const REPORT_TICK: Duration = Duration::from_millis(50);
+
+/// A running host. Cloning it copies a pointer.
+#[derive(Debug)]
+pub struct Host<D, C>(Arc<Shared<D, C>>);
+
+impl<D, C> Clone for Host<D, C> {
+    fn clone(&self) -> Self {
+        Self(self.0.clone())
+    }
+}
+
+/// What the tasks of a host share.
+#[derive(Debug)]
+pub struct Shared<D, C> {
+    pub(super) dialect: D,
+    pub(super) clock: C,
+    pub(super) upstreams: upstream::Client,
+    pub(super) exchanges: exchange::Client,
+    /// This host.
+    pub own: fleet::Identity,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    link: link::Handle,
+    core: Mutex<Core>,
+    waiters: Mutex<BTreeMap<(u8, u64), oneshot::Sender<Placement>>>,
+    phase: watch::Receiver<Phase>,
+    running: AtomicUsize,
+    stale: Notify,
+    grace: Duration,
+    left_at: OnceLock<Duration>,
+}
+
+/// What a host is made of.
+#[derive(Debug)]
+pub struct Parts<D, C> {
+    /// Translates headers.
+    pub dialect: D,
+    /// The time.
+    pub clock: C,
+    /// Connections to upstreams.
+    pub upstreams: upstream::Client,
+    /// Forwarded calls.
+    pub exchanges: exchange::Client,
+    /// Messages to other hosts.
+    pub link: link::Handle,
+    /// What the host is told at its start.
+    pub setup: Setup,
+    /// Where the host is in its life.
+    pub phase: watch::Receiver<Phase>,
+    /// How long it may go on after it was told to go.
+    pub grace: Duration,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+}
+
+impl<D, C> std::ops::Deref for Host<D, C> {
+    type Target = Shared<D, C>;
+
+    fn deref(&self) -> &Self::Target {
+        &self.0
+    }
+}
+
+impl<D: Dialect, C: Clock> Host<D, C> {
+    /// A host that knows nothing yet.
+    pub fn new(parts: Parts<D, C>) -> Self {
+        let now = parts.clock.now();
+        Self(Arc::new(Shared {
+            own: parts.setup.own.clone(),
+            core: Mutex::new(Core::new(now, parts.setup)),
+            dialect: parts.dialect,
+            clock: parts.clock,
+            upstreams: parts.upstreams,
+            exchanges: parts.exchanges,
+            link: parts.link,
+            metrics: parts.metrics,
+            waiters: Mutex::default(),
+            phase: parts.phase,
+            running: AtomicUsize::new(0),
+            stale: Notify::new(),
+            grace: parts.grace,
+            left_at: OnceLock::new(),
+        }))
+    }
+
+    /// The decisions; held for the length of one.
+    pub fn core(&self) -> MutexGuard<'_, Core> {
+        self.core.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether callers should come here.
+    pub fn is_ready(&self) -> bool {
+        *self.phase.borrow() == Phase::Running && self.core().is_ready()
+    }
+
+    /// Whether it has been told to go.
+    pub fn is_leaving(&self) -> bool {
+        *self.phase.borrow() != Phase::Running
+    }
+
+    /// Notes that it has been told to go, and tells the other hosts.
+    pub fn leave(&self) {
+        if self.left_at.set(self.clock.now()).is_err() {
+            return;
+        }
+        tracing::info!(event = "stop", running = self.running(), "leaving");
+        self.core().fleet.hasten();
+        self.send_reports();
+    }
+
+    /// What is left of the grace, once it has been told to go, and the whole of it.
+    pub(super) fn time_left(&self) -> Option<(Duration, Duration)> {
+        let left_at = self.left_at.get()?;
+        let until = *left_at + self.grace;
+        Some((until.saturating_sub(self.clock.now()), self.grace))
+    }
+
+    /// Requests in work.
+    pub fn running(&self) -> usize {
+        self.running.load(Ordering::Relaxed)
+    }
+
+    /// Counts a request for as long as the guard lives.
+    pub(super) fn enter(&self) -> Running<D, C> {
+        self.running.fetch_add(1, Ordering::Relaxed);
+        self.metrics.running.inc();
+        Running(self.clone())
+    }
+
+    /// The hosts that a caller should use.
+    pub fn directory(&self, region: &name::Region, domain: &name::Domain) -> Vec<SocketAddr> {
+        let serves = self.is_ready();
+        let now = self.clock.now();
+        self.core().fleet.directory(now, region, domain, serves)
+    }
+
+    /// Installs a configuration unless a newer one is in force.
+    pub fn configure(&self, table: Table) {
+        let (version, now) = (table.version, self.clock.now());
+        let before = self.core().version();
+        if self.core().configure(now, table) {
+            tracing::info!(
+                event = "configured",
+                version,
+                before,
+                "configuration in force"
+            );
+        }
+        self.pump();
+    }
+
+    /// Wakes once another host is known to have a newer configuration.
+    pub async fn behind(&self) {
+        self.stale.notified().await;
+    }
+
+    /// Logs changes of belief about upstreams.
+    pub fn note(&self, changes: impl IntoIterator<Item = Change>) {
+        for change in changes {
+            match change {
+                Change::Listed(upstream) => {
+                    tracing::info!(event = "upstream", %upstream, state = "listed");
+                }
+                Change::Restarted(upstream) => {
+                    tracing::info!(event = "upstream", %upstream, state = "restarted");
+                }
+                Change::Leaving(upstream) => {
+                    tracing::info!(event = "upstream", %upstream, state = "leaving");
+                }
+                Change::Gone(upstream) => {
+                    tracing::info!(event = "upstream", %upstream, state = "gone");
+                }
+                Change::Standing(upstream) => {
+                    tracing::info!(event = "upstream", %upstream, state = "standing changed");
+                }
+            }
+        }
+    }
+
+    /// Serves a request, up to the first byte of its answer.
+    pub async fn serve(&self, ask: Ask, job: Job, away: bool) -> Result<Answer<D, C>, Failure> {
+        Answer::open(self.clone(), ask, job, away).await
+    }
+
+    /// Where a request goes, after a wait if need be.
+    pub(super) async fn place(&self, job: &Job, away: bool) -> Result<Placement, Failure> {
+        let now = self.clock.now();
+        let (place, placed, limit) = {
+            let mut core = self.core();
+            match core.place(now, job, away) {
+                Placement::Wait => {}
+                placement => return Ok(placement),
+            }
+            let limit = core.wait_limit(now, job);
+            if limit.is_zero() {
+                return Err(refused(&mut core, now, job));
+            }
+            let place = core.enqueue(job.clone());
+            let (sender, placed) = oneshot::channel();
+            self.waiters().insert(place, sender);
+            (place, placed, limit)
+        };
+        let mut waiting = Waiting {
+            host: self,
+            place,
+            placed,
+        };
+        tokio::select! {
+            placement = &mut waiting.placed => placement.map_err(|_| stopped()),
+            () = sleep(limit) => {
+                let now = self.clock.now();
+                Err(refused(&mut self.core(), now, job))
+            }
+        }
+    }
+
+    fn waiters(&self) -> MutexGuard<'_, BTreeMap<(u8, u64), oneshot::Sender<Placement>>> {
+        self.waiters.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Places waiting requests, now that something may have become free.
+    pub(super) fn pump(&self) {
+        let now = self.clock.now();
+        let placed = self.core().pump(now);
+        for (place, placement) in placed {
+            let Some(waiter) = self.waiters().remove(&place) else {
+                self.give_back(placement);
+                continue;
+            };
+            if let Err(placement) = waiter.send(placement) {
+                self.give_back(placement);
+            }
+        }
+    }
+
+    fn give_back(&self, placement: Placement) {
+        if let Placement::Here(grant) = placement {
+            let now = self.clock.now();
+            self.core().end(now, grant.ticket, Outcome::Unknown);
+        }
+    }
+
+    /// The reservation of a grant, which ends when it is dropped.
+    pub(super) fn hold(&self, grant: Grant) -> Reservation<D, C> {
+        Reservation {
+            host: self.clone(),
+            grant,
+            outcome: Outcome::Unknown,
+        }
+    }
+
+    /// Sends reports as they fall due, until the host has closed.
+    pub async fn report(self) {
+        let mut phase = self.phase.clone();
+        loop {
+            tokio::select! {
+                () = sleep(REPORT_TICK) => {}
+                () = until(&mut phase, |phase| phase == Phase::Closed) => return,
+            }
+            self.send_reports();
+            self.expire();
+        }
+    }
+
+    /// Sends the reports that are due.
+    pub fn send_reports(&self) {
+        let (ready, leaving) = (self.is_ready(), self.is_leaving());
+        let now = self.clock.now();
+        let reports = self.core().reports(now, ready, leaving);
+        for (due, report) in reports {
+            self.link.peers().insert(due.to.clone(), due.address);
+            self.link
+                .send(&due.to, wire::Message::Report(Box::new(report)));
+        }
+    }
+
+    fn expire(&self) {
+        let now = self.clock.now();
+        let changes = {
+            let mut core = self.core();
+            core.limiter.expire(now);
+            core.catalog.expire(now)
+        };
+        self.note(changes);
+        if self.core().waiting() > 0 {
+            self.pump();
+        }
+    }
+
+    /// Takes other hosts' reports until their sender closes.
+    pub async fn listen(self, mut mailbox: mpsc::Receiver<link::Received<Box<fleet::Report>>>) {
+        while let Some(received) = mailbox.recv().await {
+            let report = *received.message;
+            let (host, incarnation) = (report.from.host.clone(), report.from.incarnation);
+            let (version, now) = (report.version, self.clock.now());
+            let (news, own) = {
+                let mut core = self.core();
+                (core.hear(now, report), core.version())
+            };
+            match news {
+                News::Joined => tracing::info!(event = "host", %host, incarnation, state = "live"),
+                News::Left => tracing::info!(event = "host", %host, incarnation, state = "leaving"),
+                News::Same | News::Stale => {}
+            }
+            if version > own {
+                self.stale.notify_one();
+            }
+            if self.core().waiting() > 0 {
+                self.pump();
+            }
+        }
+    }
+}
+
+/// A request in work.
+#[derive(Debug)]
+pub struct Running<D: Dialect, C: Clock>(Host<D, C>);
+
+impl<D: Dialect, C: Clock> Drop for Running<D, C> {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, Ordering::Relaxed);
+        self.0.metrics.running.dec();
+    }
+}
+
+/// A request in the queue; leaves it when dropped.
+struct Waiting<'a, D: Dialect, C: Clock> {
+    host: &'a Host<D, C>,
+    place: (u8, u64),
+    placed: oneshot::Receiver<Placement>,
+}
+
+impl<D: Dialect, C: Clock> Drop for Waiting<'_, D, C> {
+    fn drop(&mut self) {
+        self.host.core().dequeue(self.place);
+        self.host.waiters().remove(&self.place);
+        self.placed.close();
+        if let Ok(placement) = self.placed.try_recv() {
+            self.host.give_back(placement);
+        }
+    }
+}
+
+/// A request's place at an upstream. Dropping it gives the place back.
+#[derive(Debug)]
+pub(super) struct Reservation<D: Dialect, C: Clock> {
+    host: Host<D, C>,
+    pub(super) grant: Grant,
+    pub(super) outcome: Outcome,
+}
+
+impl<D: Dialect, C: Clock> Reservation<D, C> {
+    /// The first byte of the answer's body came.
+    pub(super) fn begin(&self) {
+        let now = self.host.clock.now();
+        self.host.core().begin(now, self.grant.ticket);
+        self.host.pump();
+    }
+}
+
+impl<D: Dialect, C: Clock> Drop for Reservation<D, C> {
+    fn drop(&mut self) {
+        let now = self.host.clock.now();
+        let ended = self.host.core().end(now, self.grant.ticket, self.outcome);
+        self.host.note(ended);
+        self.host.pump();
+    }
+}
+
+impl<D: Dialect, C: Clock> link::Handler for Host<D, C> {
+    type Body = Answer<D, C>;
+
+    async fn call(
+        &self,
+        from: &name::Host,
+        call: wire::Call,
+    ) -> Result<(exchange::Head, Self::Body), Failure> {
+        self.metrics.taken.inc();
+        let (ask, job) = super::intake::taken(self, from, call)?;
+        let answer = self.serve(ask, job, false).await?;
+        let head = exchange::Head {
+            status: answer.status().as_u16(),
+            headers: super::headers::to_wire(answer.headers()),
+            upstream: answer.upstream().clone(),
+            pool: answer.pool().clone(),
+        };
+        Ok((head, answer))
+    }
+
+    async fn next(&self, body: &mut Self::Body) -> Result<Option<Bytes>, Failure> {
+        body.next().await
+    }
+}
+
+/// The head of an answer.
+#[derive(Debug, Clone)]
+pub struct Head {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Headers that may reach the caller.
+    pub headers: HeaderMap,
+}
+
+fn refused(core: &mut Core, now: Duration, job: &Job) -> Failure {
+    let wait = core.retry_after(now, &job.pool);
+    Failure::not_run(Code::NoCapacity, "no upstream can answer in time").retry_after(wait)
+}
+
+fn stopped() -> Failure {
+    Failure::not_run(Code::NotReady, "the host is shutting down")
+}
+
+/// Counts a failure by its code.
+pub(super) fn count(metrics: &Metrics, failure: &Failure) {
+    metrics
+        .failed
+        .get_or_create(&metric::Failed { code: failure.code })
+        .inc();
+}
--- /dev/null
+++ b/src/proxy/intake.rs
@@ -0,0 +1,293 @@
+//! Requests as they come in: from callers, and from hosts of other regions.
+
+use {
+    super::{
+        answer::{Answer, Ask},
+        cache,
+        dialect::{Call, Dialect},
+        headers,
+        host::{Host, count},
+        place::Job,
+        table::{Denial, Match},
+    },
+    crate::{
+        clock::Clock,
+        failure::{Code, Failure},
+        name, wire,
+    },
+    bytes::Bytes,
+    futures::stream::{self, Stream},
+    http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header},
+    http_body::{Body, Frame},
+    http_body_util::{BodyExt, Either, Full, Limited, StreamBody},
+    std::{error::Error, time::Duration},
+    tokio::time::timeout,
+};
+
+/// When to come back to a host that knows no configuration yet.
+const RETRY_AT_START: Duration = Duration::from_millis(300);
+/// A leaving host takes streams while this share of its grace is left, so that they can end.
+const STREAMS_LEFT: f64 = 0.7;
+/// The same for other requests.
+const PLAIN_LEFT: f64 = 0.3;
+
+/// Answers a caller.
+pub async fn answer<D: Dialect, C: Clock>(
+    host: Host<D, C>,
+    request: Request<impl Body<Data = Bytes, Error: std::fmt::Display> + Send>,
+) -> Response<impl Body<Data = Bytes, Error = Box<dyn Error + Send + Sync>> + Send> {
+    let (mut head, body) = request.into_parts();
+    let call = host.dialect.call(&head);
+    let id = call.id.clone();
+    let target = head
+        .uri
+        .path_and_query()
+        .map_or("/", |target| target.as_str())
+        .to_owned();
+    headers::strip(&mut head.headers);
+    let leaving = host.is_leaving();
+    let opened = open(&host, call, head.method, target, head.headers, body).await;
+    let mut response = match opened {
+        Ok(mut answer) => {
+            let status = answer.status();
+            let headers = answer.headers().clone();
+            let body = match answer.take_whole() {
+                Some(whole) => Either::Left(Full::new(whole)),
+                None => Either::Right(StreamBody::new(pieces(answer))),
+            };
+            let mut response = Response::new(body);
+            *response.status_mut() = status;
+            *response.headers_mut() = headers;
+            response
+        }
+        Err(failure) => {
+            count(&host.metrics, &failure);
+            refusal(&host, &failure, id.as_deref().unwrap_or("-")).map(Either::Left)
+        }
+    };
+    if leaving || host.is_leaving() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+/// The rest of an answer, piece by piece.
+fn pieces<D: Dialect, C: Clock>(
+    answer: Answer<D, C>,
+) -> impl Stream<Item = Result<Frame<Bytes>, Failure>> + Send {
+    stream::unfold(Some(answer), async |answer| {
+        let mut answer = answer?;
+        match answer.next().await {
+            Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(answer))),
+            Ok(None) => None,
+            Err(failure) => Some((Err(failure), None)),
+        }
+    })
+}
+
+/// Tells a caller why there is no answer.
+fn refusal<D: Dialect, C: Clock>(
+    host: &Host<D, C>,
+    failure: &Failure,
+    id: &str,
+) -> Response<Full<Bytes>> {
+    tracing::info!(event = "refused", request = id, code = %failure.code, ran = %failure.ran,
+        retry_after_ms = failure.retry_after.map(|wait| wait.as_millis() as u64),
+        reason = %failure.message);
+    let mut response = Response::new(Full::from(failure.json(id).to_string()));
+    let status = StatusCode::from_u16(host.dialect.status(failure));
+    *response.status_mut() = status.unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
+    let headers = response.headers_mut();
+    headers.insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("application/json"),
+    );
+    if let Some(wait) = failure.retry_after {
+        let seconds = format!("{:.3}", wait.as_secs_f64());
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            headers.insert(header::RETRY_AFTER, value);
+        }
+    }
+    response
+}
+
+async fn open<D: Dialect, C: Clock>(
+    host: &Host<D, C>,
+    call: Call,
+    method: Method,
+    target: String,
+    mut headers: HeaderMap,
+    body: impl Body<Data = Bytes, Error: std::fmt::Display> + Send,
+) -> Result<Answer<D, C>, Failure> {
+    let arrived = host.clock.now();
+    let matched = resolve(host, &call, &target, &headers)?;
+    let limits = host.core().table().map(|table| table.limits);
+    let limits = limits.unwrap_or_default();
+    let patience = call.patience.unwrap_or(Duration::MAX);
+    let deadline = arrived + patience.min(matched.route.timeout);
+    let body = read(body, limits.body, patience.min(limits.arrival)).await?;
+    host.dialect.conceal(&mut headers);
+    let job = job(host, &call, matched, arrived, deadline)?;
+    refuse_when_leaving(host, &job)?;
+    let ask = Ask {
+        call,
+        method,
+        target,
+        headers,
+        body,
+        origin: None,
+    };
+    let units = job.matched.cost(ask.call.tokens);
+    let customer = job.matched.customer.clone();
+    if let Some(customer) = &customer {
+        let now = host.clock.now();
+        let admitted = host.core().limiter.admit(now, &customer.name, units);
+        admitted.map_err(|wait| {
+            Failure::not_run(Code::RateLimited, "over the customer's rate").retry_after(wait)
+        })?;
+    }
+    let served = host.serve(ask, job, true).await;
+    if let (Err(failure), Some(customer)) = (&served, &customer)
+        && failure.ran == crate::failure::Ran::No
+    {
+        host.core().limiter.refund(&customer.name, units);
+    }
+    served
+}
+
+fn resolve<D: Dialect, C: Clock>(
+    host: &Host<D, C>,
+    call: &Call,
+    target: &str,
+    headers: &HeaderMap,
+) -> Result<Match, Failure> {
+    let core = host.core();
+    let not_yet = |reason| Failure::not_run(Code::NotReady, reason).retry_after(RETRY_AT_START);
+    let table = core
+        .table()
+        .ok_or_else(|| not_yet("no configuration is known yet"))?;
+    let authority = headers
+        .get(header::HOST)
+        .and_then(|host| host.to_str().ok());
+    let authority = authority.unwrap_or_default();
+    let path = target.split('?').next().unwrap_or(target);
+    table
+        .resolve(authority, path, call.key.as_deref())
+        .map_err(|denial| match denial {
+            Denial::RouteUnknown => Failure::not_run(Code::RouteUnknown, "no such route"),
+            Denial::KeyUnknown => Failure::not_run(Code::KeyUnknown, "the key is not known"),
+            Denial::NoHome => Failure::not_run(
+                Code::Residency,
+                "route and customer have no region in common",
+            ),
+        })
+}
+
+fn job<D: Dialect, C: Clock>(
+    host: &Host<D, C>,
+    call: &Call,
+    matched: Match,
+    arrived: Duration,
+    deadline: Duration,
+) -> Result<Job, Failure> {
+    let chain = cache::chain(&call.parts);
+    let session = chain.iter().rev().nth(1).map(|link| link.hash);
+    let pool = host.core().draw_pool(&matched, session);
+    Ok(Job {
+        pool: pool.ok_or_else(|| Failure::not_run(Code::NoCapacity, "the route has no pool"))?,
+        matched,
+        tokens: call.tokens.unwrap_or_default(),
+        chain,
+        arrived,
+        deadline,
+        tried: Vec::new(),
+    })
+}
+
+/// A leaving host sends work elsewhere that might outlast it.
+fn refuse_when_leaving<D: Dialect, C: Clock>(host: &Host<D, C>, job: &Job) -> Result<(), Failure> {
+    let Some((left, grace)) = host.time_left() else {
+        return Ok(());
+    };
+    let share = if job.matched.route.kind.is_stream() {
+        STREAMS_LEFT
+    } else {
+        PLAIN_LEFT
+    };
+    if left > grace.mul_f64(share) {
+        return Ok(());
+    }
+    Err(Failure::not_run(Code::NotReady, "the host is shutting down").retry_after(Duration::ZERO))
+}
+
+/// A request that a host of another region has forwarded.
+pub(super) fn taken<D: Dialect, C: Clock>(
+    host: &Host<D, C>,
+    from: &name::Host,
+    call: wire::Call,
+) -> Result<(Ask, Job), Failure> {
+    let refused = |reason: &str| Failure::not_run(Code::NotReady, reason);
+    let now = host.clock.now();
+    let headers = headers::from_wire(&call.headers).ok_or_else(|| refused("malformed headers"))?;
+    let method =
+        Method::from_bytes(call.method.as_bytes()).map_err(|_| refused("malformed method"))?;
+    let mut request = Request::new(());
+    *request.headers_mut() = headers;
+    let (head, ()) = request.into_parts();
+    let parsed = host.dialect.call(&head);
+    let matched = {
+        let core = host.core();
+        let table = core
+            .table()
+            .filter(|table| table.version >= call.version)
+            .ok_or_else(|| refused("the configuration here is older"))?;
+        table
+            .admitted(&call.route, call.customer.as_ref())
+            .ok_or_else(|| refused("the configuration here no longer allows it"))?
+    };
+    if !matched.allows(&host.own.region) {
+        return Err(Failure::not_run(
+            Code::Residency,
+            "not a home of the request",
+        ));
+    }
+    let arrived = now.saturating_sub(call.elapsed);
+    let job = job(host, &parsed, matched, arrived, now + call.remaining)?;
+    tracing::debug!(event = "taken", request = call.request, host = %from);
+    let ask = Ask {
+        call: parsed,
+        method,
+        target: call.target,
+        headers: head.headers,
+        body: call.body,
+        origin: call.visited.last().cloned(),
+    };
+    Ok((ask, job))
+}
+
+/// The whole body of a request.
+async fn read(
+    body: impl Body<Data = Bytes, Error: std::fmt::Display> + Send,
+    limit: usize,
+    time: Duration,
+) -> Result<Bytes, Failure> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let too_large = || Failure::not_run(Code::BodyTooLarge, "the body is larger than the limit");
+    if body.size_hint().lower() > limit as u64 {
+        return Err(too_large());
+    }
+    let body = body.map_err(|error| error.to_string());
+    let collected = timeout(time, Limited::new(body, limit).collect()).await;
+    match collected {
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(too_large()),
+        Ok(Err(error)) => Err(Failure::not_run(Code::BodyIncomplete, error.to_string())),
+        Err(_) => Err(Failure::not_run(
+            Code::BodyIncomplete,
+            "the body did not arrive in time",
+        )),
+    }
+}
--- /dev/null
+++ b/src/proxy/place.rs
@@ -0,0 +1,244 @@
+//! Where a request goes: an upstream of this region that can answer in time, else another region
+//! that can, else it waits here, in order, while that is of use.
+//!
+//! The load this is made for: regions peak in turn at twice their mean, most of the work is
+//! reading prompts, and reading one again that an engine of the region holds costs as much as
+//! serving two more requests. So a prompt goes to the engine that holds its prefix unless the wait
+//! there is longer than reading it elsewhere, and an engine's own queue is kept short: what waits
+//! here can still be reordered, sent elsewhere or refused.
+
+use {
+    super::{
+        cache::Link,
+        catalog::Catalog,
+        replica::{Replica, millis},
+        table::{Engine, Match, Pool},
+    },
+    crate::{name, route::affinity},
+    std::time::Duration,
+};
+
+/// Share of the goal that the predicted time to the first byte may take, the time already spent
+/// included. What remains covers the error of the prediction and the way to the caller.
+pub const ON_TIME: f64 = 0.65;
+/// The same for an answer of another region, whose prediction is older.
+pub const ON_TIME_REMOTE: f64 = 0.8;
+/// An upstream takes late work only while its own wait is below this share of the goal, so that
+/// late work delays none that is on time.
+pub const LATE_WAIT: f64 = 0.3;
+/// Share of the caller's patience that a late answer's prediction may take.
+const LATE_PATIENCE: f64 = 0.6;
+/// How much reading an uncached prefix counts beside its own time: it also takes the time of the
+/// requests behind it.
+const READING_WEIGHT: f64 = 2.0;
+/// Share of an engine's memory that may be promised.
+const MEMORY_SHARE: f64 = 0.9;
+/// Requests that a plain service may hold for each of its slots; it turns away what is beyond.
+const PLAIN_DEPTH: f64 = 3.0;
+
+/// A request to be placed.
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// What the configuration says of it.
+    pub matched: Match,
+    /// The pool that serves it.
+    pub pool: name::Pool,
+    /// Prompt and output tokens.
+    pub tokens: (u32, u32),
+    /// Its prompt's prefixes.
+    pub chain: Vec<Link>,
+    /// When its head arrived.
+    pub arrived: Duration,
+    /// When its caller leaves or its route's time is over.
+    pub deadline: Duration,
+    /// Upstreams that have failed it.
+    pub tried: Vec<name::Upstream>,
+}
+
+/// An upstream that can take a job.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Choice {
+    /// The upstream.
+    pub upstream: name::Upstream,
+    /// Predicted time to the first byte, in milliseconds.
+    pub predicted_ms: f64,
+    /// Tokens to be read before the first event, this request's included.
+    pub reading: f64,
+    /// Tokens of its own prompt to be read.
+    pub uncached: u32,
+    /// Whether the answer is predicted on time.
+    pub on_time: bool,
+}
+
+impl Job {
+    /// Time since it arrived, in milliseconds.
+    pub fn elapsed_ms(&self, now: Duration) -> f64 {
+        millis(now.saturating_sub(self.arrived))
+    }
+
+    /// The goal in milliseconds.
+    pub fn goal_ms(&self) -> f64 {
+        millis(self.matched.route.goal)
+    }
+
+    /// The prefix that later requests of the same session share: all parts but the last.
+    fn session(&self) -> Option<&Link> {
+        self.chain.iter().rev().nth(1).or(self.chain.first())
+    }
+
+    fn prompt(&self) -> u32 {
+        let parts: u32 = self.chain.iter().map(|link| link.tokens).sum();
+        parts.max(self.tokens.0)
+    }
+
+    fn allows(&self, now: Duration, predicted_ms: f64, wait_ms: f64) -> Option<bool> {
+        let done = self.elapsed_ms(now) + predicted_ms;
+        if done <= ON_TIME * self.goal_ms() {
+            return Some(true);
+        }
+        let patience = millis(self.deadline.saturating_sub(self.arrived));
+        let late = wait_ms <= LATE_WAIT * self.goal_ms() && done <= LATE_PATIENCE * patience;
+        late.then_some(false)
+    }
+}
+
+/// The best upstream of this region for a job, if one can take it now.
+pub fn choose(
+    catalog: &Catalog,
+    pool: &Pool,
+    job: &Job,
+    now: Duration,
+    cold_share: impl Fn(&Replica, &Pool) -> usize,
+) -> Option<Choice> {
+    let usable: Vec<_> = catalog
+        .eligible(&pool.name)
+        .filter(|replica| !job.tried.contains(&replica.entry.id))
+        .filter(|replica| {
+            pool.cold_per_s <= 0.0
+                || !replica.is_cold(now)
+                || replica.sent_lately(now) < cold_share(replica, pool)
+        })
+        .collect();
+    let open: Vec<_> = usable
+        .iter()
+        .copied()
+        .filter(|replica| replica.is_open(now))
+        .collect();
+    let candidates = if open.is_empty() { &usable } else { &open };
+    match pool.engine {
+        Some(engine) => choose_engine(catalog, pool, engine, job, now, candidates),
+        None => choose_plain(catalog, pool, job, now, candidates),
+    }
+}
+
+fn choose_engine(
+    catalog: &Catalog,
+    pool: &Pool,
+    engine: Engine,
+    job: &Job,
+    now: Duration,
+    candidates: &[&Replica],
+) -> Option<Choice> {
+    let (rate, base) = speed(catalog, &pool.name);
+    let prompt = job.prompt();
+    let home = home(job, candidates);
+    let mut best: Option<(f64, Choice)> = None;
+    for replica in candidates {
+        let running = replica.running(now);
+        let memory = replica.memory(now) + u64::from(prompt) + u64::from(job.tokens.1);
+        let full = memory as f64 > MEMORY_SHARE * engine.memory as f64;
+        if running >= engine.slots || (full && running > 0) {
+            continue;
+        }
+        let slowness = replica.slowness(now);
+        let ahead = replica.ahead(now, job.matched.priority, rate);
+        let mut cached = replica.cache.cached(&job.chain);
+        if home == Some(replica.point) {
+            cached = cached.max(shared(&job.chain));
+        }
+        let uncached = prompt.saturating_sub(cached);
+        let reading = ahead + f64::from(uncached);
+        let wait_ms = slowness * ahead / rate;
+        let predicted_ms = slowness * (base + reading / rate);
+        let Some(on_time) = job.allows(now, predicted_ms, wait_ms) else {
+            continue;
+        };
+        let late = if on_time { 0.0 } else { job.goal_ms() };
+        let score = late + wait_ms + READING_WEIGHT * slowness * f64::from(uncached) / rate;
+        if best.as_ref().is_none_or(|(least, _)| score < *least) {
+            let choice = Choice {
+                upstream: replica.entry.id.clone(),
+                predicted_ms,
+                reading,
+                uncached,
+                on_time,
+            };
+            best = Some((score, choice));
+        }
+    }
+    best.map(|(_, choice)| choice)
+}
+
+/// Tokens of all parts but the last.
+fn shared(chain: &[Link]) -> u32 {
+    let (_, shared) = chain
+        .split_last()
+        .unwrap_or((&Link { hash: 0, tokens: 0 }, &[]));
+    shared.iter().map(|link| link.tokens).sum()
+}
+
+/// The engine that every host of the region takes for the holder of a session's prefix, if this
+/// host knows of no holder itself.
+fn home(job: &Job, candidates: &[&Replica]) -> Option<u64> {
+    let session = job.session()?;
+    let until = shared(&job.chain);
+    let known = candidates
+        .iter()
+        .any(|replica| replica.cache.cached(&job.chain) >= until);
+    if known {
+        return None;
+    }
+    candidates
+        .iter()
+        .map(|replica| replica.point)
+        .max_by_key(|point| affinity::weight(session.hash, *point))
+}
+
+fn choose_plain(
+    catalog: &Catalog,
+    pool: &Pool,
+    job: &Job,
+    now: Duration,
+    candidates: &[&Replica],
+) -> Option<Choice> {
+    let service = catalog
+        .learned(&pool.name)
+        .map_or(50.0, |model| model.service_ms);
+    candidates
+        .iter()
+        .filter_map(|replica| {
+            let slots = f64::from(replica.entry.slots.max(1));
+            let running = f64::from(replica.running(now));
+            if running >= slots * PLAIN_DEPTH {
+                return None;
+            }
+            let wait_ms = (running + 1.0 - slots).max(0.0) / slots * service;
+            let predicted_ms = replica.slowness(now) * service + wait_ms;
+            let on_time = job.allows(now, predicted_ms, wait_ms)?;
+            Some(Choice {
+                upstream: replica.entry.id.clone(),
+                predicted_ms,
+                reading: 0.0,
+                uncached: 0,
+                on_time,
+            })
+        })
+        .min_by(|left, right| left.predicted_ms.total_cmp(&right.predicted_ms))
+}
+
+/// Tokens a millisecond, and milliseconds that don't depend on the prompt.
+pub fn speed(catalog: &Catalog, pool: &name::Pool) -> (f64, f64) {
+    let fresh = super::speed::Speed::new();
+    let speed = catalog.learned(pool).map_or(&fresh, |model| &model.speed);
+    (speed.rate(), speed.base_ms())
+}
--- a/src/route/poll.rs
+++ b/src/route/poll.rs
@@ -5,7 +5,7 @@
     crate::{
         clock::Clock,
         link, name,
-        platform::{Kind, Listing, State},
+        source::{Kind, Listing, State},
         upstream::Client,
         wire,
     },
--- a/src/route/service.rs
+++ b/src/route/service.rs
@@ -12,7 +12,7 @@
         clock::Clock,
         config::Snapshot,
         name,
-        platform::{Kind, Listing, State},
+        source::{Kind, Listing, State},
     },
     std::{
         collections::BTreeMap,
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -25,24 +25,40 @@
 
 /// Longest time to connect.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Idle connections kept for one upstream.
-const IDLE_PER_UPSTREAM: usize = 64;
-/// An idle connection older than this is not used again.
-const IDLE_LIMIT: Duration = Duration::from_secs(15);
-/// For a call that may not be repeated an idle connection must be younger than this, lest it has
-/// gone silent unnoticed.
-const FRESH_LIMIT: Duration = Duration::from_secs(1);
 /// Most headers taken from an upstream.
 const HEADERS_LIMIT: usize = 64;
 /// Read buffer of a connection, in bytes: bounds the head that an upstream can send.
 const READ_BUFFER: usize = 16 * 1024;
 
+/// Which idle connections are kept.
+#[derive(Debug, Clone, Copy)]
+pub struct Keep {
+    /// Most of them for one upstream.
+    pub per_upstream: usize,
+    /// One older than this is not used again.
+    pub idle: Duration,
+    /// For a call that may not be repeated it must be younger than this, lest it has gone silent
+    /// unnoticed.
+    pub fresh: Duration,
+}
+
+impl Default for Keep {
+    fn default() -> Self {
+        Self {
+            per_upstream: 64,
+            idle: Duration::from_secs(15),
+            fresh: Duration::from_secs(1),
+        }
+    }
+}
+
 type Sender = SendRequest<Full<Bytes>>;
 
 /// Sends calls and keeps idle connections.
 #[derive(Debug, Clone)]
 pub struct Client {
     network: Network,
+    keep: Keep,
     idle: Arc<Mutex<BTreeMap<SocketAddr, Vec<Idle>>>>,
 }
 
@@ -65,8 +81,14 @@
 impl Client {
     /// A client without connections.
     pub fn new(network: Network) -> Self {
+        Self::keeping(network, Keep::default())
+    }
+
+    /// A client without connections that keeps idle ones by these bounds.
+    pub fn keeping(network: Network, keep: Keep) -> Self {
         Self {
             network,
+            keep,
             idle: Arc::default(),
         }
     }
@@ -79,7 +101,11 @@
         request: Request<Full<Bytes>>,
         repeatable: bool,
     ) -> Result<Response<Body>, Failure> {
-        let limit = if repeatable { IDLE_LIMIT } else { FRESH_LIMIT };
+        let limit = if repeatable {
+            self.keep.idle
+        } else {
+            self.keep.fresh
+        };
         let mut request = request;
         while let Some(sender) = self.take(address, limit) {
             match self.send_on(address, sender, request).await {
@@ -126,7 +152,7 @@
     fn take(&self, address: SocketAddr, limit: Duration) -> Option<Sender> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let senders = idle.get_mut(&address)?;
-        senders.retain(|idle| idle.since.elapsed() < IDLE_LIMIT && !idle.sender.is_closed());
+        senders.retain(|idle| idle.since.elapsed() < self.keep.idle && !idle.sender.is_closed());
         if senders.last()?.since.elapsed() >= limit {
             return None;
         }
@@ -136,7 +162,7 @@
     fn put(&self, address: SocketAddr, sender: Sender) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let senders = idle.entry(address).or_default();
-        if senders.len() < IDLE_PER_UPSTREAM {
+        if senders.len() < self.keep.per_upstream {
             senders.push(Idle {
                 sender,
                 since: Instant::now(),
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,7 +1,9 @@
 //! What hosts say to each other, encoded as CBOR in binary web socket messages.
 
 use {
-    crate::{Error, Result, attempt::register, config::spread, limit, member, name, route},
+    crate::{
+        Error, Result, attempt::register, config::spread, limit, member, name, proxy::fleet, route,
+    },
     bytes::Bytes,
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     std::time::Duration,
@@ -27,6 +29,8 @@
     Config(spread::Message),
     /// The idempotency register.
     Register(register::Message),
+    /// A host's report to the others.
+    Report(Box<fleet::Report>),
 }
 
 /// A round-trip probe.
@@ -87,6 +91,12 @@
     pub hosts: Vec<name::Host>,
     /// How often it may still be forwarded.
     pub hops: u8,
+    /// The version of the configuration by which it was admitted, where configurations have one.
+    #[serde(default)]
+    pub version: u64,
+    /// Time since the caller's request arrived, counted until sending.
+    #[serde(default)]
+    pub elapsed: Duration,
 }
 
 /// A header that is relayed.
--- a/testbed/src/fuzz.rs
+++ b/testbed/src/fuzz.rs
@@ -8,7 +8,7 @@
         config::{Document, accept},
         gateway::Ask,
         key::Digest,
-        platform::{Directory, Listing},
+        source::{Directory, Listing},
         wire::{self, Answer, Frame},
     },
     rand::{Rng, RngExt, SeedableRng, rngs::StdRng},
@@ -273,6 +273,8 @@
             visited: vec!["south".into()],
             hosts: vec!["a".into()],
             hops: 2,
+            version: 0,
+            elapsed: std::time::Duration::ZERO,
         }),
     }
 }
--- a/tests/directory.rs
+++ b/tests/directory.rs
@@ -5,7 +5,7 @@
         directory::{Answer, Caller, Places, answer},
         member::{Member, Source, State, View},
         name,
-        platform::{Client, Directory},
+        source::{Client, Directory},
     },
     quickcheck::{Arbitrary, Gen, QuickCheck},
     std::{collections::BTreeMap, time::Duration},
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -93,6 +93,8 @@
         visited: Vec::new(),
         hosts: Vec::new(),
         hops: 1,
+        version: 0,
+        elapsed: Duration::ZERO,
     }
 }
 
