Count an attempt before it is sent, and find upstreams that have gone silent

Ruled out: sends that the client library gives back. Change: an attempt counts as run from before its send until it is known not to have run, and a failure is only passed on as not run if no attempt may have. Also: an upstream of which nothing comes for longer than predicted gets no new requests.

--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -103,6 +103,7 @@
 /// What attempts have used up.
 #[derive(Debug, Default)]
 struct Tries {
+    /// Upstreams at which the request may have run. Counted before a send, as it may be cut short.
     runs: u32,
     refused: u32,
     forwards: u32,
@@ -110,6 +111,20 @@
     paid: bool,
 }
 
+impl Tries {
+    /// What a caller is told: that a request has not run only if no attempt at it may have.
+    fn judge(&self, failure: Failure) -> Failure {
+        if failure.ran != Ran::No || self.runs == 0 {
+            return failure;
+        }
+        let code = match failure.code {
+            Code::Deadline => Code::Deadline,
+            _ => Code::UpstreamFailed,
+        };
+        Failure::new(code, Ran::Unknown, failure.message)
+    }
+}
+
 impl<D: Dialect, C: Clock> Answer<D, C> {
     /// Serves a request, up to the first byte of its answer.
     pub(super) async fn open(
@@ -129,18 +144,10 @@
         let left = job.deadline.saturating_sub(now);
         let resume = ask.call.resume_after;
         let opened = timeout(left, attempts(&host, &ask, &mut job, &mut tries, resume)).await;
-        let opened = match opened {
-            Ok(opened) => opened,
-            Err(_) if tries.runs == 0 => Err(Failure::not_run(
-                Code::Deadline,
-                "the deadline passed before an upstream was free",
-            )),
-            Err(_) => Err(Failure::new(
-                Code::Deadline,
-                Ran::Unknown,
-                "no answer within the deadline",
-            )),
-        }?;
+        let late = Failure::not_run(Code::Deadline, "no answer within the deadline");
+        let opened = opened
+            .unwrap_or(Err(late))
+            .map_err(|failure| tries.judge(failure))?;
         let resumable =
             job.matched.route.kind == Kind::Resumable && opened.head.status.is_success();
         Ok(Self {
@@ -245,7 +252,13 @@
             return Ok(None);
         };
         let piece = match source {
-            Source::Upstream(body, _) => timeout(silence, body.next()).await,
+            Source::Upstream(body, reservation) => {
+                let piece = timeout(silence, body.next()).await;
+                if let Ok(Ok(_)) = piece {
+                    reservation.touch();
+                }
+                piece
+            }
             Source::Peer(body) => timeout(silence, body.next()).await,
         };
         piece.unwrap_or_else(|_| {
@@ -351,6 +364,7 @@
         let failure = match host.place(job, away).await? {
             Placement::Here(grant) => {
                 let upstream = grant.upstream.clone();
+                tries.runs += 1;
                 match send(host, ask, job, grant, resume, tries).await {
                     Ok(opened) => return Ok(opened),
                     Err(failure) => {
@@ -359,21 +373,23 @@
                     }
                 }
             }
-            Placement::Away(away) => match forward(host, ask, job, &away, resume).await {
-                Ok(opened) => {
-                    tries.runs += 1;
-                    return Ok(opened);
-                }
-                Err(failure) => {
-                    tries.forwards += 1;
-                    tries.runs += u32::from(failure.ran != Ran::No);
-                    failure
+            Placement::Away(away) => {
+                tries.runs += 1;
+                match forward(host, ask, job, &away, resume).await {
+                    Ok(opened) => return Ok(opened),
+                    Err(failure) => {
+                        tries.forwards += 1;
+                        failure
+                    }
                 }
-            },
+            }
             Placement::Wait => {
                 return Err(Failure::not_run(Code::NoCapacity, "no upstream is free"));
             }
         };
+        if failure.ran == Ran::No {
+            tries.runs -= 1;
+        }
         tracing::info!(event = "attempt failed", request = ask.id(), route = %job.matched.route.name,
             runs = tries.runs, refused = tries.refused, ran = %failure.ran, reason = %failure.message);
         let now = host.clock.now();
@@ -442,15 +458,10 @@
         remaining
     };
     reservation.outcome = Outcome::Broken;
-    let sent = within(silence, host.upstreams.send(address, request, repeatable)).await;
-    if sent.as_ref().is_err_and(|failure| failure.ran != Ran::No) {
-        tries.runs += 1;
-    }
-    let response = sent?;
+    let response = within(silence, host.upstreams.send(address, request, repeatable)).await?;
     let (head, mut body) = response.into_parts();
     let reply = host.dialect.reply(head.status.as_u16(), &head.headers);
     if reply.id.is_some() && reply.id != ask.call.id {
-        tries.runs += 1;
         host.metrics.crossed.inc();
         return Err(broken("the upstream answered another request"));
     }
@@ -467,7 +478,6 @@
         let wait = host.core().retry_after(now, &job.pool);
         return Err(not_run("the upstream turned it away").retry_after(wait));
     }
-    tries.runs += 1;
     let success = head.status.is_success();
     if success && (!reply.sealed || head.headers.contains_key(header::CONTENT_ENCODING)) {
         return Err(broken("the answer is not the upstream's"));
--- a/src/proxy/catalog.rs
+++ b/src/proxy/catalog.rs
@@ -63,6 +63,8 @@
     Leaving(name::Upstream),
     /// An upstream is gone.
     Gone(name::Upstream),
+    /// Nothing comes from an upstream that has requests to answer.
+    Silent(name::Upstream),
     /// An upstream failed too often, or is back from that.
     Standing(name::Upstream),
 }
@@ -260,6 +262,14 @@
             .then(|| Change::Standing(id.clone()))
     }
 
+    /// Nothing comes from an upstream any more.
+    pub fn silent(&mut self, now: Duration, id: &name::Upstream) -> Option<Change> {
+        let replica = self.replicas.get_mut(id)?;
+        replica
+            .mark_silent(now, &self.options)
+            .then(|| Change::Silent(id.clone()))
+    }
+
     /// A whole answer of a plain service took so long.
     pub fn served(&mut self, pool: &name::Pool, millis: f64) {
         let model = self.model(pool);
--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -21,6 +21,13 @@
 
 /// Time that the way to another region and back adds to an answer, in milliseconds.
 const FAR_MS: f64 = 115.0;
+/// Longest silence of an engine that is in the middle of an answer, in milliseconds: several
+/// events' time, even while it reads a long prompt between them.
+const SILENT_STREAM_MS: f64 = 700.0;
+/// Longest silence before the first byte, in milliseconds, beside the predicted time.
+const SILENT_BASE_MS: f64 = 400.0;
+/// The predicted time counts so many times in it.
+const SILENT_FACTOR: f64 = 2.5;
 /// Share of the goal for which a request may wait here for an upstream.
 const WAIT_SHARE: f64 = 0.3;
 /// Waiting requests that are looked at when something becomes free.
@@ -111,6 +118,7 @@
     uncached: u32,
     memory: u32,
     reading: f64,
+    predicted_ms: f64,
     sent: Duration,
     engine: bool,
     started: bool,
@@ -465,6 +473,7 @@
             uncached: choice.uncached,
             memory,
             reading: choice.reading,
+            predicted_ms: choice.predicted_ms,
             sent: now,
             engine: engine.is_some(),
             started: false,
@@ -502,11 +511,48 @@
             model.speed.observe(reading, took);
         }
         if let Some(replica) = self.catalog.get_mut(&upstream) {
+            replica.touch(now);
             replica.own.waiting[rank] = replica.own.waiting[rank].saturating_sub(uncached);
             replica.observe(now, took / foretold.max(1.0));
         }
     }
 
+    /// A further piece of an answer came.
+    pub fn touch(&mut self, now: Duration, ticket: u64) {
+        if let Some(held) = self.held.get(&ticket)
+            && let Some(replica) = self.catalog.get_mut(&held.upstream)
+        {
+            replica.touch(now);
+        }
+    }
+
+    /// Finds upstreams of which nothing comes although they have requests to answer: a stream's
+    /// next event, or the first byte of a request that was predicted to be begun by now.
+    pub fn find_silent(&mut self, now: Duration) -> Vec<Change> {
+        let mut limits: BTreeMap<&name::Upstream, f64> = BTreeMap::new();
+        for held in self.held.values() {
+            let limit = if held.started && held.engine {
+                SILENT_STREAM_MS
+            } else {
+                SILENT_BASE_MS + SILENT_FACTOR * held.predicted_ms
+            };
+            let least = limits.entry(&held.upstream).or_insert(f64::INFINITY);
+            *least = least.min(limit);
+        }
+        let silent: Vec<_> = limits
+            .into_iter()
+            .filter(|(upstream, limit)| {
+                let replica = self.catalog.get(upstream);
+                replica.is_some_and(|replica| millis(replica.quiet(now)) > *limit)
+            })
+            .map(|(upstream, _)| upstream.clone())
+            .collect();
+        silent
+            .iter()
+            .filter_map(|upstream| self.catalog.silent(now, upstream))
+            .collect()
+    }
+
     /// A reservation ends.
     pub fn end(&mut self, now: Duration, ticket: u64, outcome: Outcome) -> Option<Change> {
         let held = self.held.remove(&ticket)?;
--- a/src/proxy/host.rs
+++ b/src/proxy/host.rs
@@ -211,6 +211,9 @@
                 Change::Gone(upstream) => {
                     tracing::info!(event = "upstream", %upstream, state = "gone");
                 }
+                Change::Silent(upstream) => {
+                    tracing::warn!(event = "upstream", %upstream, state = "silent");
+                }
                 Change::Standing(upstream) => {
                     tracing::info!(event = "upstream", %upstream, state = "standing changed");
                 }
@@ -320,7 +323,9 @@
         let changes = {
             let mut core = self.core();
             core.limiter.expire(now);
-            core.catalog.expire(now)
+            let mut changes = core.catalog.expire(now);
+            changes.extend(core.find_silent(now));
+            changes
         };
         self.note(changes);
         if self.core().waiting() > 0 {
@@ -391,6 +396,12 @@
 }
 
 impl<D: Dialect, C: Clock> Reservation<D, C> {
+    /// A further piece of the answer came.
+    pub(super) fn touch(&self) {
+        let now = self.host.clock.now();
+        self.host.core().touch(now, self.grant.ticket);
+    }
+
     /// The first byte of the answer's body came.
     pub(super) fn begin(&self) {
         let now = self.host.clock.now();
--- a/src/proxy/replica.rs
+++ b/src/proxy/replica.rs
@@ -78,6 +78,8 @@
     cautious_until: Duration,
     full_until: Duration,
     health: Health,
+    heard: Duration,
+    silent: bool,
     slowness: f64,
     slow_seen: Duration,
     errors: f64,
@@ -112,6 +114,8 @@
             cautious_until: Duration::ZERO,
             full_until: Duration::ZERO,
             health: Health::default(),
+            heard: now,
+            silent: false,
             slowness: 1.0,
             slow_seen: Duration::ZERO,
             errors: 0.0,
@@ -168,7 +172,7 @@
     /// Whether its health and its own word allow a request now.
     pub fn is_open(&self, now: Duration) -> bool {
         use crate::route::eject::Standing;
-        now >= self.full_until && self.health.standing(now) != Standing::Ejected
+        !self.silent && now >= self.full_until && self.health.standing(now) != Standing::Ejected
     }
 
     /// Takes another host's word on its own requests.
@@ -220,8 +224,33 @@
         }
     }
 
+    /// A byte of an answer came.
+    pub fn touch(&mut self, now: Duration) {
+        self.heard = now;
+        self.silent = false;
+    }
+
+    /// How long nothing came of the requests that this host has at it.
+    pub fn quiet(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.heard)
+    }
+
+    /// Nothing came for longer than can be explained. Returns whether that is news.
+    pub fn mark_silent(&mut self, now: Duration, options: &Options) -> bool {
+        if std::mem::replace(&mut self.silent, true) {
+            return false;
+        }
+        self.end(now, Outcome::Broken, 0.0, options);
+        self.end(now, Outcome::Broken, 0.0, options);
+        true
+    }
+
     /// A request is sent to it.
     pub fn send(&mut self, now: Duration) {
+        if self.own.running <= 1 {
+            self.heard = now;
+            self.silent = false;
+        }
         let since = now.saturating_sub(COLD_WINDOW);
         while self.sent.front().is_some_and(|at| *at < since) {
             self.sent.pop_front();
