Refuse at once what would wait in vain, and reserve the rate of hosts that a cut hides

Change: wait_limit is zero where the queue can't come to the request in time; Retry-After is spread over 2 s; wait share 0.15, late wait 0.15, reading weight 4. Also: the property test of the rate found that hosts which start during a cut use the whole rate on each side; hosts now tell how many they know, and guess what a silent failure domain has.

--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -109,6 +109,10 @@
     forwards: u32,
     away: bool,
     paid: bool,
+    /// The last placement's prediction of the time to the first byte, in milliseconds.
+    predicted_ms: f64,
+    /// Time from the request's arrival to its last placement.
+    placed_after: Duration,
 }
 
 impl Tries {
@@ -339,7 +343,8 @@
         tracing::info!(event = "answered", request = self.ask.id(), outcome,
             route = %self.job.matched.route.name, version = self.job.matched.version,
             status = self.head.status.as_u16(), upstream = %self.upstream, first_ms, total_ms,
-            bytes = self.bytes, runs = self.tries.runs);
+            bytes = self.bytes, runs = self.tries.runs, predicted_ms = self.tries.predicted_ms as u64,
+            placed_ms = self.tries.placed_after.as_millis() as u64);
     }
 }
 
@@ -361,8 +366,11 @@
     let repeatable = job.matched.route.kind.is_repeatable();
     loop {
         let away = tries.away && tries.forwards < FORWARDS;
-        let failure = match host.place(job, away).await? {
+        let placement = host.place(job, away).await?;
+        tries.placed_after = host.clock.now().saturating_sub(job.arrived);
+        let failure = match placement {
             Placement::Here(grant) => {
+                tries.predicted_ms = grant.predicted_ms;
                 let upstream = grant.upstream.clone();
                 tries.runs += 1;
                 match send(host, ask, job, grant, resume, tries).await {
@@ -374,11 +382,16 @@
                 }
             }
             Placement::Away(away) => {
+                tries.predicted_ms = away.predicted_ms;
                 tries.runs += 1;
-                match forward(host, ask, job, &away, resume).await {
+                match forward(host, ask, job, &away, resume, tries.runs - 1).await {
                     Ok(opened) => return Ok(opened),
                     Err(failure) => {
                         tries.forwards += 1;
+                        // The other host may have used up all attempts.
+                        if failure.ran != Ran::No {
+                            tries.runs = job.attempts;
+                        }
                         failure
                     }
                 }
@@ -406,7 +419,7 @@
             }
             continue;
         }
-        let more = repeatable && tries.runs < job.matched.route.attempts;
+        let more = repeatable && tries.runs < job.attempts;
         let paid = std::mem::take(&mut tries.paid);
         if !more || !(paid || host.core().may_retry(now, &job.pool)) {
             return Err(failure);
@@ -512,7 +525,7 @@
     } else {
         Outcome::Whole
     };
-    if head.status.is_server_error() && repeatable && tries.runs < job.matched.route.attempts {
+    if head.status.is_server_error() && repeatable && tries.runs < job.attempts {
         let now = host.clock.now();
         tries.paid = host.core().may_retry(now, &job.pool);
         if tries.paid {
@@ -575,6 +588,7 @@
     job: &Job,
     away: &Away,
     resume: Option<u64>,
+    runs: u32,
 ) -> Result<Opened<D, C>, Failure> {
     let now = host.clock.now();
     let mut carried = ask.headers.clone();
@@ -597,6 +611,7 @@
         hops: 0,
         version: job.matched.version,
         elapsed: now.saturating_sub(job.arrived),
+        attempts: job.attempts.saturating_sub(runs),
     };
     host.metrics.forwarded.inc();
     tracing::info!(event = "forwarded", request = ask.id(), host = %away.host, region = %away.region,
--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -29,7 +29,7 @@
 /// The predicted time counts so many times in it.
 const SILENT_FACTOR: f64 = 2.5;
 /// Share of the goal for which a request may wait here for an upstream.
-const WAIT_SHARE: f64 = 0.3;
+const WAIT_SHARE: f64 = 0.15;
 /// Waiting requests that are looked at when something becomes free.
 const LOOK_AT: usize = 48;
 /// Share of the goal up to which a region's spare room is counted.
@@ -38,6 +38,12 @@
 const RETRY_AFTER_LEAST: Duration = Duration::from_millis(150);
 /// Longest time after which a refused caller is asked to come back.
 const RETRY_AFTER_MOST: Duration = Duration::from_secs(3);
+/// Time over which refused callers are spread.
+const RETRY_AFTER_SPREAD: Duration = Duration::from_secs(2);
+/// Prompt tokens that a waiting request is taken to need, at the most: what is usually not cached.
+const QUEUED_TOKENS: f64 = 4_000.0;
+/// Share of a prompt that is taken to be uncached before an upstream is chosen.
+const UNCACHED_SHARE: f64 = 0.4;
 /// Share of a cold upstream's bound that all hosts together use; the rest covers differing views.
 const COLD_SHARE: f64 = 1.2;
 /// A host that runs for less may not know its neighbours yet.
@@ -209,6 +215,9 @@
             let incarnation = report.from.incarnation;
             self.limiter.hear(now, host, incarnation, &report.spent);
         }
+        self.limiter.expect(now, report.hosts);
+        let domains = self.setup.domains.len();
+        self.limiter.guess(self.fleet.estimate(domains));
         if report.from.region == self.setup.own.region {
             for replica in self.catalog.all_mut() {
                 replica.silence(host);
@@ -229,6 +238,7 @@
             return Vec::new();
         }
         let spent = self.limiter.spent(now);
+        let hosts = self.limiter.hosts();
         let spare = self.spare(now);
         let tallies: Vec<_> = self
             .catalog
@@ -250,6 +260,7 @@
                 ready,
                 leaving,
                 version,
+                hosts,
                 spent: spent.clone(),
                 tallies: if due.near {
                     tallies.clone()
@@ -611,14 +622,51 @@
         placed
     }
 
-    /// How long a request may wait here for an upstream.
+    /// How long a request may wait here for an upstream; nothing if it is known by now that none
+    /// will be free in time.
     pub fn wait_limit(&self, now: Duration, job: &Job) -> Duration {
+        if self.is_hopeless(now, job) {
+            return Duration::ZERO;
+        }
         let until = job.arrived + job.matched.route.goal.mul_f64(WAIT_SHARE);
         until.min(job.deadline).saturating_sub(now)
     }
 
-    /// When a refused caller should come back: when the queue of the least loaded upstream will
-    /// have been read, spread so that callers don't all come back at once.
+    /// Whether waiting would end without an upstream: the least loaded engine, and what waits here
+    /// before this request, take longer to get to it than it may wait.
+    fn is_hopeless(&self, now: Duration, job: &Job) -> bool {
+        let pool = self.table.as_ref().and_then(|table| table.pool(&job.pool));
+        let Some(pool) = pool.filter(|_| job.matched.allows(&self.setup.own.region)) else {
+            return true;
+        };
+        if pool.engine.is_none() {
+            return false;
+        }
+        let rank = job.matched.priority;
+        let (rate, base) = place::speed(&self.catalog, &job.pool);
+        let open = self.catalog.eligible(&job.pool);
+        let waits: Vec<_> = open
+            .filter(|replica| replica.is_open(now))
+            .map(|replica| replica.ahead(now, rank, rate) / rate)
+            .collect();
+        let Some(least) = waits.iter().copied().min_by(f64::total_cmp) else {
+            return true;
+        };
+        let prompt = f64::from(job.tokens.0);
+        let before = self
+            .waiting
+            .iter()
+            .filter(|((other, _), waiting)| *other <= rank && waiting.pool == job.pool)
+            .count();
+        let queued = before as f64 * prompt.min(QUEUED_TOKENS) / (rate * waits.len() as f64);
+        let begun = job.elapsed_ms(now) + base + least + UNCACHED_SHARE * prompt / rate;
+        let excess = begun - place::ON_TIME * job.goal_ms();
+        queued + excess > WAIT_SHARE * job.goal_ms()
+    }
+
+    /// When a refused caller should come back: when the least loaded upstream will have read what
+    /// it has, and then spread over some time, as callers who come back together are refused
+    /// together.
     pub fn retry_after(&mut self, now: Duration, pool: &name::Pool) -> Duration {
         let (rate, _) = place::speed(&self.catalog, pool);
         let ahead = self
@@ -631,9 +679,8 @@
         } else {
             RETRY_AFTER_MOST / 2
         };
-        let spread = self.rng.random_range(0.75..1.5);
-        wait.clamp(RETRY_AFTER_LEAST, RETRY_AFTER_MOST)
-            .mul_f64(spread)
+        let spread = RETRY_AFTER_SPREAD.mul_f64(self.rng.random());
+        wait.clamp(RETRY_AFTER_LEAST, RETRY_AFTER_MOST) + spread
     }
 
     /// Notes a request for a pool, which earns a part of a retry.
--- a/src/proxy/fleet.rs
+++ b/src/proxy/fleet.rs
@@ -6,7 +6,11 @@
     super::{rate::Spent, replica::Tally},
     crate::name,
     serde::{Deserialize, Serialize},
-    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        time::Duration,
+    },
 };
 
 /// Time between reports to hosts of the same region, in a small fleet.
@@ -57,6 +61,9 @@
     pub leaving: bool,
     /// The version of its configuration.
     pub version: u64,
+    /// Hosts that it counts with, itself included.
+    #[serde(default)]
+    pub hosts: usize,
     /// What it has admitted of each customer's rate.
     pub spent: Vec<Spent>,
     /// Its requests at the upstreams of its region; to hosts of the same region.
@@ -301,6 +308,17 @@
         self.most
     }
 
+    /// How many hosts there may be, this one included: failure domains of which none is known are
+    /// taken to have as many as the others.
+    pub fn estimate(&self, domains: usize) -> usize {
+        let staying = self.peers.values().filter(|peer| !peer.leaving);
+        let identities: Vec<_> = staying.map(|peer| &peer.identity).collect();
+        let mut known: BTreeSet<_> = identities.iter().map(|identity| &identity.domain).collect();
+        known.insert(&self.own.domain);
+        let hosts = identities.len() + 1;
+        hosts.max((hosts * domains).div_ceil(known.len()))
+    }
+
     /// Hosts of this region that were heard lately or may only be silent, this one included.
     pub fn near(&self) -> usize {
         let near = |peer: &&Peer| peer.identity.region == self.own.region && !peer.leaving;
--- a/src/proxy/intake.rs
+++ b/src/proxy/intake.rs
@@ -196,6 +196,7 @@
     let pool = host.core().draw_pool(&matched, session);
     Ok(Job {
         pool: pool.ok_or_else(|| Failure::not_run(Code::NoCapacity, "the route has no pool"))?,
+        attempts: matched.route.attempts,
         matched,
         tokens: call.tokens.unwrap_or_default(),
         chain,
@@ -253,7 +254,8 @@
         ));
     }
     let arrived = now.saturating_sub(call.elapsed);
-    let job = job(host, &parsed, matched, arrived, now + call.remaining)?;
+    let mut job = job(host, &parsed, matched, arrived, now + call.remaining)?;
+    job.attempts = job.attempts.min(call.attempts);
     tracing::debug!(event = "taken", request = call.request, host = %from);
     let ask = Ask {
         call: parsed,
--- a/src/proxy/place.rs
+++ b/src/proxy/place.rs
@@ -25,12 +25,12 @@
 pub const ON_TIME_REMOTE: f64 = 0.8;
 /// An upstream takes late work only while its own wait is below this share of the goal, so that
 /// late work delays none that is on time.
-pub const LATE_WAIT: f64 = 0.3;
+pub const LATE_WAIT: f64 = 0.15;
 /// Share of the caller's patience that a late answer's prediction may take.
 const LATE_PATIENCE: f64 = 0.6;
 /// How much reading an uncached prefix counts beside its own time: it also takes the time of the
 /// requests behind it.
-const READING_WEIGHT: f64 = 2.0;
+const READING_WEIGHT: f64 = 4.0;
 /// Share of an engine's memory that may be promised.
 const MEMORY_SHARE: f64 = 0.9;
 /// Requests that a plain service may hold for each of its slots; it turns away what is beyond.
@@ -51,6 +51,8 @@
     pub arrived: Duration,
     /// When its caller leaves or its route's time is over.
     pub deadline: Duration,
+    /// Upstreams to which it may be sent.
+    pub attempts: u32,
     /// Upstreams that have failed it.
     pub tried: Vec<name::Upstream>,
 }
--- a/src/proxy/rate.rs
+++ b/src/proxy/rate.rs
@@ -40,6 +40,10 @@
 pub struct Limiter {
     buckets: BTreeMap<name::Customer, Bucket>,
     hosts: BTreeMap<name::Host, Heard>,
+    /// Hosts that there may be, this one included, and when that was last said.
+    fleet: (usize, Duration),
+    /// Hosts that there are by what is now known of the failure domains.
+    guess: usize,
     started: Duration,
     informed: bool,
 }
@@ -108,11 +112,11 @@
         customer: &name::Customer,
         units: f64,
     ) -> Result<(), Duration> {
-        let share = self.share(now);
+        let (all, share) = (self.hosts().max(self.guess), self.share(now));
         let Some(bucket) = self.buckets.get_mut(customer) else {
             return Ok(());
         };
-        bucket.advance(now, &self.hosts, share);
+        bucket.advance(now, &self.hosts, all, share);
         let needed = units.min(bucket.customer.burst);
         if bucket.level >= needed {
             bucket.level -= units;
@@ -123,10 +127,31 @@
         Err(Duration::from_secs_f64(wait.clamp(0.05, 60.0)))
     }
 
+    /// There may be so many hosts, this one included. The parts of those that this host has never
+    /// heard, as a cut hides them, are left to them.
+    pub fn expect(&mut self, now: Duration, hosts: usize) {
+        let (most, said) = self.fleet;
+        if hosts >= most || now.saturating_sub(said) > FORGET {
+            self.fleet = (hosts, now);
+        }
+    }
+
+    /// By the failure domains of which a host is known, there are so many hosts. Unlike what hosts
+    /// say, this holds only until it is guessed anew.
+    pub fn guess(&mut self, hosts: usize) {
+        self.guess = hosts;
+    }
+
+    /// Hosts that this one knows of, itself included.
+    pub fn hosts(&self) -> usize {
+        self.fleet.0.max(self.hosts.len() + 1)
+    }
+
     /// The part of each rate that is free to this host, but for what others are charged.
     fn share(&self, now: Duration) -> f64 {
         let alone = self.hosts.is_empty() && now.saturating_sub(self.started) < FORGET;
-        if alone { ALONE } else { 1.0 }
+        let known = (self.hosts.len() + 1) as f64 / self.hosts().max(self.guess) as f64;
+        if alone { known.min(ALONE) } else { known }
     }
 
     /// Gives back what a request that has not run was charged.
@@ -139,12 +164,12 @@
 
     /// What this host has admitted.
     pub fn spent(&mut self, now: Duration) -> Vec<Spent> {
-        let share = self.share(now);
+        let (all, share) = (self.hosts().max(self.guess), self.share(now));
         let hosts = &self.hosts;
         self.buckets
             .iter_mut()
             .map(|(customer, bucket)| {
-                bucket.advance(now, hosts, share);
+                bucket.advance(now, hosts, all, share);
                 Spent {
                     customer: customer.clone(),
                     units: bucket.spent,
@@ -160,12 +185,12 @@
         let last = known
             .filter(|heard| heard.incarnation == incarnation)
             .map(|heard| heard.at);
-        let share = self.share(now);
+        let (all, share) = (self.hosts().max(self.guess), self.share(now));
         for said in spent {
             let Some(bucket) = self.buckets.get_mut(&said.customer) else {
                 continue;
             };
-            bucket.advance(now, &self.hosts, share);
+            bucket.advance(now, &self.hosts, all, share);
             if !self.informed {
                 bucket.level = bucket.level.max(said.level.min(bucket.customer.burst));
             }
@@ -200,13 +225,19 @@
 }
 
 impl Bucket {
-    fn advance(&mut self, now: Duration, hosts: &BTreeMap<name::Host, Heard>, share: f64) {
+    fn advance(
+        &mut self,
+        now: Duration,
+        hosts: &BTreeMap<name::Host, Heard>,
+        all: usize,
+        share: f64,
+    ) {
         let passed = now.saturating_sub(self.at).as_secs_f64();
         if passed <= 0.0 {
             return;
         }
         self.at = now;
-        let even = self.customer.rate / (hosts.len() + 1) as f64;
+        let even = self.customer.rate / all as f64;
         let mut charged = 0.0;
         for (host, heard) in hosts {
             let silent = now.saturating_sub(heard.at);
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -95,6 +95,7 @@
         hops: 1,
         version: 0,
         elapsed: Duration::ZERO,
+        attempts: 1,
     }
 }
 
--- /dev/null
+++ b/tests/proxy.rs
@@ -0,0 +1,18 @@
+//! The relay of requests by host and path prefix: its decisions, without sockets.
+
+#[path = "proxy/common.rs"]
+mod common;
+#[path = "proxy/core.rs"]
+mod core;
+#[path = "proxy/fleet.rs"]
+mod fleet;
+#[path = "proxy/place.rs"]
+mod place;
+#[path = "proxy/rate.rs"]
+mod rate;
+#[path = "proxy/replay.rs"]
+mod replay;
+#[path = "proxy/table.rs"]
+mod table;
+#[path = "proxy/upstreams.rs"]
+mod upstreams;
--- /dev/null
+++ b/tests/proxy/common.rs
@@ -0,0 +1,190 @@
+//! Tables, upstreams and requests that the tests share.
+
+use {
+    greengagecleat::{
+        key::Digest,
+        name,
+        proxy::{
+            cache,
+            core::{Core, Retries, Setup},
+            dialect::Part,
+            entry::Entry,
+            fleet::Identity,
+            place::Job,
+            table::{Customer, Engine, Kind, Limits, Match, Pool, Route, Rows, Table},
+        },
+    },
+    std::{collections::BTreeSet, net::SocketAddr, time::Duration},
+};
+
+pub(crate) const POOL: &str = "engines";
+pub(crate) const PLAIN: &str = "records";
+
+pub(crate) fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+pub(crate) fn address(last: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, last], 8000))
+}
+
+pub(crate) fn route(name: &str, prefix: &str, kind: Kind, pool: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: "a.example".into(),
+        prefix: prefix.into(),
+        kind,
+        pools: vec![(pool.into(), 1)],
+        timeout: ms(4_000),
+        goal: ms(800),
+        priority: 1,
+        attempts: 2,
+        open: false,
+        homes: BTreeSet::new(),
+    }
+}
+
+pub(crate) fn engines() -> Pool {
+    Pool {
+        name: POOL.into(),
+        connections: 100,
+        cold_per_s: 3.0,
+        cold_for: ms(3_000),
+        engine: Some(Engine {
+            slots: 64,
+            memory: 360_000,
+        }),
+    }
+}
+
+pub(crate) fn records() -> Pool {
+    Pool {
+        name: PLAIN.into(),
+        connections: 100,
+        cold_per_s: 0.0,
+        cold_for: ms(0),
+        engine: None,
+    }
+}
+
+pub(crate) fn customer(name: &str, rate: f64) -> Customer {
+    Customer {
+        name: name.into(),
+        priority: None,
+        rate,
+        burst: rate,
+        by_token: true,
+        plain_tokens: 200.0,
+        homes: BTreeSet::new(),
+    }
+}
+
+pub(crate) fn rows(version: u64) -> Rows {
+    Rows {
+        version,
+        routes: vec![
+            route("digest", "/digest/", Kind::Resumable, POOL),
+            route("post", "/post/", Kind::Unsafe, PLAIN),
+        ],
+        pools: vec![engines(), records()],
+        customers: vec![(customer("c", 10_000.0), vec![Digest::of(b"key")])],
+        limits: Limits::default(),
+    }
+}
+
+pub(crate) fn entry(id: &str, domain: &str, pool: &str, sequence: u64) -> Entry {
+    Entry {
+        id: id.into(),
+        born: 1,
+        pool: pool.into(),
+        address: address(1),
+        domain: domain.into(),
+        slots: 6,
+        leaving: false,
+        cold_for: ms(0),
+        sequence,
+    }
+}
+
+pub(crate) fn identity(host: &str, region: &str, last: u8) -> Identity {
+    Identity {
+        host: host.into(),
+        region: region.into(),
+        domain: format!("{region}-a").as_str().into(),
+        callers: address(last),
+        peers: SocketAddr::from(([10, 0, 0, last], 9000)),
+        incarnation: 1,
+    }
+}
+
+pub(crate) fn setup(host: &str, region: &str, last: u8) -> Setup {
+    let domains = ["north", "south"];
+    Setup {
+        own: identity(host, region, last),
+        domains: domains
+            .iter()
+            .map(|region| {
+                let domain = name::Domain::from(format!("{region}-a"));
+                (domain, name::Region::from(*region))
+            })
+            .collect(),
+        seeds: Vec::new(),
+        retries: Retries {
+            ratio: 0.2,
+            slack: 20.0,
+        },
+        seed: 7,
+    }
+}
+
+/// A host of the region `north` with this many engines and one plain service.
+pub(crate) fn core(engines: usize) -> Core {
+    let mut core = Core::new(ms(0), setup("n1", "north", 1));
+    assert!(core.configure(ms(0), Table::new(rows(1))));
+    let mut entries: Vec<_> = (0..engines)
+        .map(|n| entry(&format!("e{n}"), "north-a", POOL, 1))
+        .collect();
+    entries.push(entry("r0", "north-a", PLAIN, 1));
+    core.catalog.list(ms(0), entries);
+    core
+}
+
+pub(crate) fn matched(core: &Core, path: &str) -> Match {
+    let table = core.table().expect("the table was just installed");
+    table
+        .resolve("a.example", path, Some(b"key"))
+        .expect("the request is allowed")
+}
+
+/// A prompt of a shared part, a session's part and an own part.
+pub(crate) fn job(core: &Core, now: Duration, session: u64, own: u64) -> Job {
+    let part = |id, tokens| Part { id, tokens };
+    let parts = [
+        part(1, 2_500),
+        part(1_000 + session, 3_800),
+        part(own, 2_900),
+    ];
+    Job {
+        matched: matched(core, "/digest/1"),
+        pool: POOL.into(),
+        tokens: (9_200, 60),
+        chain: cache::chain(&parts),
+        arrived: now,
+        deadline: now + ms(4_000),
+        attempts: 2,
+        tried: Vec::new(),
+    }
+}
+
+pub(crate) fn plain_job(core: &Core, now: Duration) -> Job {
+    Job {
+        matched: matched(core, "/post/1"),
+        pool: PLAIN.into(),
+        tokens: (0, 0),
+        chain: Vec::new(),
+        arrived: now,
+        deadline: now + ms(2_000),
+        attempts: 1,
+        tried: Vec::new(),
+    }
+}
--- /dev/null
+++ b/tests/proxy/core.rs
@@ -0,0 +1,216 @@
+//! A host's decisions as a whole: regions, queue, refusals, retries, silence.
+
+use {
+    crate::common::{self, POOL, core, identity, job, ms, plain_job},
+    greengagecleat::proxy::{
+        catalog::Change,
+        core::{Core, Placement},
+        fleet::{Report, Spare},
+        replica::Outcome,
+        table::Table,
+    },
+    std::time::Duration,
+};
+
+fn neighbour(core: &mut Core, now: Duration, sequence: u64, spare: Spare) {
+    let report = Report {
+        from: identity("s1", "south", 3),
+        sequence,
+        ready: true,
+        leaving: false,
+        version: 1,
+        hosts: 1,
+        spent: Vec::new(),
+        tallies: Vec::new(),
+        spare: vec![(POOL.into(), spare)],
+        contacts: Vec::new(),
+    };
+    core.hear(now, report);
+}
+
+fn idle() -> Spare {
+    Spare {
+        wait_ms: 50.0,
+        tokens: 100_000.0,
+        requests: 200.0,
+        rate: 80.0,
+    }
+}
+
+/// Fills the region until a prompt would have to wait.
+fn fill(core: &mut Core, now: Duration) {
+    for n in 0..1_000 {
+        let next = job(core, now, n, 10_000 + n);
+        if core.place(now, &next, false) == Placement::Wait {
+            return;
+        }
+    }
+    panic!("the region never fills");
+}
+
+#[test]
+fn a_configuration_never_goes_back() {
+    let mut core = core(1);
+    assert!(core.configure(ms(1), Table::new(common::rows(5))));
+    assert!(!core.configure(ms(2), Table::new(common::rows(4))));
+    assert!(!core.configure(ms(3), Table::new(common::rows(5))));
+    assert_eq!(core.version(), 5);
+}
+
+#[test]
+fn a_full_region_uses_one_with_room_until_its_room_is_used() {
+    let mut core = core(2);
+    neighbour(&mut core, ms(0), 1, idle());
+    let first = job(&core, ms(0), 1, 1);
+    assert!(matches!(
+        core.place(ms(0), &first, true),
+        Placement::Here(_)
+    ));
+    fill(&mut core, ms(0));
+    let mut away = 0;
+    for n in 0..50 {
+        let next = job(&core, ms(1), n, 20_000 + n);
+        if let Placement::Away(to) = core.place(ms(1), &next, true) {
+            assert_eq!(to.region, "south".into());
+            away += 1;
+        }
+    }
+    // 100,000 tokens of room are ten prompts of 9,200.
+    assert_eq!(away, 10);
+}
+
+#[test]
+fn a_request_that_may_not_leave_home_does_not() {
+    let mut core = core(1);
+    let mut rows = common::rows(2);
+    rows.routes[0].homes = ["north".into()].into();
+    core.configure(ms(0), Table::new(rows));
+    neighbour(&mut core, ms(0), 1, idle());
+    fill(&mut core, ms(0));
+    let next = job(&core, ms(1), 1, 30_000);
+    assert_eq!(core.place(ms(1), &next, true), Placement::Wait);
+}
+
+#[test]
+fn a_request_whose_home_is_elsewhere_goes_there_even_late() {
+    let mut core = core(2);
+    let mut rows = common::rows(2);
+    rows.routes[0].homes = ["south".into()].into();
+    core.configure(ms(0), Table::new(rows));
+    let busy = Spare {
+        wait_ms: 900.0,
+        tokens: 0.0,
+        ..idle()
+    };
+    neighbour(&mut core, ms(0), 1, busy);
+    let next = job(&core, ms(0), 1, 1);
+    assert!(matches!(core.place(ms(0), &next, true), Placement::Away(_)));
+}
+
+#[test]
+fn a_silent_region_gets_nothing() {
+    let mut core = core(1);
+    neighbour(&mut core, ms(0), 1, idle());
+    fill(&mut core, ms(0));
+    let next = job(&core, ms(2_000), 1, 30_000);
+    let placed = core.place(ms(2_000), &next, true);
+    assert!(!matches!(placed, Placement::Away(_)), "{placed:?}");
+}
+
+#[test]
+fn what_waits_is_placed_in_order_of_rank_when_something_is_free() {
+    let mut core = core(1);
+    let mut tickets = Vec::new();
+    for n in 0..1_000 {
+        let mut next = job(&core, ms(0), n, 10_000 + n);
+        next.matched.priority = 0;
+        match core.place(ms(0), &next, false) {
+            Placement::Here(grant) => tickets.push(grant.ticket),
+            _ => break,
+        }
+    }
+    let usual = job(&core, ms(1), 1, 1);
+    let mut urgent = job(&core, ms(1), 2, 2);
+    urgent.matched.priority = 0;
+    let usual = core.enqueue(usual);
+    let urgent = core.enqueue(urgent);
+    assert!(core.pump(ms(2)).is_empty());
+    for ticket in tickets {
+        core.begin(ms(50), ticket);
+        core.end(ms(60), ticket, Outcome::Whole);
+    }
+    let placed: Vec<_> = core
+        .pump(ms(61))
+        .into_iter()
+        .map(|(place, _)| place)
+        .collect();
+    assert_eq!(placed, [urgent, usual]);
+    assert_eq!(core.waiting(), 0);
+}
+
+#[test]
+fn what_cannot_be_served_is_refused_at_once() {
+    let mut core = core(1);
+    fill(&mut core, ms(0));
+    // More than one engine reads within any wait stands before it.
+    for n in 0..20 {
+        let next = job(&core, ms(0), n, 40_000 + n);
+        core.enqueue(next);
+    }
+    let next = job(&core, ms(0), 99, 50_000);
+    assert_eq!(core.wait_limit(ms(0), &next), ms(0));
+    let after = core.retry_after(ms(0), &POOL.into());
+    assert!(after >= ms(150) && after <= ms(5_000), "{after:?}");
+}
+
+#[test]
+fn without_any_upstream_a_request_is_refused_at_once() {
+    let mut core = core(0);
+    let next = job(&core, ms(0), 1, 1);
+    assert_eq!(core.place(ms(0), &next, true), Placement::Wait);
+    assert_eq!(core.wait_limit(ms(0), &next), ms(0));
+}
+
+#[test]
+fn retries_are_a_share_of_requests_over_the_whole_fleet() {
+    let mut core = core(1);
+    let pool = POOL.into();
+    // A lone host of a fleet of two domains takes its part of the slack of 20, and no more.
+    let at_start = (0..100).filter(|_| core.may_retry(ms(0), &pool)).count();
+    assert!(at_start <= 10, "{at_start}");
+    for _ in 0..100 {
+        core.note_request(ms(1), &pool);
+    }
+    let earned = (0..100).filter(|_| core.may_retry(ms(1), &pool)).count();
+    assert!(earned <= 20, "{earned} of 100 requests at a ratio of 0.2");
+}
+
+#[test]
+fn an_engine_in_the_middle_of_answers_that_falls_silent_is_found() {
+    let mut core = core(1);
+    let next = job(&core, ms(0), 1, 1);
+    let Placement::Here(grant) = core.place(ms(0), &next, false) else {
+        panic!("the engine is idle");
+    };
+    core.begin(ms(100), grant.ticket);
+    for at in [200, 300, 400] {
+        core.touch(ms(at), grant.ticket);
+        assert!(core.find_silent(ms(at + 50)).is_empty());
+    }
+    let found = core.find_silent(ms(1_200));
+    assert_eq!(found, [Change::Silent(grant.upstream)]);
+}
+
+#[test]
+fn an_upstream_that_works_on_a_long_request_is_not_silent() {
+    let mut core = core(0);
+    let next = plain_job(&core, ms(0));
+    let Placement::Here(grant) = core.place(ms(0), &next, false) else {
+        panic!("the service is idle");
+    };
+    let patience = 400.0 + grant.predicted_ms;
+    assert!(
+        core.find_silent(Duration::from_secs_f64(patience / 1_000.0))
+            .is_empty()
+    );
+}
--- /dev/null
+++ b/tests/proxy/fleet.rs
@@ -0,0 +1,126 @@
+//! The other hosts, from their reports.
+
+use {
+    crate::common::{address, identity, ms},
+    greengagecleat::proxy::fleet::{Fleet, GONE, News, Report},
+    std::{net::SocketAddr, time::Duration},
+};
+
+fn report(host: &str, region: &str, last: u8, incarnation: u64, sequence: u64) -> Report {
+    let mut from = identity(host, region, last);
+    from.incarnation = incarnation;
+    Report {
+        from,
+        sequence,
+        ready: true,
+        leaving: false,
+        version: 1,
+        hosts: 1,
+        spent: Vec::new(),
+        tallies: Vec::new(),
+        spare: Vec::new(),
+        contacts: Vec::new(),
+    }
+}
+
+fn fleet() -> Fleet {
+    let seed = SocketAddr::from(([10, 0, 0, 9], 9000));
+    Fleet::new(identity("n1", "north", 1), vec![seed])
+}
+
+fn named(fleet: &Fleet, at: Duration, region: &str) -> Vec<SocketAddr> {
+    let domain = format!("{region}-a").as_str().into();
+    fleet.directory(at, &region.into(), &domain, true)
+}
+
+#[test]
+fn late_reports_and_those_of_an_earlier_start_change_nothing() {
+    let mut fleet = fleet();
+    assert_eq!(
+        fleet.hear(ms(0), &report("n2", "north", 2, 5, 3)),
+        News::Joined
+    );
+    assert_eq!(
+        fleet.hear(ms(1), &report("n2", "north", 2, 5, 2)),
+        News::Stale
+    );
+    assert_eq!(
+        fleet.hear(ms(2), &report("n2", "north", 2, 4, 9)),
+        News::Stale
+    );
+    assert_eq!(
+        fleet.hear(ms(3), &report("n2", "north", 2, 5, 4)),
+        News::Same
+    );
+    assert_eq!(
+        fleet.hear(ms(4), &report("n2", "north", 2, 6, 1)),
+        News::Joined
+    );
+}
+
+#[test]
+fn callers_are_sent_to_ready_hosts_of_their_region() {
+    let mut fleet = fleet();
+    fleet.hear(ms(0), &report("n2", "north", 2, 1, 1));
+    fleet.hear(ms(0), &report("s1", "south", 3, 1, 1));
+    let mut unready = report("n3", "north", 4, 1, 1);
+    unready.ready = false;
+    fleet.hear(ms(0), &unready);
+    assert_eq!(named(&fleet, ms(1), "north"), [address(1), address(2)]);
+    assert_eq!(named(&fleet, ms(1), "south"), [address(3)]);
+}
+
+#[test]
+fn a_silent_host_is_no_longer_named_and_a_leaving_one_at_once() {
+    let mut fleet = fleet();
+    fleet.hear(ms(0), &report("n2", "north", 2, 1, 1));
+    assert_eq!(named(&fleet, GONE + ms(1), "north"), [address(1)]);
+    let mut leaving = report("n3", "north", 3, 1, 1);
+    fleet.hear(ms(10), &leaving);
+    assert_eq!(named(&fleet, ms(11), "north").len(), 3);
+    leaving.leaving = true;
+    leaving.sequence = 2;
+    assert_eq!(fleet.hear(ms(12), &leaving), News::Left);
+    assert_eq!(named(&fleet, ms(13), "north").len(), 2);
+}
+
+#[test]
+fn callers_of_a_region_without_hosts_are_sent_to_others() {
+    let mut fleet = fleet();
+    fleet.hear(ms(0), &report("s1", "south", 3, 1, 1));
+    assert_eq!(named(&fleet, GONE + ms(1), "south"), [address(1)]);
+}
+
+#[test]
+fn hosts_are_found_through_seeds_and_through_each_other() {
+    let mut fleet = fleet();
+    let first = fleet.due(ms(0));
+    assert_eq!(first.len(), 1);
+    assert_eq!(first[0].address, SocketAddr::from(([10, 0, 0, 9], 9000)));
+    let mut introducing = report("n9", "north", 9, 1, 1);
+    let third = SocketAddr::from(([10, 0, 0, 7], 9000));
+    introducing.contacts = vec![("s7".into(), third)];
+    fleet.hear(ms(10), &introducing);
+    let addresses: Vec<_> = fleet.due(ms(1_000)).iter().map(|due| due.address).collect();
+    assert!(addresses.contains(&third), "{addresses:?}");
+    assert!(addresses.contains(&introducing.from.peers));
+    assert_eq!(
+        addresses.len(),
+        2,
+        "the seed is known by now: {addresses:?}"
+    );
+}
+
+#[test]
+fn messages_a_second_stay_bounded_in_a_large_fleet() {
+    let mut sent = Vec::new();
+    for hosts in [8_u8, 32, 128] {
+        let mut fleet = Fleet::new(identity("n1", "north", 1), Vec::new());
+        for n in 0..hosts {
+            fleet.hear(ms(0), &report(&format!("h{n}"), "north", n + 2, 1, 1));
+        }
+        let count: usize = (0..200).map(|tick| fleet.due(ms(50 * tick)).len()).sum();
+        sent.push(count / 10);
+    }
+    assert!(sent.iter().all(|per_s| *per_s <= 70), "{sent:?}");
+}
--- /dev/null
+++ b/tests/proxy/place.rs
@@ -0,0 +1,134 @@
+//! Where a prompt goes: prefix, wait and time to read, compared in milliseconds.
+
+use {
+    crate::common::{core, job, ms, plain_job},
+    greengagecleat::proxy::{
+        core::{Core, Grant, Placement},
+        place::Job,
+        replica::Outcome,
+    },
+    std::{collections::BTreeMap, time::Duration},
+};
+
+fn here(core: &mut Core, now: Duration, job: &Job) -> Option<Grant> {
+    match core.place(now, job, false) {
+        Placement::Here(grant) => Some(grant),
+        Placement::Away(_) | Placement::Wait => None,
+    }
+}
+
+#[test]
+fn a_session_goes_to_the_engine_that_holds_its_prefix() {
+    let mut core = core(5);
+    let first = job(&core, ms(0), 3, 100);
+    let first = here(&mut core, ms(0), &first).unwrap();
+    assert_eq!(first.uncached, 2_900);
+    core.begin(ms(200), first.ticket);
+    core.end(ms(400), first.ticket, Outcome::Whole);
+    for own in 101..110 {
+        let at = ms(500 * (own - 100));
+        let next = job(&core, at, 3, own);
+        let grant = here(&mut core, at, &next).unwrap();
+        assert_eq!(grant.upstream, first.upstream);
+        assert_eq!(grant.uncached, 2_900);
+        core.begin(at + ms(100), grant.ticket);
+        core.end(at + ms(300), grant.ticket, Outcome::Whole);
+    }
+}
+
+#[test]
+fn hosts_agree_on_a_sessions_engine_without_talking() {
+    let (mut one, mut other) = (core(5), core(5));
+    for session in 0..50 {
+        let at = ms(10_000 * session);
+        let of_one = job(&one, at, session, 2 * session);
+        let of_other = job(&other, at, session, 2 * session + 1);
+        let first = here(&mut one, at, &of_one).unwrap();
+        let second = here(&mut other, at, &of_other).unwrap();
+        assert_eq!(first.upstream, second.upstream, "session {session}");
+        one.end(at + ms(300), first.ticket, Outcome::Whole);
+        other.end(at + ms(300), second.ticket, Outcome::Whole);
+    }
+}
+
+#[test]
+fn a_long_wait_at_the_holder_is_worth_reading_the_prefix_elsewhere() {
+    let mut core = core(2);
+    let first = job(&core, ms(0), 3, 100);
+    let holder = here(&mut core, ms(0), &first).unwrap();
+    // The holder gets a heap of unread prompts of the same session; then the other engine is used.
+    let mut upstreams = BTreeMap::new();
+    for own in 101..107 {
+        let next = job(&core, ms(1), 3, own);
+        if let Some(grant) = here(&mut core, ms(1), &next) {
+            *upstreams.entry(grant.upstream).or_insert(0) += 1;
+        }
+    }
+    assert!(upstreams.len() == 2, "{upstreams:?}");
+    assert!(upstreams.contains_key(&holder.upstream));
+}
+
+#[test]
+fn an_engine_gets_no_more_than_it_can_begin_in_time() {
+    let mut core = core(1);
+    let mut placed = 0;
+    for own in 0..40 {
+        let next = job(&core, ms(0), own, 1_000 + own);
+        match core.place(ms(0), &next, false) {
+            Placement::Here(grant) => {
+                let end = grant.predicted_ms;
+                assert!(end <= 0.65 * 800.0, "{end} ms");
+                placed += 1;
+            }
+            Placement::Wait => {}
+            Placement::Away(_) => panic!("there is no other region"),
+        }
+    }
+    assert!((1..10).contains(&placed), "{placed}");
+}
+
+#[test]
+fn an_upstream_that_failed_a_request_is_not_chosen_for_it_again() {
+    let mut core = core(3);
+    let mut next = job(&core, ms(0), 3, 100);
+    let first = here(&mut core, ms(0), &next).unwrap();
+    core.end(ms(50), first.ticket, Outcome::Broken);
+    next.tried.push(first.upstream.clone());
+    let second = here(&mut core, ms(50), &next).unwrap();
+    assert_ne!(first.upstream, second.upstream);
+}
+
+#[test]
+fn a_plain_service_takes_no_more_than_its_queue_holds() {
+    let mut core = core(0);
+    let mut placed = 0;
+    for _ in 0..100 {
+        let next = plain_job(&core, ms(0));
+        placed += usize::from(here(&mut core, ms(0), &next).is_some());
+    }
+    assert!((6..=18).contains(&placed), "{placed}");
+}
+
+#[test]
+fn a_cold_engine_gets_a_few_requests_a_second() {
+    let mut core = core(0);
+    let mut cold = crate::common::entry("e0", "north-a", crate::common::POOL, 2);
+    cold.cold_for = ms(20_000);
+    core.catalog.put(ms(6_000), cold);
+    let mut sent: Vec<Duration> = Vec::new();
+    for n in 0..1_000 {
+        let at = ms(6_000 + 10 * n);
+        let next = job(&core, at, n % 7, n);
+        if let Some(grant) = here(&mut core, at, &next) {
+            sent.push(at);
+            core.begin(at + ms(1), grant.ticket);
+            core.end(at + ms(1), grant.ticket, Outcome::Whole);
+        }
+    }
+    // The bound is 3 requests a second with half as many again and 3 more.
+    for (n, at) in sent.iter().enumerate() {
+        let within = sent[n..].iter().filter(|other| **other < *at + ms(1_000));
+        assert!(within.count() <= 7, "{sent:?}");
+    }
+    assert!(sent.len() >= 8, "{sent:?}");
+}
--- /dev/null
+++ b/tests/proxy/table.rs
@@ -0,0 +1,90 @@
+use {
+    crate::common::{customer, route, rows},
+    greengagecleat::{
+        key::Digest,
+        proxy::table::{Denial, Kind, Table},
+    },
+    std::collections::BTreeSet,
+};
+
+fn homes(regions: &[&str]) -> BTreeSet<greengagecleat::name::Region> {
+    regions.iter().map(|region| (*region).into()).collect()
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let mut rows = rows(1);
+    let deeper = route("deeper", "/digest/deep/", Kind::Safe, "records");
+    rows.routes.push(deeper);
+    let table = Table::new(rows);
+    let name = |path| {
+        table
+            .route("a.example", path)
+            .map(|route| route.name.as_str())
+    };
+    assert_eq!(name("/digest/1"), Some("digest"));
+    assert_eq!(name("/digest/deep/1"), Some("deeper"));
+    assert_eq!(name("/digest"), None);
+    assert!(table.route("b.example", "/digest/1").is_none());
+}
+
+#[test]
+fn a_request_needs_a_known_key_unless_its_route_is_open() {
+    let mut rows = rows(1);
+    let mut open = route("open", "/open/", Kind::Safe, "records");
+    open.open = true;
+    rows.routes.push(open);
+    let table = Table::new(rows);
+    let denied = |path, key: Option<&[u8]>| table.resolve("a.example", path, key).err();
+    assert_eq!(denied("/digest/1", Some(b"key")), None);
+    assert_eq!(
+        denied("/digest/1", Some(b"other")),
+        Some(Denial::KeyUnknown)
+    );
+    assert_eq!(denied("/digest/1", None), Some(Denial::KeyUnknown));
+    assert_eq!(denied("/open/1", None), None);
+    assert_eq!(denied("/none/1", Some(b"key")), Some(Denial::RouteUnknown));
+}
+
+#[test]
+fn homes_of_route_and_customer_both_bind() {
+    let mut rows = rows(1);
+    rows.routes[0].homes = homes(&["north", "south"]);
+    let mut bound = customer("bound", 1.0);
+    bound.homes = homes(&["south", "east"]);
+    let mut outside = customer("outside", 1.0);
+    outside.homes = homes(&["east"]);
+    rows.customers.push((bound, vec![Digest::of(b"bound")]));
+    rows.customers.push((outside, vec![Digest::of(b"outside")]));
+    let table = Table::new(rows);
+    let resolve = |key: &[u8]| table.resolve("a.example", "/digest/1", Some(key));
+    assert_eq!(resolve(b"bound").unwrap().homes, homes(&["south"]));
+    assert_eq!(resolve(b"key").unwrap().homes, homes(&["north", "south"]));
+    assert_eq!(resolve(b"outside").err(), Some(Denial::NoHome));
+}
+
+#[test]
+fn a_forwarded_request_runs_only_while_its_customer_is_known() {
+    let table = Table::new(rows(1));
+    assert!(
+        table
+            .admitted(&"digest".into(), Some(&"c".into()))
+            .is_some()
+    );
+    assert!(
+        table
+            .admitted(&"digest".into(), Some(&"gone".into()))
+            .is_none()
+    );
+    assert!(table.admitted(&"gone".into(), Some(&"c".into())).is_none());
+}
+
+#[test]
+fn cost_counts_tokens_or_what_stands_for_them() {
+    let table = Table::new(rows(1));
+    let matched = table
+        .resolve("a.example", "/digest/1", Some(b"key"))
+        .unwrap();
+    assert_eq!(matched.cost(Some((100, 20))), 120.0);
+    assert_eq!(matched.cost(None), 200.0);
+}
--- /dev/null
+++ b/tests/proxy/upstreams.rs
@@ -0,0 +1,162 @@
+//! What is believed of upstreams: leaving, gone, lapsed, cold, failing.
+
+use {
+    crate::common::{POOL, entry, ms},
+    greengagecleat::proxy::{
+        catalog::{Catalog, Change},
+        replica::Outcome,
+    },
+    std::collections::BTreeSet,
+};
+
+fn catalog() -> Catalog {
+    let domains = ["north-a", "north-b"];
+    let mut catalog = Catalog::new(domains.iter().map(|domain| (*domain).into()).collect());
+    let entries = vec![
+        entry("e0", "north-a", POOL, 1),
+        entry("e1", "north-b", POOL, 1),
+        entry("far", "south-a", POOL, 1),
+    ];
+    catalog.list(ms(0), entries);
+    catalog
+}
+
+fn eligible(catalog: &Catalog) -> Vec<String> {
+    let pool = POOL.into();
+    let ids = catalog
+        .eligible(&pool)
+        .map(|replica| replica.entry.id.to_string());
+    ids.collect()
+}
+
+#[test]
+fn only_upstreams_of_the_region_are_used() {
+    assert_eq!(eligible(&catalog()), ["e0", "e1"]);
+}
+
+#[test]
+fn a_leaving_upstream_stays_leaving() {
+    let mut catalog = catalog();
+    let mut leaving = entry("e0", "north-a", POOL, 2);
+    leaving.leaving = true;
+    assert_eq!(
+        catalog.put(ms(10), leaving),
+        Some(Change::Leaving("e0".into()))
+    );
+    assert_eq!(eligible(&catalog), ["e1"]);
+    // An older description comes late, and then one of the same run that is newer.
+    catalog.put(ms(20), entry("e0", "north-a", POOL, 1));
+    catalog.put(ms(30), entry("e0", "north-a", POOL, 3));
+    assert_eq!(eligible(&catalog), ["e1"]);
+    let mut reborn = entry("e0", "north-a", POOL, 1);
+    reborn.born = 2;
+    assert_eq!(
+        catalog.put(ms(40), reborn),
+        Some(Change::Restarted("e0".into()))
+    );
+    assert_eq!(eligible(&catalog), ["e0", "e1"]);
+}
+
+#[test]
+fn a_removed_upstream_is_gone_at_once_while_the_platform_is_sound() {
+    let mut catalog = catalog();
+    let change = catalog.remove(ms(10), &"e0".into());
+    assert_eq!(change, Some(Change::Gone("e0".into())));
+    assert_eq!(eligible(&catalog), ["e1"]);
+}
+
+#[test]
+fn an_entry_that_lapsed_during_an_outage_is_given_time_to_come_back() {
+    let mut catalog = catalog();
+    catalog.reach(ms(1_000), false);
+    catalog.reach(ms(6_000), true);
+    assert!(catalog.list(ms(6_010), Vec::new()).is_empty());
+    assert_eq!(eligible(&catalog), ["e0", "e1"]);
+    catalog.put(ms(7_000), entry("e0", "north-a", POOL, 2));
+    assert!(catalog.expire(ms(8_100)).is_empty());
+    let gone = catalog.expire(ms(8_300));
+    assert_eq!(gone, [Change::Gone("e1".into())]);
+    assert_eq!(eligible(&catalog), ["e0"]);
+}
+
+#[test]
+fn nothing_is_gone_while_the_platform_is_away() {
+    let mut catalog = catalog();
+    catalog.reach(ms(1_000), false);
+    assert_eq!(catalog.remove(ms(1_010), &"e0".into()), None);
+    assert!(catalog.expire(ms(60_000)).is_empty());
+    assert_eq!(eligible(&catalog), ["e0", "e1"]);
+}
+
+#[test]
+fn an_evacuated_domain_is_not_used_and_comes_back_cold() {
+    let mut catalog = catalog();
+    catalog.evacuate(ms(0), BTreeSet::from(["north-a".into()]));
+    assert_eq!(eligible(&catalog), ["e1"]);
+    catalog.evacuate(ms(5_000), BTreeSet::new());
+    assert_eq!(eligible(&catalog), ["e0", "e1"]);
+    let cold = |id: &str, at| catalog.get(&id.into()).unwrap().is_cold(ms(at));
+    assert!(cold("e0", 5_100));
+    assert!(!cold("e1", 5_100));
+    assert!(!cold("e0", 9_000));
+}
+
+#[test]
+fn an_address_that_belongs_to_another_is_not_used_again() {
+    let mut catalog = catalog();
+    catalog.misdirected(&"e0".into());
+    assert_eq!(eligible(&catalog), ["e1"]);
+}
+
+#[test]
+fn an_upstream_that_breaks_off_is_left_alone_and_taken_up_carefully() {
+    let mut catalog = catalog();
+    let id = "e0".into();
+    catalog.end(ms(0), &id, Outcome::Broken);
+    assert!(catalog.get(&id).unwrap().is_open(ms(1)));
+    let change = catalog.end(ms(10), &id, Outcome::Broken);
+    assert_eq!(change, Some(Change::Standing(id.clone())));
+    assert!(!catalog.get(&id).unwrap().is_open(ms(100)));
+    assert!(catalog.get(&id).unwrap().is_open(ms(1_000)));
+    assert!(catalog.get(&id).unwrap().is_cold(ms(1_000)));
+}
+
+#[test]
+fn a_silent_upstream_is_left_alone_until_a_byte_comes() {
+    let mut catalog = catalog();
+    let id = "e0".into();
+    assert_eq!(
+        catalog.silent(ms(10), &id),
+        Some(Change::Silent(id.clone()))
+    );
+    assert_eq!(catalog.silent(ms(20), &id), None);
+    assert!(!catalog.get(&id).unwrap().is_open(ms(60_000)));
+    catalog.get_mut(&id).unwrap().touch(ms(60_000));
+    assert!(catalog.get(&id).unwrap().is_open(ms(60_001)));
+}
+
+#[test]
+fn failures_that_the_whole_pool_has_eject_nobody() {
+    let mut catalog = catalog();
+    // One answer in seven fails at every upstream.
+    for n in 0..700_u64 {
+        for id in ["e0", "e1"] {
+            let failed = n % 7 == 0;
+            let outcome = if failed {
+                Outcome::Error
+            } else {
+                Outcome::Whole
+            };
+            catalog.end(ms(n * 10), &id.into(), outcome);
+        }
+    }
+    assert!(catalog.get(&"e0".into()).unwrap().is_open(ms(7_001)));
+    assert!(catalog.get(&"e1".into()).unwrap().is_open(ms(7_001)));
+    // One of them now fails most of its answers.
+    for n in 700..720_u64 {
+        catalog.end(ms(n * 10), &"e0".into(), Outcome::Error);
+        catalog.end(ms(n * 10), &"e1".into(), Outcome::Whole);
+    }
+    assert!(!catalog.get(&"e0".into()).unwrap().is_open(ms(7_201)));
+    assert!(catalog.get(&"e1".into()).unwrap().is_open(ms(7_201)));
+}
