--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -11,7 +11,17 @@
     http_body::Body,
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
-    std::{error::Error, future::Future, net::SocketAddr, pin::pin, time::Duration},
+    std::{
+        error::Error,
+        future::Future,
+        net::SocketAddr,
+        pin::pin,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::Duration,
+    },
     tokio::{sync::watch, time::sleep},
 };
 
@@ -66,7 +76,10 @@
     B: Body<Data = Bytes> + Send + 'static,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
+    let served = Arc::new(AtomicBool::new(false));
+    let serves = served.clone();
     let service = service_fn(move |request| {
+        serves.store(true, Ordering::Relaxed);
         let answer = service(request);
         async move { Ok::<_, std::convert::Infallible>(answer.await) }
     });
@@ -80,7 +93,11 @@
     let ended = tokio::select! {
         ended = serving.as_mut() => ended,
         () = until(&mut phase, |phase| phase != Phase::Running) => {
-            serving.as_mut().graceful_shutdown();
+            // The first request of a new connection may be on its way; its answer closes the
+            // connection.
+            if served.load(Ordering::Relaxed) {
+                serving.as_mut().graceful_shutdown();
+            }
             serving.await
         }
     };
