Send callers without a host of their region to the homes of their routes

Ruled out: a fresh host that knows nobody yet (the log shows the answers of leaving hosts that know all). Change: of other regions, the directory names those in which all routes of the asked authority may be served; it logs when it names other regions.

--- a/src/proxy/fleet.rs
+++ b/src/proxy/fleet.rs
@@ -325,14 +325,17 @@
         1 + self.peers.values().filter(near).count()
     }
 
-    /// The hosts that callers of a region should use, by address, this one included if it `serves`.
+    /// The hosts that callers of a region should use, by address, this one included if it `serves`,
+    /// and whether they are in other regions, for want of one there. Of other regions `homes` go before
+    /// the rest.
     pub fn directory(
         &self,
         now: Duration,
         region: &name::Region,
         domain: &name::Domain,
+        homes: &BTreeSet<name::Region>,
         serves: bool,
-    ) -> Vec<SocketAddr> {
+    ) -> (Vec<SocketAddr>, bool) {
         let own = serves.then_some(&self.own);
         let peers = self.peers.values().filter_map(|peer| {
             let heard = now.saturating_sub(peer.heard) < GONE;
@@ -344,7 +347,17 @@
             .copied()
             .filter(|identity| identity.region == *region || identity.domain == *domain)
             .collect();
-        let named = if near.is_empty() { live } else { near };
-        named.into_iter().map(|identity| identity.callers).collect()
+        let elsewhere = near.is_empty();
+        let at_home = live
+            .iter()
+            .copied()
+            .filter(|identity| homes.contains(&identity.region));
+        let at_home: Vec<_> = at_home.collect();
+        let named = [near, at_home, live]
+            .into_iter()
+            .find(|named| !named.is_empty())
+            .unwrap_or_default();
+        let addresses = named.into_iter().map(|identity| identity.callers);
+        (addresses.collect(), elsewhere)
     }
 }
--- a/src/proxy/host.rs
+++ b/src/proxy/host.rs
@@ -168,11 +168,23 @@
         Running(self.clone())
     }
 
-    /// The hosts that a caller should use.
-    pub fn directory(&self, region: &name::Region, domain: &name::Domain) -> Vec<SocketAddr> {
+    /// The hosts that a caller should use for requests to `authority`.
+    pub fn directory(
+        &self,
+        authority: &str,
+        region: &name::Region,
+        domain: &name::Domain,
+    ) -> Vec<SocketAddr> {
         let serves = self.is_ready();
         let now = self.clock.now();
-        self.core().fleet.directory(now, region, domain, serves)
+        let core = self.core();
+        let homes = core.table().map(|table| table.homes(authority));
+        let homes = homes.unwrap_or_default();
+        let (named, elsewhere) = core.fleet.directory(now, region, domain, &homes, serves);
+        if elsewhere {
+            tracing::info!(event = "directory", %region, named = ?named, "no host of the region is known");
+        }
+        named
     }
 
     /// Installs a configuration unless a newer one is in force.
--- a/src/proxy/table.rs
+++ b/src/proxy/table.rs
@@ -240,6 +240,17 @@
         routes.map(|route| route.goal).max().unwrap_or_default()
     }
 
+    /// The regions in which every route of a host may be served; empty if all regions will do, or
+    /// if no region suits all routes.
+    pub fn homes(&self, host: &str) -> BTreeSet<name::Region> {
+        let routes = self.routes.get(host).into_iter().flatten();
+        let bound = routes.filter(|route| !route.homes.is_empty());
+        bound
+            .map(|route| route.homes.clone())
+            .reduce(|common, homes| common.intersection(&homes).cloned().collect())
+            .unwrap_or_default()
+    }
+
     /// What this version says of a request.
     pub fn resolve(&self, host: &str, path: &str, key: Option<&[u8]>) -> Result<Match, Denial> {
         let route = self.route(host, path).ok_or(Denial::RouteUnknown)?;
--- a/tests/proxy/fleet.rs
+++ b/tests/proxy/fleet.rs
@@ -30,7 +30,8 @@
 
 fn named(fleet: &Fleet, at: Duration, region: &str) -> Vec<SocketAddr> {
     let domain = format!("{region}-a").as_str().into();
-    fleet.directory(at, &region.into(), &domain, true)
+    let homes = Default::default();
+    fleet.directory(at, &region.into(), &domain, &homes, true).0
 }
 
 #[test]
@@ -124,3 +125,18 @@
     }
     assert!(sent.iter().all(|per_s| *per_s <= 70), "{sent:?}");
 }
+
+#[test]
+fn callers_without_a_host_of_their_region_are_sent_to_the_homes_of_their_routes() {
+    let mut fleet = fleet();
+    fleet.hear(ms(0), &report("s1", "south", 3, 1, 1));
+    fleet.hear(ms(0), &report("e1", "east", 4, 1, 1));
+    let homes = ["west".into(), "south".into()].into();
+    let domain = "west-a".into();
+    let (named, elsewhere) = fleet.directory(ms(1), &"west".into(), &domain, &homes, true);
+    assert_eq!(named, [address(3)]);
+    assert!(elsewhere);
+    let homes = ["west".into()].into();
+    let (named, _) = fleet.directory(ms(1), &"west".into(), &domain, &homes, true);
+    assert_eq!(named.len(), 3, "better any host than none");
+}
--- a/tests/proxy/table.rs
+++ b/tests/proxy/table.rs
@@ -88,3 +88,19 @@
     assert_eq!(matched.cost(Some((100, 20))), 120.0);
     assert_eq!(matched.cost(None), 200.0);
 }
+
+#[test]
+fn the_homes_of_a_host_suit_all_its_routes() {
+    let mut rows = rows(1);
+    rows.routes[0].homes = homes(&["north", "south"]);
+    assert_eq!(
+        Table::new(rows).homes("a.example"),
+        homes(&["north", "south"])
+    );
+    let mut rows = crate::common::rows(1);
+    rows.routes[0].homes = homes(&["north", "south"]);
+    rows.routes[1].homes = homes(&["south"]);
+    let table = Table::new(rows);
+    assert_eq!(table.homes("a.example"), homes(&["south"]));
+    assert!(table.homes("b.example").is_empty());
+}
