--- a/src/proxy/fleet.rs
+++ b/src/proxy/fleet.rs
@@ -326,15 +326,15 @@
     }
 
     /// The hosts that callers of a region should use, by address, this one included if it `serves`,
-    /// and whether they are in other regions, for want of one there. Of other regions `homes` go before
-    /// the rest.
+    /// and whether they are in other regions, for want of one there. Of other regions those are
+    /// used that `suit` best.
     pub fn directory(
         &self,
         now: Duration,
         region: &name::Region,
         domain: &name::Domain,
-        homes: &BTreeSet<name::Region>,
         serves: bool,
+        suit: impl Fn(&name::Region) -> usize,
     ) -> (Vec<SocketAddr>, bool) {
         let own = serves.then_some(&self.own);
         let peers = self.peers.values().filter_map(|peer| {
@@ -344,20 +344,22 @@
         let live: Vec<_> = own.into_iter().chain(peers).collect();
         let near: Vec<_> = live
             .iter()
-            .copied()
             .filter(|identity| identity.region == *region || identity.domain == *domain)
+            .map(|identity| identity.callers)
             .collect();
-        let elsewhere = near.is_empty();
-        let at_home = live
-            .iter()
-            .copied()
-            .filter(|identity| homes.contains(&identity.region));
-        let at_home: Vec<_> = at_home.collect();
-        let named = [near, at_home, live]
+        if !near.is_empty() {
+            return (near, false);
+        }
+        let regions: BTreeSet<_> = live.iter().map(|identity| &identity.region).collect();
+        let suits: BTreeMap<_, _> = regions
             .into_iter()
-            .find(|named| !named.is_empty())
-            .unwrap_or_default();
-        let addresses = named.into_iter().map(|identity| identity.callers);
-        (addresses.collect(), elsewhere)
+            .map(|region| (region, suit(region)))
+            .collect();
+        let best = suits.values().max();
+        let named = live
+            .iter()
+            .filter(|identity| suits.get(&identity.region) == best)
+            .map(|identity| identity.callers);
+        (named.collect(), true)
     }
 }
--- a/src/proxy/host.rs
+++ b/src/proxy/host.rs
@@ -178,11 +178,14 @@
         let serves = self.is_ready();
         let now = self.clock.now();
         let core = self.core();
-        let homes = core.table().map(|table| table.homes(authority));
-        let homes = homes.unwrap_or_default();
-        let (named, elsewhere) = core.fleet.directory(now, region, domain, &homes, serves);
+        let table = core.table().cloned();
+        let suit = |region: &name::Region| {
+            let table = table.as_ref();
+            table.map_or(0, |table| table.suitability(authority, region))
+        };
+        let (named, elsewhere) = core.fleet.directory(now, region, domain, serves, suit);
         if elsewhere {
-            tracing::info!(event = "directory", %region, named = ?named, "no host of the region is known");
+            tracing::info!(event = "directory", authority, %region, named = ?named, "no host of the region is known");
         }
         named
     }
--- a/src/proxy/table.rs
+++ b/src/proxy/table.rs
@@ -240,15 +240,13 @@
         routes.map(|route| route.goal).max().unwrap_or_default()
     }
 
-    /// The regions in which every route of a host may be served; empty if all regions will do, or
-    /// if no region suits all routes.
-    pub fn homes(&self, host: &str) -> BTreeSet<name::Region> {
+    /// How many routes of a host and how many customers allow a region.
+    pub fn suitability(&self, host: &str, region: &name::Region) -> usize {
+        let allows = |homes: &BTreeSet<name::Region>| homes.is_empty() || homes.contains(region);
         let routes = self.routes.get(host).into_iter().flatten();
-        let bound = routes.filter(|route| !route.homes.is_empty());
-        bound
-            .map(|route| route.homes.clone())
-            .reduce(|common, homes| common.intersection(&homes).cloned().collect())
-            .unwrap_or_default()
+        let routes = routes.filter(|route| allows(&route.homes)).count();
+        let customers = self.customers.values();
+        routes + customers.filter(|customer| allows(&customer.homes)).count()
     }
 
     /// What this version says of a request.
--- a/tests/proxy/fleet.rs
+++ b/tests/proxy/fleet.rs
@@ -30,8 +30,7 @@
 
 fn named(fleet: &Fleet, at: Duration, region: &str) -> Vec<SocketAddr> {
     let domain = format!("{region}-a").as_str().into();
-    let homes = Default::default();
-    fleet.directory(at, &region.into(), &domain, &homes, true).0
+    fleet.directory(at, &region.into(), &domain, true, |_| 1).0
 }
 
 #[test]
@@ -127,16 +126,17 @@
 }
 
 #[test]
-fn callers_without_a_host_of_their_region_are_sent_to_the_homes_of_their_routes() {
+fn callers_without_a_host_of_their_region_are_sent_to_regions_that_suit() {
     let mut fleet = fleet();
     fleet.hear(ms(0), &report("s1", "south", 3, 1, 1));
     fleet.hear(ms(0), &report("e1", "east", 4, 1, 1));
-    let homes = ["west".into(), "south".into()].into();
     let domain = "west-a".into();
-    let (named, elsewhere) = fleet.directory(ms(1), &"west".into(), &domain, &homes, true);
-    assert_eq!(named, [address(3)]);
-    assert!(elsewhere);
-    let homes = ["west".into()].into();
-    let (named, _) = fleet.directory(ms(1), &"west".into(), &domain, &homes, true);
-    assert_eq!(named.len(), 3, "better any host than none");
+    let named = |best: &'static str| {
+        let suit =
+            move |region: &greengagecleat::name::Region| usize::from(region.as_str() == best);
+        fleet.directory(ms(1), &"west".into(), &domain, true, suit)
+    };
+    assert_eq!(named("south"), (vec![address(3)], true));
+    let (any, _) = named("west");
+    assert_eq!(any.len(), 3, "better any host than none");
 }
--- a/tests/proxy/table.rs
+++ b/tests/proxy/table.rs
@@ -90,17 +90,16 @@
 }
 
 #[test]
-fn the_homes_of_a_host_suit_all_its_routes() {
+fn a_region_suits_by_the_routes_and_customers_that_allow_it() {
     let mut rows = rows(1);
     rows.routes[0].homes = homes(&["north", "south"]);
-    assert_eq!(
-        Table::new(rows).homes("a.example"),
-        homes(&["north", "south"])
-    );
-    let mut rows = crate::common::rows(1);
-    rows.routes[0].homes = homes(&["north", "south"]);
-    rows.routes[1].homes = homes(&["south"]);
+    let mut bound = customer("bound", 1.0);
+    bound.homes = homes(&["south"]);
+    rows.customers.push((bound, Vec::new()));
     let table = Table::new(rows);
-    assert_eq!(table.homes("a.example"), homes(&["south"]));
-    assert!(table.homes("b.example").is_empty());
+    let suits = |host, region: &str| table.suitability(host, &region.into());
+    assert_eq!(suits("a.example", "south"), 4);
+    assert_eq!(suits("a.example", "north"), 3);
+    assert_eq!(suits("a.example", "east"), 2);
+    assert_eq!(suits("b.example", "south"), 2);
 }
