--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -16,7 +16,7 @@
         clock::Clock,
         failure::{Code, Failure, Ran},
         link::exchange,
-        name, upstream, wire,
+        metric, name, upstream, wire,
     },
     bytes::{Bytes, BytesMut},
     http::{HeaderMap, Method, Request, StatusCode, header},
@@ -340,6 +340,17 @@
             .metrics
             .head_seconds
             .observe(self.begun.saturating_sub(self.job.arrived).as_secs_f64());
+        self.host
+            .metrics
+            .answered
+            .get_or_create(&metric::Answered {
+                route: self.job.matched.route.name.to_string(),
+                status: self.head.status.as_u16(),
+            })
+            .inc();
+        if outcome == "whole" && !self.host.logs(self.ask.id()) {
+            return;
+        }
         tracing::info!(event = "answered", request = self.ask.id(), outcome,
             route = %self.job.matched.route.name, version = self.job.matched.version,
             status = self.head.status.as_u16(), upstream = %self.upstream, first_ms, total_ms,
--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -499,16 +499,15 @@
         }
     }
 
-    /// The first byte of an answer's body came.
-    pub fn begin(&mut self, now: Duration, ticket: u64) {
-        let Some(held) = self.held.get_mut(&ticket) else {
-            return;
-        };
+    /// The first byte of an answer's body came. Returns the time that it took over the predicted.
+    pub fn begin(&mut self, now: Duration, ticket: u64) -> Option<f64> {
+        let held = self.held.get_mut(&ticket)?;
         if held.started {
-            return;
+            return None;
         }
         held.started = true;
         let took = millis(now.saturating_sub(held.sent));
+        let ratio = took / held.predicted_ms.max(1.0);
         let (reading, engine) = (held.reading, held.engine);
         let (pool, upstream) = (held.pool.clone(), held.upstream.clone());
         let (rank, uncached) = (usize::from(held.rank), held.uncached);
@@ -526,6 +525,7 @@
             replica.own.waiting[rank] = replica.own.waiting[rank].saturating_sub(uncached);
             replica.observe(now, took / foretold.max(1.0));
         }
+        Some(ratio)
     }
 
     /// A further piece of an answer came.
--- a/src/proxy/host.rs
+++ b/src/proxy/host.rs
@@ -9,6 +9,7 @@
         fleet::{self, News},
         place::Job,
         replica::Outcome,
+        sample::Sampler,
         server::until,
         table::Table,
     },
@@ -22,6 +23,7 @@
     },
     bytes::Bytes,
     http::{HeaderMap, StatusCode},
+    prometheus_client::metrics::{counter::Counter, histogram::Histogram},
     std::{
         collections::BTreeMap,
         net::SocketAddr,
@@ -40,6 +42,9 @@
 /// How often due reports are looked for; a fraction of the shortest time between two.
 const REPORT_TICK: Duration = Duration::from_millis(50);
 
+/// Upper bounds of the buckets of seen over predicted time.
+const RATIO_BUCKETS: [f64; 9] = [0.25, 0.5, 0.75, 1.0, 1.25, 1.5, 2.0, 4.0, 10.0];
+
 /// A running host. Cloning it copies a pointer.
 #[derive(Debug)]
 pub struct Host<D, C>(Arc<Shared<D, C>>);
@@ -69,6 +74,9 @@
     stale: Notify,
     grace: Duration,
     left_at: OnceLock<Duration>,
+    sampler: Mutex<Sampler>,
+    predicted_ratio: Histogram,
+    log_lines_sampled_out: Counter,
 }
 
 /// What a host is made of.
@@ -106,6 +114,20 @@
     /// A host that knows nothing yet.
     pub fn new(parts: Parts<D, C>) -> Self {
         let now = parts.clock.now();
+        let predicted_ratio = Histogram::new(RATIO_BUCKETS);
+        let log_lines_sampled_out = Counter::default();
+        parts.metrics.register(|registry| {
+            registry.register(
+                "predicted_ratio",
+                "Time to the first byte over its prediction",
+                predicted_ratio.clone(),
+            );
+            registry.register(
+                "log_lines_sampled_out",
+                "Lines of successful requests that were not logged",
+                log_lines_sampled_out.clone(),
+            );
+        });
         Self(Arc::new(Shared {
             own: parts.setup.own.clone(),
             core: Mutex::new(Core::new(now, parts.setup)),
@@ -121,6 +143,9 @@
             stale: Notify::new(),
             grace: parts.grace,
             left_at: OnceLock::new(),
+            sampler: Mutex::default(),
+            predicted_ratio,
+            log_lines_sampled_out,
         }))
     }
 
@@ -161,6 +186,17 @@
         self.running.load(Ordering::Relaxed)
     }
 
+    /// Whether the line of a successful request is logged.
+    pub(super) fn logs(&self, request: &str) -> bool {
+        let now = self.clock.now();
+        let mut sampler = self.sampler.lock().unwrap_or_else(PoisonError::into_inner);
+        let keep = sampler.keep(now, request);
+        if !keep {
+            self.log_lines_sampled_out.inc();
+        }
+        keep
+    }
+
     /// Counts a request for as long as the guard lives.
     pub(super) fn enter(&self) -> Running<D, C> {
         self.running.fetch_add(1, Ordering::Relaxed);
@@ -420,7 +456,10 @@
     /// The first byte of the answer's body came.
     pub(super) fn begin(&self) {
         let now = self.host.clock.now();
-        self.host.core().begin(now, self.grant.ticket);
+        let ratio = self.host.core().begin(now, self.grant.ticket);
+        if let Some(ratio) = ratio {
+            self.host.predicted_ratio.observe(ratio);
+        }
         self.host.pump();
     }
 }
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -18,6 +18,7 @@
 pub mod place;
 pub mod rate;
 pub mod replica;
+pub mod sample;
 pub mod server;
 pub mod speed;
 pub mod table;
--- /dev/null
+++ b/src/proxy/sample.rs
@@ -0,0 +1,39 @@
+//! Which lines of successful requests are logged under load: all up to a number a second, beyond
+//! that a sample by request id, so that a request which is kept on one host is kept on every host.
+
+use {crate::route::affinity, std::time::Duration};
+
+/// Lines a second up to which all are kept.
+const ALL: u32 = 60;
+/// Beyond that, one request in so many.
+const ONE_IN: u64 = 16;
+
+/// Chooses lines.
+#[derive(Debug, Default)]
+pub struct Sampler {
+    second: u64,
+    kept: u32,
+    dropped: u64,
+}
+
+impl Sampler {
+    /// Whether the line of a request is kept.
+    pub fn keep(&mut self, now: Duration, request: &str) -> bool {
+        if now.as_secs() != self.second {
+            self.second = now.as_secs();
+            self.kept = 0;
+        }
+        if self.kept < ALL {
+            self.kept += 1;
+            return true;
+        }
+        let keep = affinity::hash(request.as_bytes()).is_multiple_of(ONE_IN);
+        self.dropped += u64::from(!keep);
+        keep
+    }
+
+    /// Lines that were left out, in all.
+    pub fn dropped(&self) -> u64 {
+        self.dropped
+    }
+}
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -12,6 +12,8 @@
 mod rate;
 #[path = "proxy/replay.rs"]
 mod replay;
+#[path = "proxy/sample.rs"]
+mod sample;
 #[path = "proxy/table.rs"]
 mod table;
 #[path = "proxy/upstreams.rs"]
