Let a forwarded request that waits go no further

Ruled out: the taking host's first placement, which never forwards. Change: whether a request may leave is a property of the request. Also the log gives times from the request's arrival when its stream was taken up elsewhere.

--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -94,6 +94,7 @@
     tries: Tries,
     splitter: Option<Splitter>,
     last_event: Option<u64>,
+    arrived: Duration,
     begun: Duration,
     bytes: usize,
     ended: bool,
@@ -107,7 +108,6 @@
     runs: u32,
     refused: u32,
     forwards: u32,
-    away: bool,
     paid: bool,
     /// The last placement's prediction of the time to the first byte, in milliseconds.
     predicted_ms: f64,
@@ -131,18 +131,10 @@
 
 impl<D: Dialect, C: Clock> Answer<D, C> {
     /// Serves a request, up to the first byte of its answer.
-    pub(super) async fn open(
-        host: Host<D, C>,
-        ask: Ask,
-        mut job: Job,
-        away: bool,
-    ) -> Result<Self, Failure> {
+    pub(super) async fn open(host: Host<D, C>, ask: Ask, mut job: Job) -> Result<Self, Failure> {
         let running = host.enter();
         let ask = Arc::new(ask);
-        let mut tries = Tries {
-            away,
-            ..Tries::default()
-        };
+        let mut tries = Tries::default();
         let now = host.clock.now();
         host.core().note_request(now, &job.pool);
         let left = job.deadline.saturating_sub(now);
@@ -157,6 +149,7 @@
         Ok(Self {
             splitter: resumable.then(Splitter::new),
             last_event: resume,
+            arrived: job.arrived,
             begun: host.clock.now(),
             bytes: 0,
             ended: false,
@@ -334,12 +327,12 @@
             return;
         }
         let now = self.host.clock.now();
-        let first_ms = millis(self.begun.saturating_sub(self.job.arrived)) as u64;
-        let total_ms = millis(now.saturating_sub(self.job.arrived)) as u64;
+        let first_ms = millis(self.begun.saturating_sub(self.arrived)) as u64;
+        let total_ms = millis(now.saturating_sub(self.arrived)) as u64;
         self.host
             .metrics
             .head_seconds
-            .observe(self.begun.saturating_sub(self.job.arrived).as_secs_f64());
+            .observe(self.begun.saturating_sub(self.arrived).as_secs_f64());
         self.host
             .metrics
             .answered
@@ -376,8 +369,7 @@
 ) -> Result<Opened<D, C>, Failure> {
     let repeatable = job.matched.route.kind.is_repeatable();
     loop {
-        let away = tries.away && tries.forwards < FORWARDS;
-        let placement = host.place(job, away).await?;
+        let placement = host.place(job).await?;
         tries.placed_after = host.clock.now().saturating_sub(job.arrived);
         let failure = match placement {
             Placement::Here(grant) => {
@@ -399,6 +391,7 @@
                     Ok(opened) => return Ok(opened),
                     Err(failure) => {
                         tries.forwards += 1;
+                        job.may_leave &= tries.forwards < FORWARDS;
                         // The other host may have used up all attempts.
                         if failure.ran != Ran::No {
                             tries.runs = job.attempts;
--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -331,14 +331,16 @@
 
     /// Where a request goes now. An upstream of this region that answers on time goes first; then
     /// another region, if it may be used; then one of this region that answers late.
-    pub fn place(&mut self, now: Duration, job: &Job, may_leave: bool) -> Placement {
+    pub fn place(&mut self, now: Duration, job: &Job) -> Placement {
         let here = self.choose(now, job);
         if let Some(choice) = &here
             && choice.on_time
         {
             return Placement::Here(self.reserve(now, job, here.expect("it was just seen")));
         }
-        if may_leave && let Some(away) = self.away(now, job) {
+        if job.may_leave
+            && let Some(away) = self.away(now, job)
+        {
             return Placement::Away(away);
         }
         match here {
@@ -612,7 +614,7 @@
             let Some(job) = self.waiting.remove(&place) else {
                 continue;
             };
-            match self.place(now, &job, true) {
+            match self.place(now, &job) {
                 Placement::Wait => {
                     self.waiting.insert(place, job);
                 }
--- a/src/proxy/host.rs
+++ b/src/proxy/host.rs
@@ -273,16 +273,16 @@
     }
 
     /// Serves a request, up to the first byte of its answer.
-    pub async fn serve(&self, ask: Ask, job: Job, away: bool) -> Result<Answer<D, C>, Failure> {
-        Answer::open(self.clone(), ask, job, away).await
+    pub async fn serve(&self, ask: Ask, job: Job) -> Result<Answer<D, C>, Failure> {
+        Answer::open(self.clone(), ask, job).await
     }
 
     /// Where a request goes, after a wait if need be.
-    pub(super) async fn place(&self, job: &Job, away: bool) -> Result<Placement, Failure> {
+    pub(super) async fn place(&self, job: &Job) -> Result<Placement, Failure> {
         let now = self.clock.now();
         let (place, placed, limit) = {
             let mut core = self.core();
-            match core.place(now, job, away) {
+            match core.place(now, job) {
                 Placement::Wait => {}
                 placement => return Ok(placement),
             }
@@ -483,7 +483,7 @@
     ) -> Result<(exchange::Head, Self::Body), Failure> {
         self.metrics.taken.inc();
         let (ask, job) = super::intake::taken(self, from, call)?;
-        let answer = self.serve(ask, job, false).await?;
+        let answer = self.serve(ask, job).await?;
         let head = exchange::Head {
             status: answer.status().as_u16(),
             headers: super::headers::to_wire(answer.headers()),
--- a/src/proxy/intake.rs
+++ b/src/proxy/intake.rs
@@ -147,7 +147,7 @@
             Failure::not_run(Code::RateLimited, "over the customer's rate").retry_after(wait)
         })?;
     }
-    let served = host.serve(ask, job, true).await;
+    let served = host.serve(ask, job).await;
     if let (Err(failure), Some(customer)) = (&served, &customer)
         && failure.ran == crate::failure::Ran::No
     {
@@ -196,6 +196,7 @@
     let pool = host.core().draw_pool(&matched, session);
     Ok(Job {
         pool: pool.ok_or_else(|| Failure::not_run(Code::NoCapacity, "the route has no pool"))?,
+        may_leave: true,
         attempts: matched.route.attempts,
         matched,
         tokens: call.tokens.unwrap_or_default(),
@@ -256,6 +257,7 @@
     let arrived = now.saturating_sub(call.elapsed);
     let mut job = job(host, &parsed, matched, arrived, now + call.remaining)?;
     job.attempts = job.attempts.min(call.attempts);
+    job.may_leave = false;
     tracing::debug!(event = "taken", request = call.request, host = %from);
     let ask = Ask {
         call: parsed,
--- a/src/proxy/place.rs
+++ b/src/proxy/place.rs
@@ -51,6 +51,8 @@
     pub arrived: Duration,
     /// When its caller leaves or its route's time is over.
     pub deadline: Duration,
+    /// Whether a host of another region may be asked to place it; never for one that was forwarded.
+    pub may_leave: bool,
     /// Upstreams to which it may be sent.
     pub attempts: u32,
     /// Upstreams that have failed it.
--- a/tests/proxy/common.rs
+++ b/tests/proxy/common.rs
@@ -171,6 +171,7 @@
         chain: cache::chain(&parts),
         arrived: now,
         deadline: now + ms(4_000),
+        may_leave: false,
         attempts: 2,
         tried: Vec::new(),
     }
@@ -184,7 +185,16 @@
         chain: Vec::new(),
         arrived: now,
         deadline: now + ms(2_000),
+        may_leave: false,
         attempts: 1,
         tried: Vec::new(),
     }
 }
+
+/// The same request, as a caller of this region sent it.
+pub(crate) fn leaving(job: &Job) -> Job {
+    Job {
+        may_leave: true,
+        ..job.clone()
+    }
+}
--- a/tests/proxy/core.rs
+++ b/tests/proxy/core.rs
@@ -1,7 +1,7 @@
 //! A host's decisions as a whole: regions, queue, refusals, retries, silence.
 
 use {
-    crate::common::{self, POOL, core, identity, job, ms, plain_job},
+    crate::common::{self, POOL, core, identity, job, leaving, ms, plain_job},
     greengagecleat::proxy::{
         catalog::Change,
         core::{Core, Placement},
@@ -41,7 +41,7 @@
 fn fill(core: &mut Core, now: Duration) {
     for n in 0..1_000 {
         let next = job(core, now, n, 10_000 + n);
-        if core.place(now, &next, false) == Placement::Wait {
+        if core.place(now, &next) == Placement::Wait {
             return;
         }
     }
@@ -63,14 +63,14 @@
     neighbour(&mut core, ms(0), 1, idle());
     let first = job(&core, ms(0), 1, 1);
     assert!(matches!(
-        core.place(ms(0), &first, true),
+        core.place(ms(0), &leaving(&first)),
         Placement::Here(_)
     ));
     fill(&mut core, ms(0));
     let mut away = 0;
     for n in 0..50 {
         let next = job(&core, ms(1), n, 20_000 + n);
-        if let Placement::Away(to) = core.place(ms(1), &next, true) {
+        if let Placement::Away(to) = core.place(ms(1), &leaving(&next)) {
             assert_eq!(to.region, "south".into());
             away += 1;
         }
@@ -88,7 +88,7 @@
     neighbour(&mut core, ms(0), 1, idle());
     fill(&mut core, ms(0));
     let next = job(&core, ms(1), 1, 30_000);
-    assert_eq!(core.place(ms(1), &next, true), Placement::Wait);
+    assert_eq!(core.place(ms(1), &leaving(&next)), Placement::Wait);
 }
 
 #[test]
@@ -104,7 +104,10 @@
     };
     neighbour(&mut core, ms(0), 1, busy);
     let next = job(&core, ms(0), 1, 1);
-    assert!(matches!(core.place(ms(0), &next, true), Placement::Away(_)));
+    assert!(matches!(
+        core.place(ms(0), &leaving(&next)),
+        Placement::Away(_)
+    ));
 }
 
 #[test]
@@ -113,7 +116,7 @@
     neighbour(&mut core, ms(0), 1, idle());
     fill(&mut core, ms(0));
     let next = job(&core, ms(2_000), 1, 30_000);
-    let placed = core.place(ms(2_000), &next, true);
+    let placed = core.place(ms(2_000), &leaving(&next));
     assert!(!matches!(placed, Placement::Away(_)), "{placed:?}");
 }
 
@@ -124,7 +127,7 @@
     for n in 0..1_000 {
         let mut next = job(&core, ms(0), n, 10_000 + n);
         next.matched.priority = 0;
-        match core.place(ms(0), &next, false) {
+        match core.place(ms(0), &next) {
             Placement::Here(grant) => tickets.push(grant.ticket),
             _ => break,
         }
@@ -167,7 +170,7 @@
 fn without_any_upstream_a_request_is_refused_at_once() {
     let mut core = core(0);
     let next = job(&core, ms(0), 1, 1);
-    assert_eq!(core.place(ms(0), &next, true), Placement::Wait);
+    assert_eq!(core.place(ms(0), &leaving(&next)), Placement::Wait);
     assert_eq!(core.wait_limit(ms(0), &next), ms(0));
 }
 
@@ -189,7 +192,7 @@
 fn an_engine_in_the_middle_of_answers_that_falls_silent_is_found() {
     let mut core = core(1);
     let next = job(&core, ms(0), 1, 1);
-    let Placement::Here(grant) = core.place(ms(0), &next, false) else {
+    let Placement::Here(grant) = core.place(ms(0), &next) else {
         panic!("the engine is idle");
     };
     core.begin(ms(100), grant.ticket);
@@ -205,7 +208,7 @@
 fn an_upstream_that_works_on_a_long_request_is_not_silent() {
     let mut core = core(0);
     let next = plain_job(&core, ms(0));
-    let Placement::Here(grant) = core.place(ms(0), &next, false) else {
+    let Placement::Here(grant) = core.place(ms(0), &next) else {
         panic!("the service is idle");
     };
     let patience = 400.0 + grant.predicted_ms;
@@ -214,3 +217,20 @@
             .is_empty()
     );
 }
+
+#[test]
+fn a_forwarded_request_that_waits_goes_no_further() {
+    let mut core = core(1);
+    fill(&mut core, ms(0));
+    let forwarded = job(&core, ms(1), 1, 50_000);
+    let own = leaving(&job(&core, ms(1), 2, 50_001));
+    core.enqueue(forwarded);
+    let own = core.enqueue(own);
+    // Room appears elsewhere while both wait.
+    neighbour(&mut core, ms(2), 1, idle());
+    let placed = core.pump(ms(3));
+    assert_eq!(placed.len(), 1);
+    assert_eq!(placed[0].0, own);
+    assert!(matches!(placed[0].1, Placement::Away(_)));
+    assert_eq!(core.waiting(), 1);
+}
--- a/tests/proxy/place.rs
+++ b/tests/proxy/place.rs
@@ -11,7 +11,7 @@
 };
 
 fn here(core: &mut Core, now: Duration, job: &Job) -> Option<Grant> {
-    match core.place(now, job, false) {
+    match core.place(now, job) {
         Placement::Here(grant) => Some(grant),
         Placement::Away(_) | Placement::Wait => None,
     }
@@ -74,7 +74,7 @@
     let mut placed = 0;
     for own in 0..40 {
         let next = job(&core, ms(0), own, 1_000 + own);
-        match core.place(ms(0), &next, false) {
+        match core.place(ms(0), &next) {
             Placement::Here(grant) => {
                 let end = grant.predicted_ms;
                 assert!(end <= 0.65 * 800.0, "{end} ms");
--- a/tests/proxy/replay.rs
+++ b/tests/proxy/replay.rs
@@ -121,7 +121,7 @@
         match policy {
             Policy::Core => {
                 let next = job(&core, now, session, 100_000 + request);
-                match core.place(now, &next, false) {
+                match core.place(now, &next) {
                     Placement::Wait => {
                         let limit = core.wait_limit(now, &next);
                         if limit.is_zero() {
