--- a/testbed/src/command/standin.rs
+++ b/testbed/src/command/standin.rs
@@ -19,7 +19,7 @@
     #[argh(option)]
     bind: Option<SocketAddr>,
 
-    /// settings that differ from the default, as a JSON object; see docs/platform.md
+    /// settings that differ from the default, as a JSON object; see docs/source.md
     #[argh(option, default = "\"{}\".to_owned()")]
     settings: String,
 
