--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -4,7 +4,7 @@
 use {
     super::{
         catalog::{Catalog, Change},
-        fleet::{Due, Fleet, Identity, News, Report, Spare},
+        fleet::{Due, Fleet, Identity, News, Peer, Report, Spare},
         place::{self, Choice, Job, ON_TIME_REMOTE},
         rate::Limiter,
         replica::{Outcome, Replica, Tally, millis},
@@ -392,10 +392,12 @@
         let elapsed = job.elapsed_ms(now);
         let at_home = job.matched.allows(own);
         let patience = millis(job.deadline.saturating_sub(job.arrived));
+        // A host with an older configuration would only say that it has not run the request.
+        let is_behind = |peer: &Peer| peer.version < job.matched.version;
         let mut best: Option<(f64, name::Region)> = None;
         for peer in self.fleet.working(now) {
             let region = &peer.identity.region;
-            if region == own || !job.matched.allows(region) {
+            if region == own || !job.matched.allows(region) || is_behind(peer) {
                 continue;
             }
             let Some(spare) = peer.spare.get(&job.pool) else {
@@ -424,7 +426,7 @@
         let in_region = self
             .fleet
             .working(now)
-            .filter(|peer| peer.identity.region == region);
+            .filter(|peer| peer.identity.region == region && !is_behind(peer));
         let host = in_region
             .max_by_key(|peer| {
                 let point = affinity::hash(peer.identity.host.as_str().as_bytes());
--- a/tests/proxy/core.rs
+++ b/tests/proxy/core.rs
@@ -13,12 +13,17 @@
 };
 
 fn neighbour(core: &mut Core, now: Duration, sequence: u64, spare: Spare) {
+    neighbour_at(core, now, sequence, spare, 1);
+}
+
+/// Another region's host reports, with a configuration of this version.
+fn neighbour_at(core: &mut Core, now: Duration, sequence: u64, spare: Spare, version: u64) {
     let report = Report {
         from: identity("s1", "south", 3),
         sequence,
         ready: true,
         leaving: false,
-        version: 1,
+        version,
         hosts: 1,
         spent: Vec::new(),
         tallies: Vec::new(),
@@ -85,7 +90,7 @@
     let mut rows = common::rows(2);
     rows.routes[0].homes = ["north".into()].into();
     core.configure(ms(0), Table::new(rows));
-    neighbour(&mut core, ms(0), 1, idle());
+    neighbour_at(&mut core, ms(0), 1, idle(), 2);
     fill(&mut core, ms(0));
     let next = job(&core, ms(1), 1, 30_000);
     assert_eq!(core.place(ms(1), &leaving(&next)), Placement::Wait);
@@ -102,7 +107,7 @@
         tokens: 0.0,
         ..idle()
     };
-    neighbour(&mut core, ms(0), 1, busy);
+    neighbour_at(&mut core, ms(0), 1, busy, 2);
     let next = job(&core, ms(0), 1, 1);
     assert!(matches!(
         core.place(ms(0), &leaving(&next)),
@@ -234,3 +239,13 @@
     assert!(matches!(placed[0].1, Placement::Away(_)));
     assert_eq!(core.waiting(), 1);
 }
+
+#[test]
+fn a_host_with_an_older_configuration_is_not_asked() {
+    let mut core = core(1);
+    assert!(core.configure(ms(0), Table::new(common::rows(2))));
+    neighbour(&mut core, ms(0), 1, idle());
+    fill(&mut core, ms(0));
+    let next = leaving(&job(&core, ms(1), 1, 30_000));
+    assert_eq!(core.place(ms(1), &next), Placement::Wait);
+}
