Split answers from sends and the core along its seams, and drop what nothing uses

No behaviour changes. Dropped with their test lines: decoded fields that no decision reads (load and keep-alive of an answer, connections and cold time of a pool, head and idle limits).

--- a/src/proxy/core.rs
+++ b/src/proxy/core/mod.rs
@@ -1,11 +1,14 @@
 //! What one host knows and decides, without input or output: where a request goes, whether it
 //! waits, and when it is refused.
 
+mod region;
+mod wait;
+
 use {
     super::{
         catalog::{Catalog, Change},
-        fleet::{Due, Fleet, Identity, News, Peer, Report, Spare},
-        place::{self, Choice, Job, ON_TIME_REMOTE},
+        fleet::{Due, Fleet, Identity, News, Report},
+        place::{self, Choice, Job},
         rate::Limiter,
         replica::{Outcome, Replica, Tally, millis},
         table::{Match, Pool, Table},
@@ -19,8 +22,6 @@
     std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration},
 };
 
-/// Time that the way to another region and back adds to an answer, in milliseconds.
-const FAR_MS: f64 = 115.0;
 /// Longest silence of an engine that is in the middle of an answer, in milliseconds: several
 /// events' time, even while it reads a long prompt between them.
 const SILENT_STREAM_MS: f64 = 700.0;
@@ -28,22 +29,6 @@
 const SILENT_BASE_MS: f64 = 400.0;
 /// The predicted time counts so many times in it.
 const SILENT_FACTOR: f64 = 2.5;
-/// Share of the goal for which a request may wait here for an upstream.
-const WAIT_SHARE: f64 = 0.15;
-/// Waiting requests that are looked at when something becomes free.
-const LOOK_AT: usize = 48;
-/// Share of the goal up to which a region's spare room is counted.
-const SPARE_SHARE: f64 = 0.45;
-/// Shortest time after which a refused caller is asked to come back.
-const RETRY_AFTER_LEAST: Duration = Duration::from_millis(150);
-/// Longest time after which a refused caller is asked to come back.
-const RETRY_AFTER_MOST: Duration = Duration::from_secs(3);
-/// Time over which refused callers are spread.
-const RETRY_AFTER_SPREAD: Duration = Duration::from_secs(2);
-/// Prompt tokens that a waiting request is taken to need, at the most: what is usually not cached.
-const QUEUED_TOKENS: f64 = 4_000.0;
-/// Share of a prompt that is taken to be uncached before an upstream is chosen.
-const UNCACHED_SHARE: f64 = 0.4;
 /// Share of a cold upstream's bound that all hosts together use; the rest covers differing views.
 const COLD_SHARE: f64 = 1.2;
 /// A host that runs for less may not know its neighbours yet.
@@ -279,56 +264,6 @@
         reports
     }
 
-    /// What this region's upstreams could take beside what they have.
-    fn spare(&self, now: Duration) -> Vec<(name::Pool, Spare)> {
-        let Some(table) = &self.table else {
-            return Vec::new();
-        };
-        table
-            .pools()
-            .map(|pool| (pool.name.clone(), self.spare_of(now, pool, table)))
-            .collect()
-    }
-
-    fn spare_of(&self, now: Duration, pool: &Pool, table: &Table) -> Spare {
-        let goal = table.longest_goal(&pool.name);
-        let (rate, base) = place::speed(&self.catalog, &pool.name);
-        let mut spare = Spare {
-            wait_ms: f32::MAX,
-            rate: rate as f32,
-            ..Spare::default()
-        };
-        let open = self.catalog.eligible(&pool.name).filter(|replica| {
-            replica.is_open(now) && !(pool.cold_per_s > 0.0 && replica.is_cold(now))
-        });
-        for replica in open {
-            let running = f64::from(replica.running(now));
-            let slots = pool
-                .engine
-                .map_or(replica.entry.slots, |engine| engine.slots);
-            let free = f64::from(slots) - running;
-            let (wait, tokens) = if pool.engine.is_some() {
-                let wait = replica.slowness(now) * replica.ahead(now, u8::MAX, rate) / rate;
-                (wait + base, (SPARE_SHARE * millis(goal) - wait) * rate)
-            } else {
-                let service = self
-                    .catalog
-                    .learned(&pool.name)
-                    .map_or(0.0, |model| model.service_ms);
-                (
-                    (1.0 - free).max(0.0) * service / f64::from(slots.max(1)) + service,
-                    0.0,
-                )
-            };
-            spare.wait_ms = spare.wait_ms.min(wait as f32);
-            if free > 0.0 {
-                spare.requests += free as f32;
-                spare.tokens += tokens.max(0.0) as f32;
-            }
-        }
-        spare
-    }
-
     /// Where a request goes now. An upstream of this region that answers on time goes first; then
     /// another region, if it may be used; then one of this region that answers late.
     pub fn place(&mut self, now: Duration, job: &Job) -> Placement {
@@ -385,83 +320,6 @@
         affinity::weight(affinity::hash(host.as_str().as_bytes()), replica.point)
     }
 
-    /// The best host of another region, if one can answer in time.
-    fn away(&mut self, now: Duration, job: &Job) -> Option<Away> {
-        let own = &self.setup.own.region;
-        let prompt = f64::from(job.tokens.0);
-        let elapsed = job.elapsed_ms(now);
-        let at_home = job.matched.allows(own);
-        let patience = millis(job.deadline.saturating_sub(job.arrived));
-        // A host with an older configuration would only say that it has not run the request.
-        let is_behind = |peer: &Peer| peer.version < job.matched.version;
-        let mut best: Option<(f64, name::Region)> = None;
-        for peer in self.fleet.working(now) {
-            let region = &peer.identity.region;
-            if region == own || !job.matched.allows(region) || is_behind(peer) {
-                continue;
-            }
-            let Some(spare) = peer.spare.get(&job.pool) else {
-                continue;
-            };
-            if spare.wait_ms == f32::MAX {
-                continue;
-            }
-            let reading = prompt / f64::from(spare.rate.max(1.0));
-            let predicted = f64::from(spare.wait_ms) + reading + FAR_MS;
-            let on_time = elapsed + predicted <= ON_TIME_REMOTE * job.goal_ms();
-            let room = f64::from(spare.tokens) >= prompt && spare.requests >= 1.0;
-            // A request that may not be served here has no better choice than a late answer.
-            let useful = if at_home {
-                on_time && room
-            } else {
-                elapsed + predicted <= patience
-            };
-            if useful && best.as_ref().is_none_or(|(least, _)| predicted < *least) {
-                best = Some((predicted, region.clone()));
-            }
-        }
-        let (predicted_ms, region) = best?;
-        let session = job.chain.iter().rev().nth(1).map(|link| link.hash);
-        let key = session.unwrap_or_else(|| self.rng.random());
-        let in_region = self
-            .fleet
-            .working(now)
-            .filter(|peer| peer.identity.region == region && !is_behind(peer));
-        let host = in_region
-            .max_by_key(|peer| {
-                let point = affinity::hash(peer.identity.host.as_str().as_bytes());
-                affinity::weight(key, point)
-            })?
-            .identity
-            .clone();
-        self.charge_away(&region, job);
-        Some(Away {
-            host: host.host,
-            peers: host.peers,
-            region,
-            predicted_ms,
-        })
-    }
-
-    /// Takes a forwarded request off what a region has to spare, until it reports again.
-    fn charge_away(&mut self, region: &name::Region, job: &Job) {
-        let hosts: Vec<_> = self
-            .fleet
-            .peers()
-            .filter(|peer| peer.identity.region == *region)
-            .map(|peer| peer.identity.host.clone())
-            .collect();
-        for host in hosts {
-            let Some(peer) = self.fleet.get_mut(&host) else {
-                continue;
-            };
-            if let Some(spare) = peer.spare.get_mut(&job.pool) {
-                spare.tokens -= job.tokens.0 as f32;
-                spare.requests -= 1.0;
-            }
-        }
-    }
-
     fn reserve(&mut self, now: Duration, job: &Job, choice: Choice) -> Grant {
         self.tickets += 1;
         let ticket = self.tickets;
@@ -587,106 +445,6 @@
         self.catalog.end(now, &held.upstream, outcome)
     }
 
-    /// Lets a request wait; returns its place in the queue.
-    pub fn enqueue(&mut self, job: Job) -> (u8, u64) {
-        self.tickets += 1;
-        let place = (job.matched.priority, self.tickets);
-        self.waiting.insert(place, job);
-        place
-    }
-
-    /// Takes a request out of the queue.
-    pub fn dequeue(&mut self, place: (u8, u64)) -> Option<Job> {
-        self.waiting.remove(&place)
-    }
-
-    /// Requests that wait.
-    pub fn waiting(&self) -> usize {
-        self.waiting.len()
-    }
-
-    /// Places waiting requests in order, as far as that can be done now.
-    pub fn pump(&mut self, now: Duration) -> Vec<((u8, u64), Placement)> {
-        if self.waiting.is_empty() {
-            return Vec::new();
-        }
-        let first: Vec<_> = self.waiting.keys().take(LOOK_AT).copied().collect();
-        let mut placed = Vec::new();
-        for place in first {
-            let Some(job) = self.waiting.remove(&place) else {
-                continue;
-            };
-            match self.place(now, &job) {
-                Placement::Wait => {
-                    self.waiting.insert(place, job);
-                }
-                placement => placed.push((place, placement)),
-            }
-        }
-        placed
-    }
-
-    /// How long a request may wait here for an upstream; nothing if it is known by now that none
-    /// will be free in time.
-    pub fn wait_limit(&self, now: Duration, job: &Job) -> Duration {
-        if self.is_hopeless(now, job) {
-            return Duration::ZERO;
-        }
-        let until = job.arrived + job.matched.route.goal.mul_f64(WAIT_SHARE);
-        until.min(job.deadline).saturating_sub(now)
-    }
-
-    /// Whether waiting would end without an upstream: the least loaded engine, and what waits here
-    /// before this request, take longer to get to it than it may wait.
-    fn is_hopeless(&self, now: Duration, job: &Job) -> bool {
-        let pool = self.table.as_ref().and_then(|table| table.pool(&job.pool));
-        let Some(pool) = pool.filter(|_| job.matched.allows(&self.setup.own.region)) else {
-            return true;
-        };
-        if pool.engine.is_none() {
-            return false;
-        }
-        let rank = job.matched.priority;
-        let (rate, base) = place::speed(&self.catalog, &job.pool);
-        let open = self.catalog.eligible(&job.pool);
-        let waits: Vec<_> = open
-            .filter(|replica| replica.is_open(now))
-            .map(|replica| replica.ahead(now, rank, rate) / rate)
-            .collect();
-        let Some(least) = waits.iter().copied().min_by(f64::total_cmp) else {
-            return true;
-        };
-        let prompt = f64::from(job.tokens.0);
-        let before = self
-            .waiting
-            .iter()
-            .filter(|((other, _), waiting)| *other <= rank && waiting.pool == job.pool)
-            .count();
-        let queued = before as f64 * prompt.min(QUEUED_TOKENS) / (rate * waits.len() as f64);
-        let begun = job.elapsed_ms(now) + base + least + UNCACHED_SHARE * prompt / rate;
-        let excess = begun - place::ON_TIME * job.goal_ms();
-        queued + excess > WAIT_SHARE * job.goal_ms()
-    }
-
-    /// When a refused caller should come back: when the least loaded upstream will have read what
-    /// it has, and then spread over some time, as callers who come back together are refused
-    /// together.
-    pub fn retry_after(&mut self, now: Duration, pool: &name::Pool) -> Duration {
-        let (rate, _) = place::speed(&self.catalog, pool);
-        let ahead = self
-            .catalog
-            .eligible(pool)
-            .map(|replica| replica.ahead(now, u8::MAX, rate) / rate)
-            .fold(f64::INFINITY, f64::min);
-        let wait = if ahead.is_finite() {
-            Duration::from_secs_f64(ahead / 1_000.0)
-        } else {
-            RETRY_AFTER_MOST / 2
-        };
-        let spread = RETRY_AFTER_SPREAD.mul_f64(self.rng.random());
-        wait.clamp(RETRY_AFTER_LEAST, RETRY_AFTER_MOST) + spread
-    }
-
     /// Notes a request for a pool, which earns a part of a retry.
     pub fn note_request(&mut self, now: Duration, pool: &name::Pool) {
         self.budget(now, pool).deposit(now);
--- /dev/null
+++ b/src/proxy/core/region.rs
@@ -0,0 +1,151 @@
+//! What regions have to spare, and which of their hosts is asked to place a request.
+
+use {
+    super::{Away, Core},
+    crate::{
+        name,
+        proxy::{
+            fleet::{Peer, Spare},
+            place::{self, Job, ON_TIME_REMOTE},
+            replica::millis,
+            table::{Pool, Table},
+        },
+        route::affinity,
+    },
+    rand::RngExt,
+    std::time::Duration,
+};
+
+/// Time that the way to another region and back adds to an answer, in milliseconds.
+const FAR_MS: f64 = 115.0;
+/// Share of the goal up to which a region's spare room is counted.
+const SPARE_SHARE: f64 = 0.45;
+
+impl Core {
+    /// What this region's upstreams could take beside what they have.
+    pub(super) fn spare(&self, now: Duration) -> Vec<(name::Pool, Spare)> {
+        let Some(table) = &self.table else {
+            return Vec::new();
+        };
+        table
+            .pools()
+            .map(|pool| (pool.name.clone(), self.spare_of(now, pool, table)))
+            .collect()
+    }
+
+    fn spare_of(&self, now: Duration, pool: &Pool, table: &Table) -> Spare {
+        let goal = table.longest_goal(&pool.name);
+        let (rate, base) = place::speed(&self.catalog, &pool.name);
+        let mut spare = Spare {
+            wait_ms: f32::MAX,
+            rate: rate as f32,
+            ..Spare::default()
+        };
+        let open = self.catalog.eligible(&pool.name).filter(|replica| {
+            replica.is_open(now) && !(pool.cold_per_s > 0.0 && replica.is_cold(now))
+        });
+        for replica in open {
+            let running = f64::from(replica.running(now));
+            let slots = pool
+                .engine
+                .map_or(replica.entry.slots, |engine| engine.slots);
+            let free = f64::from(slots) - running;
+            let (wait, tokens) = if pool.engine.is_some() {
+                let wait = replica.slowness(now) * replica.ahead(now, u8::MAX, rate) / rate;
+                (wait + base, (SPARE_SHARE * millis(goal) - wait) * rate)
+            } else {
+                let service = self
+                    .catalog
+                    .learned(&pool.name)
+                    .map_or(0.0, |model| model.service_ms);
+                (
+                    (1.0 - free).max(0.0) * service / f64::from(slots.max(1)) + service,
+                    0.0,
+                )
+            };
+            spare.wait_ms = spare.wait_ms.min(wait as f32);
+            if free > 0.0 {
+                spare.requests += free as f32;
+                spare.tokens += tokens.max(0.0) as f32;
+            }
+        }
+        spare
+    }
+
+    /// The best host of another region, if one can answer in time.
+    pub(super) fn away(&mut self, now: Duration, job: &Job) -> Option<Away> {
+        let own = &self.setup.own.region;
+        let prompt = f64::from(job.tokens.0);
+        let elapsed = job.elapsed_ms(now);
+        let at_home = job.matched.allows(own);
+        let patience = millis(job.deadline.saturating_sub(job.arrived));
+        // A host with an older configuration would only say that it has not run the request.
+        let is_behind = |peer: &Peer| peer.version < job.matched.version;
+        let mut best: Option<(f64, name::Region)> = None;
+        for peer in self.fleet.working(now) {
+            let region = &peer.identity.region;
+            if region == own || !job.matched.allows(region) || is_behind(peer) {
+                continue;
+            }
+            let Some(spare) = peer.spare.get(&job.pool) else {
+                continue;
+            };
+            if spare.wait_ms == f32::MAX {
+                continue;
+            }
+            let reading = prompt / f64::from(spare.rate.max(1.0));
+            let predicted = f64::from(spare.wait_ms) + reading + FAR_MS;
+            let on_time = elapsed + predicted <= ON_TIME_REMOTE * job.goal_ms();
+            let room = f64::from(spare.tokens) >= prompt && spare.requests >= 1.0;
+            // A request that may not be served here has no better choice than a late answer.
+            let useful = if at_home {
+                on_time && room
+            } else {
+                elapsed + predicted <= patience
+            };
+            if useful && best.as_ref().is_none_or(|(least, _)| predicted < *least) {
+                best = Some((predicted, region.clone()));
+            }
+        }
+        let (predicted_ms, region) = best?;
+        let session = job.chain.iter().rev().nth(1).map(|link| link.hash);
+        let key = session.unwrap_or_else(|| self.rng.random());
+        let in_region = self
+            .fleet
+            .working(now)
+            .filter(|peer| peer.identity.region == region && !is_behind(peer));
+        let host = in_region
+            .max_by_key(|peer| {
+                let point = affinity::hash(peer.identity.host.as_str().as_bytes());
+                affinity::weight(key, point)
+            })?
+            .identity
+            .clone();
+        self.charge_away(&region, job);
+        Some(Away {
+            host: host.host,
+            peers: host.peers,
+            region,
+            predicted_ms,
+        })
+    }
+
+    /// Takes a forwarded request off what a region has to spare, until it reports again.
+    fn charge_away(&mut self, region: &name::Region, job: &Job) {
+        let hosts: Vec<_> = self
+            .fleet
+            .peers()
+            .filter(|peer| peer.identity.region == *region)
+            .map(|peer| peer.identity.host.clone())
+            .collect();
+        for host in hosts {
+            let Some(peer) = self.fleet.get_mut(&host) else {
+                continue;
+            };
+            if let Some(spare) = peer.spare.get_mut(&job.pool) {
+                spare.tokens -= job.tokens.0 as f32;
+                spare.requests -= 1.0;
+            }
+        }
+    }
+}
--- a/src/proxy/dialect.rs
+++ b/src/proxy/dialect.rs
@@ -61,10 +61,6 @@
     pub misdirected: bool,
     /// Bears the upstream's integrity code, without which a success can't be passed on.
     pub sealed: bool,
-    /// Requests running, waiting, and slots.
-    pub load: Option<(u32, u32, u32)>,
-    /// How long the upstream keeps an idle connection.
-    pub keep_alive: Option<Duration>,
 }
 
 /// Translates between a platform's headers and the gateway's types.
--- a/src/proxy/fleet.rs
+++ b/src/proxy/fleet.rs
@@ -281,11 +281,6 @@
         self.sequence
     }
 
-    /// A host by name.
-    pub fn get(&self, host: &name::Host) -> Option<&Peer> {
-        self.peers.get(host)
-    }
-
     /// A host by name.
     pub fn get_mut(&mut self, host: &name::Host) -> Option<&mut Peer> {
         self.peers.get_mut(host)
--- a/src/proxy/intake.rs
+++ b/src/proxy/intake.rs
@@ -136,7 +136,6 @@
         target,
         headers,
         body,
-        origin: None,
     };
     let units = job.matched.cost(ask.call.tokens);
     let customer = job.matched.customer.clone();
@@ -265,7 +264,6 @@
         target: call.target,
         headers: head.headers,
         body: call.body,
-        origin: call.visited.last().cloned(),
     };
     Ok((ask, job))
 }
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -19,6 +19,7 @@
 pub mod rate;
 pub mod replica;
 pub mod sample;
+mod send;
 pub mod server;
 pub mod speed;
 pub mod table;
--- /dev/null
+++ b/src/proxy/send.rs
@@ -0,0 +1,393 @@
+//! Attempts at a request: at upstreams of this region and through hosts of others, until one brings
+//! a usable answer.
+
+use {
+    super::{
+        answer::Ask,
+        core::{Away, Grant, Placement},
+        dialect::{Dialect, Order},
+        headers,
+        host::{Head, Host, Reservation},
+        place::Job,
+        replica::Outcome,
+        table::Kind,
+    },
+    crate::{
+        clock::Clock,
+        failure::{Code, Failure, Ran},
+        link::exchange,
+        name, upstream, wire,
+    },
+    bytes::{Bytes, BytesMut},
+    http::{Request, StatusCode, header},
+    http_body_util::Full,
+    std::{future::Future, sync::Arc, time::Duration},
+    tokio::time::timeout,
+};
+
+/// Most bytes of an answer that is collected before it is passed on.
+const COLLECT: usize = 256 * 1024;
+/// Silence before the first byte after which a repeatable request is sent elsewhere, as a multiple
+/// of the predicted time.
+const FIRST_SILENCE: f64 = 4.0;
+/// What is added to that, in milliseconds.
+const FIRST_SILENCE_MS: f64 = 400.0;
+/// Sends of one request that were refused or could not be made.
+const REFUSED_SENDS: u32 = 3;
+/// Forwards of one request.
+const FORWARDS: u32 = 2;
+/// What is left of the deadline for an upstream to be worth a send.
+pub(super) const LEAST_LEFT: Duration = Duration::from_millis(20);
+
+/// Where an answer's bytes come from.
+#[derive(Debug)]
+pub(super) enum Source<D: Dialect, C: Clock> {
+    Upstream(Box<upstream::Body>, Reservation<D, C>),
+    Peer(Box<exchange::Body>),
+}
+
+/// An attempt that brought a head and the first piece.
+#[derive(Debug)]
+pub(super) struct Opened<D: Dialect, C: Clock> {
+    pub(super) head: Head,
+    pub(super) first: Option<Bytes>,
+    pub(super) source: Option<Source<D, C>>,
+    pub(super) upstream: name::Upstream,
+}
+
+/// What attempts have used up.
+#[derive(Debug, Default)]
+pub(super) struct Tries {
+    /// Upstreams at which the request may have run. Counted before a send, as it may be cut short.
+    pub(super) runs: u32,
+    pub(super) refused: u32,
+    pub(super) forwards: u32,
+    pub(super) paid: bool,
+    /// The last placement's prediction of the time to the first byte, in milliseconds.
+    pub(super) predicted_ms: f64,
+    /// Time from the request's arrival to its last placement.
+    pub(super) placed_after: Duration,
+}
+
+impl Tries {
+    /// What a caller is told: that a request has not run only if no attempt at it may have.
+    pub(super) fn judge(&self, failure: Failure) -> Failure {
+        if failure.ran != Ran::No || self.runs == 0 {
+            return failure;
+        }
+        let code = match failure.code {
+            Code::Deadline => Code::Deadline,
+            _ => Code::UpstreamFailed,
+        };
+        Failure::new(code, Ran::Unknown, failure.message)
+    }
+}
+
+/// Sends a request until an upstream gives a usable answer, as long as its kind, its route and
+/// the budget allow.
+pub(super) async fn attempts<D: Dialect, C: Clock>(
+    host: &Host<D, C>,
+    ask: &Arc<Ask>,
+    job: &mut Job,
+    tries: &mut Tries,
+    resume: Option<u64>,
+) -> Result<Opened<D, C>, Failure> {
+    let repeatable = job.matched.route.kind.is_repeatable();
+    loop {
+        let placement = host.place(job).await?;
+        tries.placed_after = host.clock.now().saturating_sub(job.arrived);
+        let failure = match placement {
+            Placement::Here(grant) => {
+                tries.predicted_ms = grant.predicted_ms;
+                let upstream = grant.upstream.clone();
+                tries.runs += 1;
+                match send(host, ask, job, grant, resume, tries).await {
+                    Ok(opened) => return Ok(opened),
+                    Err(failure) => {
+                        job.tried.push(upstream);
+                        failure
+                    }
+                }
+            }
+            Placement::Away(away) => {
+                tries.predicted_ms = away.predicted_ms;
+                tries.runs += 1;
+                match forward(host, ask, job, &away, resume, tries.runs - 1).await {
+                    Ok(opened) => return Ok(opened),
+                    Err(failure) => {
+                        tries.forwards += 1;
+                        job.may_leave &= tries.forwards < FORWARDS;
+                        // The other host may have used up all attempts.
+                        if failure.ran != Ran::No {
+                            tries.runs = job.attempts;
+                        }
+                        failure
+                    }
+                }
+            }
+            Placement::Wait => {
+                return Err(Failure::not_run(Code::NoCapacity, "no upstream is free"));
+            }
+        };
+        if failure.ran == Ran::No {
+            tries.runs -= 1;
+        }
+        tracing::info!(event = "attempt failed", request = ask.id(), route = %job.matched.route.name,
+            runs = tries.runs, refused = tries.refused, ran = %failure.ran, reason = %failure.message);
+        let now = host.clock.now();
+        if job.deadline <= now + LEAST_LEFT {
+            return Err(failure);
+        }
+        if failure.ran == Ran::No {
+            tries.refused += 1;
+            if tries.refused > REFUSED_SENDS {
+                return Err(failure);
+            }
+            if failure.code == Code::NoCapacity && !host.core().may_retry(now, &job.pool) {
+                return Err(failure);
+            }
+            continue;
+        }
+        let more = repeatable && tries.runs < job.attempts;
+        let paid = std::mem::take(&mut tries.paid);
+        if !more || !(paid || host.core().may_retry(now, &job.pool)) {
+            return Err(failure);
+        }
+        // Where the one that failed is all there is, it is asked again.
+        if host.core().catalog.eligible(&job.pool).count() <= job.tried.len() {
+            job.tried.clear();
+        }
+    }
+}
+
+/// Sends a request to an upstream of this region.
+async fn send<D: Dialect, C: Clock>(
+    host: &Host<D, C>,
+    ask: &Arc<Ask>,
+    job: &Job,
+    grant: Grant,
+    resume: Option<u64>,
+    tries: &mut Tries,
+) -> Result<Opened<D, C>, Failure> {
+    let repeatable = job.matched.route.kind.is_repeatable();
+    let now = host.clock.now();
+    let remaining = job.deadline.saturating_sub(now);
+    let mut headers = ask.headers.clone();
+    let order = Order {
+        upstream: &grant.upstream,
+        customer: job.matched.customer.as_ref().map(|customer| &customer.name),
+        remaining,
+        priority: job.matched.priority,
+        ranked: !job.chain.is_empty(),
+        resume_after: resume,
+    };
+    host.dialect.order(&mut headers, &order);
+    let mut request = Request::new(Full::new(ask.body.clone()));
+    *request.method_mut() = ask.method.clone();
+    *request.uri_mut() = ask
+        .target
+        .parse()
+        .map_err(|_| Failure::not_run(Code::BadRequest, "the target is not valid"))?;
+    *request.headers_mut() = headers;
+    let predicted = grant.predicted_ms;
+    tracing::debug!(event = "sent", request = ask.id(), upstream = %grant.upstream, predicted);
+    let address = grant.address;
+    let upstream = grant.upstream.clone();
+    let mut reservation = host.hold(grant);
+    let silence = if repeatable {
+        Duration::from_secs_f64((FIRST_SILENCE * predicted + FIRST_SILENCE_MS) / 1_000.0)
+    } else {
+        remaining
+    };
+    reservation.outcome = Outcome::Broken;
+    let response = within(silence, host.upstreams.send(address, request, repeatable)).await?;
+    let (head, mut body) = response.into_parts();
+    let reply = host.dialect.reply(head.status.as_u16(), &head.headers);
+    if reply.id.is_some() && reply.id != ask.call.id {
+        host.metrics.crossed.inc();
+        return Err(broken("the upstream answered another request"));
+    }
+    if reply.misdirected {
+        reservation.outcome = Outcome::Unknown;
+        let changed = host.core().catalog.misdirected(&upstream);
+        host.note(changed);
+        return Err(not_run("the address belongs to another upstream"));
+    }
+    if reply.not_run {
+        reservation.outcome = Outcome::Full;
+        while let Ok(Some(_)) = body.next().await {}
+        let now = host.clock.now();
+        let wait = host.core().retry_after(now, &job.pool);
+        return Err(not_run("the upstream turned it away").retry_after(wait));
+    }
+    let success = head.status.is_success();
+    if success && (!reply.sealed || head.headers.contains_key(header::CONTENT_ENCODING)) {
+        return Err(broken("the answer is not the upstream's"));
+    }
+    let mut headers = head.headers;
+    headers::strip(&mut headers);
+    let streams = success && job.matched.route.kind.is_stream();
+    if job.matched.route.kind == Kind::Resumable {
+        headers.remove(header::CONTENT_LENGTH);
+    }
+    let first = within(silence, body.next()).await?;
+    reservation.begin();
+    let head = Head {
+        status: head.status,
+        headers,
+    };
+    if streams {
+        reservation.outcome = Outcome::Unknown;
+        let source = first
+            .is_some()
+            .then(|| Source::Upstream(Box::new(body), reservation));
+        return Ok(Opened {
+            head,
+            first,
+            source,
+            upstream,
+        });
+    }
+    let collected = collect(first, &mut body, silence).await?;
+    reservation.outcome = if head.status.is_server_error() {
+        Outcome::Error
+    } else {
+        Outcome::Whole
+    };
+    if head.status.is_server_error() && repeatable && tries.runs < job.attempts {
+        let now = host.clock.now();
+        tries.paid = host.core().may_retry(now, &job.pool);
+        if tries.paid {
+            return Err(Failure::new(
+                Code::UpstreamFailed,
+                Ran::Yes,
+                "the upstream failed by itself",
+            ));
+        }
+    }
+    Ok(Opened {
+        head,
+        first: Some(collected),
+        source: None,
+        upstream,
+    })
+}
+
+/// A body that comes piece by piece.
+trait Pieces {
+    /// The next piece, or `None` at the end of a whole body.
+    fn next(&mut self) -> impl Future<Output = Result<Option<Bytes>, Failure>> + Send;
+}
+
+impl Pieces for upstream::Body {
+    async fn next(&mut self) -> Result<Option<Bytes>, Failure> {
+        self.next().await
+    }
+}
+
+impl Pieces for exchange::Body {
+    async fn next(&mut self) -> Result<Option<Bytes>, Failure> {
+        self.next().await
+    }
+}
+
+/// The rest of an answer that is passed on only when it is whole.
+async fn collect(
+    first: Option<Bytes>,
+    body: &mut impl Pieces,
+    silence: Duration,
+) -> Result<Bytes, Failure> {
+    let Some(first) = first else {
+        return Ok(Bytes::new());
+    };
+    let mut whole = BytesMut::from(first);
+    while let Some(bytes) = within(silence, body.next()).await? {
+        whole.extend_from_slice(&bytes);
+        if whole.len() > COLLECT {
+            return Err(broken("the answer is larger than can be held"));
+        }
+    }
+    Ok(whole.freeze())
+}
+
+/// Sends a request through a host of another region.
+async fn forward<D: Dialect, C: Clock>(
+    host: &Host<D, C>,
+    ask: &Arc<Ask>,
+    job: &Job,
+    away: &Away,
+    resume: Option<u64>,
+    runs: u32,
+) -> Result<Opened<D, C>, Failure> {
+    let now = host.clock.now();
+    let mut carried = ask.headers.clone();
+    if let Some(after) = resume {
+        host.dialect.resume(&mut carried, after);
+    }
+    let customer = job.matched.customer.as_ref();
+    let call = wire::Call {
+        request: ask.id().to_owned(),
+        route: job.matched.route.name.clone(),
+        customer: customer.map(|customer| customer.name.clone()),
+        digest: None,
+        method: ask.method.as_str().to_owned(),
+        target: ask.target.clone(),
+        headers: headers::to_wire(&carried),
+        body: ask.body.clone(),
+        remaining: job.deadline.saturating_sub(now),
+        visited: vec![host.own.region.clone()],
+        hosts: vec![host.own.host.clone()],
+        hops: 0,
+        version: job.matched.version,
+        elapsed: now.saturating_sub(job.arrived),
+        attempts: job.attempts.saturating_sub(runs),
+    };
+    host.metrics.forwarded.inc();
+    tracing::info!(event = "forwarded", request = ask.id(), host = %away.host, region = %away.region,
+        predicted = away.predicted_ms);
+    let repeatable = job.matched.route.kind.is_repeatable();
+    let silence = if repeatable {
+        let limit = FIRST_SILENCE * away.predicted_ms + FIRST_SILENCE_MS;
+        Duration::from_secs_f64(limit / 1_000.0)
+    } else {
+        job.deadline.saturating_sub(now)
+    };
+    let opened = within(silence, host.exchanges.open(away.peers, call, repeatable)).await;
+    let (head, mut body) = opened?;
+    let headers = headers::from_wire(&head.headers)
+        .ok_or_else(|| broken("the peer's headers are not valid"))?;
+    let status =
+        StatusCode::from_u16(head.status).map_err(|_| broken("the peer's status is not valid"))?;
+    let first = within(silence, body.next()).await?;
+    let streams = status.is_success() && job.matched.route.kind.is_stream();
+    let (first, source) = if streams {
+        let source = first.is_some().then(|| Source::Peer(Box::new(body)));
+        (first, source)
+    } else {
+        let whole = collect(first, &mut body, silence).await?;
+        (Some(whole), None)
+    };
+    Ok(Opened {
+        head: Head { status, headers },
+        first,
+        source,
+        upstream: head.upstream,
+    })
+}
+
+async fn within<T>(
+    limit: Duration,
+    work: impl Future<Output = Result<T, Failure>>,
+) -> Result<T, Failure> {
+    timeout(limit, work)
+        .await
+        .unwrap_or_else(|_| Err(broken("nothing came in time")))
+}
+
+pub(super) fn broken(reason: &str) -> Failure {
+    Failure::new(Code::UpstreamFailed, Ran::Unknown, reason)
+}
+
+fn not_run(reason: &str) -> Failure {
+    Failure::not_run(Code::NoCapacity, reason)
+}
--- a/src/proxy/table.rs
+++ b/src/proxy/table.rs
@@ -79,12 +79,8 @@
 pub struct Pool {
     /// Unique name.
     pub name: name::Pool,
-    /// Connections that one upstream takes from all hosts together.
-    pub connections: u32,
     /// Requests a second that a cold upstream takes from all hosts together; zero for no bound.
     pub cold_per_s: f64,
-    /// How long an upstream stays cold.
-    pub cold_for: Duration,
     /// Set for pools of model engines.
     pub engine: Option<Engine>,
 }
@@ -120,24 +116,18 @@
 /// What callers may send.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
-    /// Largest head, in bytes.
-    pub head: usize,
     /// Largest body, in bytes.
     pub body: usize,
     /// Longest time for a request to arrive.
     pub arrival: Duration,
-    /// How long a connection may stay idle.
-    pub idle: Duration,
 }
 
 impl Default for Limits {
     /// What applies before a configuration is known.
     fn default() -> Self {
         Self {
-            head: 16 * 1024,
             body: 4 * 1024 * 1024,
             arrival: Duration::from_secs(5),
-            idle: Duration::from_secs(30),
         }
     }
 }
--- a/tests/proxy/common.rs
+++ b/tests/proxy/common.rs
@@ -47,9 +47,7 @@
 pub(crate) fn engines() -> Pool {
     Pool {
         name: POOL.into(),
-        connections: 100,
         cold_per_s: 3.0,
-        cold_for: ms(3_000),
         engine: Some(Engine {
             slots: 64,
             memory: 360_000,
@@ -60,9 +58,7 @@
 pub(crate) fn records() -> Pool {
     Pool {
         name: PLAIN.into(),
-        connections: 100,
         cold_per_s: 0.0,
-        cold_for: ms(0),
         engine: None,
     }
 }
