--- a/src/proxy/core/region.rs
+++ b/src/proxy/core/region.rs
@@ -18,7 +18,7 @@
 
 /// Time that the way to another region and back adds to an answer, in milliseconds.
 const FAR_MS: f64 = 115.0;
-/// Share of the goal up to which a region's spare room is counted.
+/// Share of the objective up to which a region's spare room is counted.
 const SPARE_SHARE: f64 = 0.45;
 
 impl Core {
@@ -34,7 +34,7 @@
     }
 
     fn spare_of(&self, now: Duration, pool: &Pool, table: &Table) -> Spare {
-        let goal = table.longest_goal(&pool.name);
+        let objective = table.longest_objective(&pool.name);
         let (rate, base) = place::speed(&self.catalog, &pool.name);
         let mut spare = Spare {
             wait_ms: f32::MAX,
@@ -52,7 +52,7 @@
             let free = f64::from(slots) - running;
             let (wait, tokens) = if pool.engine.is_some() {
                 let wait = replica.slowness(now) * replica.ahead(now, u8::MAX, rate) / rate;
-                (wait + base, (SPARE_SHARE * millis(goal) - wait) * rate)
+                (wait + base, (SPARE_SHARE * millis(objective) - wait) * rate)
             } else {
                 let service = self
                     .catalog
@@ -95,7 +95,7 @@
             }
             let reading = prompt / f64::from(spare.rate.max(1.0));
             let predicted = f64::from(spare.wait_ms) + reading + FAR_MS;
-            let on_time = elapsed + predicted <= ON_TIME_REMOTE * job.goal_ms();
+            let on_time = elapsed + predicted <= ON_TIME_REMOTE * job.objective_ms();
             let room = f64::from(spare.tokens) >= prompt && spare.requests >= 1.0;
             // A request that may not be served here has no better choice than a late answer.
             let useful = if at_home {
--- a/src/proxy/core/wait.rs
+++ b/src/proxy/core/wait.rs
@@ -10,7 +10,7 @@
     std::time::Duration,
 };
 
-/// Share of the goal for which a request may wait here for an upstream.
+/// Share of the objective for which a request may wait here for an upstream.
 const WAIT_SHARE: f64 = 0.15;
 /// Waiting requests that are looked at when something becomes free.
 const LOOK_AT: usize = 48;
@@ -71,7 +71,7 @@
         if self.is_hopeless(now, job) {
             return Duration::ZERO;
         }
-        let until = job.arrived + job.matched.route.goal.mul_f64(WAIT_SHARE);
+        let until = job.arrived + job.matched.route.objective.mul_f64(WAIT_SHARE);
         until.min(job.deadline).saturating_sub(now)
     }
 
@@ -103,8 +103,8 @@
             .count();
         let queued = before as f64 * prompt.min(QUEUED_TOKENS) / (rate * waits.len() as f64);
         let begun = job.elapsed_ms(now) + base + least + UNCACHED_SHARE * prompt / rate;
-        let excess = begun - place::ON_TIME * job.goal_ms();
-        queued + excess > WAIT_SHARE * job.goal_ms()
+        let excess = begun - place::ON_TIME * job.objective_ms();
+        queued + excess > WAIT_SHARE * job.objective_ms()
     }
 
     /// When a refused caller should come back: when the least loaded upstream will have read what
--- a/src/proxy/dialect.rs
+++ b/src/proxy/dialect.rs
@@ -59,8 +59,8 @@
     pub not_run: bool,
     /// The address belongs to another upstream now.
     pub misdirected: bool,
-    /// Bears the upstream's integrity code, without which a success can't be passed on.
-    pub sealed: bool,
+    /// Bears the upstream's signature, without which a success can't be passed on.
+    pub signed: bool,
 }
 
 /// Translates between a platform's headers and the gateway's types.
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -11,7 +11,7 @@
     /// Its name. An upstream that starts again may keep it.
     pub id: name::Upstream,
     /// When this run of it started, in milliseconds of calendar time.
-    pub born: u64,
+    pub incarnation: u64,
     /// The pool that it belongs to.
     pub pool: name::Pool,
     /// Where it is reached.
--- a/src/proxy/place.rs
+++ b/src/proxy/place.rs
@@ -18,13 +18,13 @@
     std::time::Duration,
 };
 
-/// Share of the goal that the predicted time to the first byte may take, the time already spent
-/// included. What remains covers the error of the prediction and the way to the caller.
+/// Share of the objective that the predicted time to the first byte may take, the time already
+/// spent included. What remains covers the error of the prediction and the way to the caller.
 pub const ON_TIME: f64 = 0.65;
 /// The same for an answer of another region, whose prediction is older.
 pub const ON_TIME_REMOTE: f64 = 0.8;
-/// An upstream takes late work only while its own wait is below this share of the goal, so that
-/// late work delays none that is on time.
+/// An upstream takes late work only while its own wait is below this share of the objective, so
+/// that late work delays none that is on time.
 pub const LATE_WAIT: f64 = 0.15;
 /// Share of the caller's patience that a late answer's prediction may take.
 const LATE_PATIENCE: f64 = 0.6;
@@ -80,9 +80,9 @@
         millis(now.saturating_sub(self.arrived))
     }
 
-    /// The goal in milliseconds.
-    pub fn goal_ms(&self) -> f64 {
-        millis(self.matched.route.goal)
+    /// The objective in milliseconds.
+    pub fn objective_ms(&self) -> f64 {
+        millis(self.matched.route.objective)
     }
 
     /// The prefix that later requests of the same session share: all parts but the last.
@@ -97,11 +97,11 @@
 
     fn allows(&self, now: Duration, predicted_ms: f64, wait_ms: f64) -> Option<bool> {
         let done = self.elapsed_ms(now) + predicted_ms;
-        if done <= ON_TIME * self.goal_ms() {
+        if done <= ON_TIME * self.objective_ms() {
             return Some(true);
         }
         let patience = millis(self.deadline.saturating_sub(self.arrived));
-        let late = wait_ms <= LATE_WAIT * self.goal_ms() && done <= LATE_PATIENCE * patience;
+        let late = wait_ms <= LATE_WAIT * self.objective_ms() && done <= LATE_PATIENCE * patience;
         late.then_some(false)
     }
 }
@@ -167,7 +167,7 @@
         let Some(on_time) = job.allows(now, predicted_ms, wait_ms) else {
             continue;
         };
-        let late = if on_time { 0.0 } else { job.goal_ms() };
+        let late = if on_time { 0.0 } else { job.objective_ms() };
         let score = late + wait_ms + READING_WEIGHT * slowness * f64::from(uncached) / rate;
         if best.as_ref().is_none_or(|(least, _)| score < *least) {
             let choice = Choice {
--- a/src/proxy/replica.rs
+++ b/src/proxy/replica.rs
@@ -128,11 +128,11 @@
 
     /// Takes what the upstream now says; returns whether this is another run of it.
     pub fn describe(&mut self, now: Duration, entry: Entry) -> bool {
-        if entry.born == self.entry.born && entry.sequence < self.entry.sequence {
+        if entry.incarnation == self.entry.incarnation && entry.sequence < self.entry.sequence {
             return false;
         }
-        let reborn = entry.born != self.entry.born;
-        if reborn {
+        let restarted = entry.incarnation != self.entry.incarnation;
+        if restarted {
             let others = std::mem::take(&mut self.others);
             *self = Self {
                 own: self.own.clone(),
@@ -146,7 +146,7 @@
             self.cool(now);
         }
         self.missing_until = None;
-        reborn
+        restarted
     }
 
     fn cool(&mut self, now: Duration) {
--- a/src/proxy/send.rs
+++ b/src/proxy/send.rs
@@ -221,7 +221,7 @@
         return Err(not_run("the upstream turned it away").retry_after(wait));
     }
     let success = head.status.is_success();
-    if success && (!reply.sealed || head.headers.contains_key(header::CONTENT_ENCODING)) {
+    if success && (!reply.signed || head.headers.contains_key(header::CONTENT_ENCODING)) {
         return Err(broken("the answer is not the upstream's"));
     }
     let mut headers = head.headers;
--- a/src/proxy/table.rs
+++ b/src/proxy/table.rs
@@ -38,7 +38,7 @@
     /// Longest time until the end of an answer.
     pub timeout: Duration,
     /// Time to the first byte of the answer's body within which it is on time.
-    pub goal: Duration,
+    pub objective: Duration,
     /// Rank; zero is the most urgent.
     pub priority: u8,
     /// Upstreams to which one request may be sent.
@@ -223,11 +223,14 @@
         self.customers.values()
     }
 
-    /// The longest goal of the routes that a pool serves.
-    pub fn longest_goal(&self, pool: &name::Pool) -> Duration {
+    /// The longest objective of the routes that a pool serves.
+    pub fn longest_objective(&self, pool: &name::Pool) -> Duration {
         let serves = |route: &&Arc<Route>| route.pools.iter().any(|(name, _)| name == pool);
         let routes = self.routes.values().flatten().filter(serves);
-        routes.map(|route| route.goal).max().unwrap_or_default()
+        routes
+            .map(|route| route.objective)
+            .max()
+            .unwrap_or_default()
     }
 
     /// How many routes of a host and how many customers allow a region.
--- a/tests/proxy/common.rs
+++ b/tests/proxy/common.rs
@@ -36,7 +36,7 @@
         kind,
         pools: vec![(pool.into(), 1)],
         timeout: ms(4_000),
-        goal: ms(800),
+        objective: ms(800),
         priority: 1,
         attempts: 2,
         open: false,
@@ -91,7 +91,7 @@
 pub(crate) fn entry(id: &str, domain: &str, pool: &str, sequence: u64) -> Entry {
     Entry {
         id: id.into(),
-        born: 1,
+        incarnation: 1,
         pool: pool.into(),
         address: address(1),
         domain: domain.into(),
--- a/tests/proxy/replay.rs
+++ b/tests/proxy/replay.rs
@@ -23,7 +23,7 @@
 const RATE: f64 = 80.0;
 const ENGINES: usize = 4;
 const SESSIONS: u64 = 60;
-const GOAL: Duration = Duration::from_millis(800);
+const OBJECTIVE: Duration = Duration::from_millis(800);
 const LENGTH: Duration = Duration::from_secs(20);
 /// An answer goes on for so long after its first event.
 const ANSWER: Duration = Duration::from_millis(300);
@@ -199,9 +199,9 @@
 
 fn judge(arrived: Duration, first: Duration, tally: &mut Tally) {
     let took = first.saturating_sub(arrived);
-    if took <= GOAL {
+    if took <= OBJECTIVE {
         tally.on_time += 1;
-    } else if took <= 4 * GOAL {
+    } else if took <= 4 * OBJECTIVE {
         tally.late += 1;
     }
 }
--- a/tests/proxy/upstreams.rs
+++ b/tests/proxy/upstreams.rs
@@ -49,7 +49,7 @@
     catalog.put(ms(30), entry("e0", "north-a", POOL, 3));
     assert_eq!(eligible(&catalog), ["e1"]);
     let mut reborn = entry("e0", "north-a", POOL, 1);
-    reborn.born = 2;
+    reborn.incarnation = 2;
     assert_eq!(
         catalog.put(ms(40), reborn),
         Some(Change::Restarted("e0".into()))
