Give test daemons addresses that nobody else can take

The test asked for a free port, released it, and another socket took it before the daemon did. Ruled out: load (the daemon ended at once; the test then waited 30 s for it).

--- a/testbed/src/serve.rs
+++ b/testbed/src/serve.rs
@@ -13,7 +13,12 @@
     },
     hyper_util::rt::TokioIo,
     serde::{Serialize, de::DeserializeOwned},
-    std::{future::Future, io, net::SocketAddr},
+    std::{
+        future::Future,
+        io,
+        net::{Ipv4Addr, SocketAddr},
+        sync::atomic::{AtomicU8, Ordering},
+    },
     tokio::{
         net::{TcpListener, TcpStream},
         task::{AbortHandle, JoinSet},
@@ -153,3 +158,12 @@
 pub fn cut() -> io::Error {
     io::Error::new(io::ErrorKind::ConnectionAborted, "cut by a fault switch")
 }
+
+/// A loopback address that this process has to itself: whatever listens there with a fixed port
+/// meets nobody else's, unlike with a port that was free a moment ago.
+pub fn own_address() -> Ipv4Addr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let process = std::process::id();
+    let last = NEXT.fetch_add(1, Ordering::Relaxed);
+    Ipv4Addr::new(127, 64 + (process >> 8) as u8 % 128, process as u8, last)
+}
--- a/tests/daemon.rs
+++ b/tests/daemon.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use {
-    common::{Bed, EPHEMERAL, KOLLAM, chat, until},
+    common::{Bed, KOLLAM, chat, until},
     std::{
         io::Write,
         net::SocketAddr,
@@ -14,6 +14,7 @@
         client::Answer,
         engine,
         platform::{Host, Hosts, Kind, State},
+        serve::own_address,
     },
 };
 
@@ -142,14 +143,9 @@
     }
 }
 
-/// A port that was free a moment ago.
-fn free() -> SocketAddr {
-    let listener = std::net::TcpListener::bind(EPHEMERAL).expect("a free port");
-    listener.local_addr().expect("bound")
-}
-
 fn start(bed: &Bed, drain_limit: &str) -> Daemon {
-    let [callers, peers, admin] = [free(), free(), free()];
+    let own = own_address();
+    let [callers, peers, admin] = [8301, 8302, 8303].map(|port| SocketAddr::from((own, port)));
     let child = Command::new(PROGRAM)
         .args([
             "serve", "--name", "south-a", "--region", "south", "--domain", "south-1",
