Reserve before anything can fail, and say once what stood twice

A send whose target could not be parsed lost its reservation, as the reservation's guard was made after the parse; it is made first now. The session's prefix, the longest silence and the first service time stood in two or three places each; a learned speed is no longer shadowed by a fresh one on each choice.

--- a/src/proxy/cache.rs
+++ b/src/proxy/cache.rs
@@ -30,6 +30,11 @@
         .collect()
 }
 
+/// The prefix that later requests of the same session share: all parts but the last.
+pub fn session(chain: &[Link]) -> Option<&Link> {
+    chain.iter().rev().nth(1)
+}
+
 /// The prefixes that one engine is believed to hold, the least recently used forgotten first.
 #[derive(Debug, Clone, Default)]
 pub struct Cache {
--- a/src/proxy/catalog.rs
+++ b/src/proxy/catalog.rs
@@ -29,7 +29,7 @@
 /// Share of the newest answer in what is learned of a pool.
 const POOL_STEP: f64 = 0.03;
 /// The time of an answer of a plain service until one is seen, in milliseconds.
-const FIRST_SERVICE_MS: f64 = 50.0;
+pub const FIRST_SERVICE_MS: f64 = 50.0;
 
 /// What is learned of a pool as a whole.
 #[derive(Debug)]
--- a/src/proxy/core/region.rs
+++ b/src/proxy/core/region.rs
@@ -5,6 +5,7 @@
     crate::{
         name,
         proxy::{
+            cache,
             fleet::{Peer, Spare},
             place::{self, Job, ON_TIME_REMOTE},
             replica::millis,
@@ -108,7 +109,7 @@
             }
         }
         let (predicted_ms, region) = best?;
-        let session = job.chain.iter().rev().nth(1).map(|link| link.hash);
+        let session = cache::session(&job.chain).map(|link| link.hash);
         let key = session.unwrap_or_else(|| self.rng.random());
         let in_region = self
             .fleet
--- a/src/proxy/intake.rs
+++ b/src/proxy/intake.rs
@@ -191,7 +191,7 @@
     deadline: Duration,
 ) -> Result<Job, Failure> {
     let chain = cache::chain(&call.parts);
-    let session = chain.iter().rev().nth(1).map(|link| link.hash);
+    let session = cache::session(&chain).map(|link| link.hash);
     let pool = host.core().draw_pool(&matched, session);
     Ok(Job {
         pool: pool.ok_or_else(|| Failure::not_run(Code::NoCapacity, "the route has no pool"))?,
--- a/src/proxy/place.rs
+++ b/src/proxy/place.rs
@@ -9,9 +9,10 @@
 
 use {
     super::{
-        cache::Link,
-        catalog::Catalog,
+        cache::{self, Link},
+        catalog::{Catalog, FIRST_SERVICE_MS},
         replica::{Replica, millis},
+        speed::Speed,
         table::{Engine, Match, Pool},
     },
     crate::{name, route::affinity},
@@ -85,11 +86,6 @@
         millis(self.matched.route.objective)
     }
 
-    /// The prefix that later requests of the same session share: all parts but the last.
-    fn session(&self) -> Option<&Link> {
-        self.chain.iter().rev().nth(1).or(self.chain.first())
-    }
-
     fn prompt(&self) -> u32 {
         let parts: u32 = self.chain.iter().map(|link| link.tokens).sum();
         parts.max(self.tokens.0)
@@ -194,7 +190,7 @@
 /// The engine that every host of the region takes for the holder of a session's prefix, if this
 /// host knows of no holder itself.
 fn home(job: &Job, candidates: &[&Replica]) -> Option<u64> {
-    let session = job.session()?;
+    let session = cache::session(&job.chain).or(job.chain.first())?;
     let until = shared(&job.chain);
     let known = candidates
         .iter()
@@ -217,7 +213,7 @@
 ) -> Option<Choice> {
     let service = catalog
         .learned(&pool.name)
-        .map_or(50.0, |model| model.service_ms);
+        .map_or(FIRST_SERVICE_MS, |model| model.service_ms);
     candidates
         .iter()
         .filter_map(|replica| {
@@ -242,7 +238,11 @@
 
 /// Tokens a millisecond, and milliseconds that don't depend on the prompt.
 pub fn speed(catalog: &Catalog, pool: &name::Pool) -> (f64, f64) {
-    let fresh = super::speed::Speed::new();
-    let speed = catalog.learned(pool).map_or(&fresh, |model| &model.speed);
-    (speed.rate(), speed.base_ms())
+    match catalog.learned(pool) {
+        Some(model) => (model.speed.rate(), model.speed.base_ms()),
+        None => {
+            let speed = Speed::new();
+            (speed.rate(), speed.base_ms())
+        }
+    }
 }
--- a/src/proxy/replica.rs
+++ b/src/proxy/replica.rs
@@ -4,7 +4,10 @@
     super::{cache::Cache, entry::Entry},
     crate::{
         name,
-        route::{Options, eject::Health},
+        route::{
+            Options,
+            eject::{Health, Standing},
+        },
     },
     serde::{Deserialize, Serialize},
     std::{
@@ -171,7 +174,6 @@
 
     /// Whether its health and its own word allow a request now.
     pub fn is_open(&self, now: Duration) -> bool {
-        use crate::route::eject::Standing;
         !self.silent && now >= self.full_until && self.health.standing(now) != Standing::Ejected
     }
 
@@ -269,7 +271,6 @@
     /// An attempt ended; `usual` is the pool's share of failed answers. Returns whether the
     /// upstream's standing changed.
     pub fn end(&mut self, now: Duration, outcome: Outcome, usual: f64, options: &Options) -> bool {
-        use crate::route::eject::Standing;
         let before = self.health.standing(now) == Standing::Ejected;
         match outcome {
             Outcome::Whole => {
--- a/src/proxy/send.rs
+++ b/src/proxy/send.rs
@@ -172,9 +172,12 @@
     let repeatable = job.matched.route.kind.is_repeatable();
     let now = host.clock.now();
     let remaining = job.deadline.saturating_sub(now);
+    let (address, upstream) = (grant.address, grant.upstream.clone());
+    let predicted = grant.predicted_ms;
+    let mut reservation = host.hold(grant);
     let mut headers = ask.headers.clone();
     let order = Order {
-        upstream: &grant.upstream,
+        upstream: &upstream,
         customer: job.matched.customer.as_ref().map(|customer| &customer.name),
         remaining,
         priority: job.matched.priority,
@@ -189,16 +192,8 @@
         .parse()
         .map_err(|_| Failure::not_run(Code::BadRequest, "the target is not valid"))?;
     *request.headers_mut() = headers;
-    let predicted = grant.predicted_ms;
-    tracing::debug!(event = "sent", request = ask.id(), upstream = %grant.upstream, predicted);
-    let address = grant.address;
-    let upstream = grant.upstream.clone();
-    let mut reservation = host.hold(grant);
-    let silence = if repeatable {
-        Duration::from_secs_f64((FIRST_SILENCE * predicted + FIRST_SILENCE_MS) / 1_000.0)
-    } else {
-        remaining
-    };
+    tracing::debug!(event = "sent", request = ask.id(), %upstream, predicted);
+    let silence = longest_silence(repeatable, predicted, remaining);
     reservation.outcome = Outcome::Broken;
     let response = within(silence, host.upstreams.send(address, request, repeatable)).await?;
     let (head, mut body) = response.into_parts();
@@ -346,12 +341,8 @@
     tracing::info!(event = "forwarded", request = ask.id(), host = %away.host, region = %away.region,
         predicted = away.predicted_ms);
     let repeatable = job.matched.route.kind.is_repeatable();
-    let silence = if repeatable {
-        let limit = FIRST_SILENCE * away.predicted_ms + FIRST_SILENCE_MS;
-        Duration::from_secs_f64(limit / 1_000.0)
-    } else {
-        job.deadline.saturating_sub(now)
-    };
+    let remaining = job.deadline.saturating_sub(now);
+    let silence = longest_silence(repeatable, away.predicted_ms, remaining);
     let opened = within(silence, host.exchanges.open(away.peers, call, repeatable)).await;
     let (head, mut body) = opened?;
     let headers = headers::from_wire(&head.headers)
@@ -375,6 +366,15 @@
     })
 }
 
+/// How long nothing may come before a request is given up where it was sent: one that may not
+/// repeat is never given up early.
+fn longest_silence(repeatable: bool, predicted_ms: f64, remaining: Duration) -> Duration {
+    if !repeatable {
+        return remaining;
+    }
+    Duration::from_secs_f64((FIRST_SILENCE * predicted_ms + FIRST_SILENCE_MS) / 1_000.0)
+}
+
 async fn within<T>(
     limit: Duration,
     work: impl Future<Output = Result<T, Failure>>,
