Let one host of a region read the store for the others

Cause (grown sites: the largest price is calls to the store, 76 hosts each with a watch of the operator's documents and one of the replicas, 1.5 calls a second and host; every host decodes all replicas' heartbeats, of which it needs none that says nothing new). Ruled out: longer pauses between calls, as a leaving replica and a configuration must be known within three seconds. Change: a host that reads announces twice a second how old its reading is and a number that grows with each change that matters; upstreams that have changed go along as the region's list. The others rely on it for 2.2 s, and read for themselves when they have missed a change, when it grows old, when another host knows a newer configuration, or when an upstream says that the list is wrong. Nobody is elected. A list older than what is known is no longer taken.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -199,6 +199,7 @@
             route: Some(digests),
             member: Some(fleet.members.clone()),
             config: Some(fleet.documents.clone()),
+            reading: None,
         };
         let gateway = Gateway::new(Parts {
             settings: settings.clone(),
--- a/src/link/control.rs
+++ b/src/link/control.rs
@@ -5,8 +5,12 @@
 use {
     super::socket::{Identity, Purpose, Socket},
     crate::{
-        attempt::register, clock::Clock, config::spread, limit, member, name, proxy::fleet, route,
-        wire,
+        attempt::register,
+        clock::Clock,
+        config::spread,
+        limit, member, name,
+        proxy::{fleet, reader},
+        route, wire,
     },
     std::{
         collections::BTreeMap,
@@ -79,6 +83,8 @@
     pub register: Option<Sender<Received<register::Message>>>,
     /// Other hosts' reports.
     pub report: Option<Sender<Received<Box<fleet::Report>>>>,
+    /// What other hosts have read of the platform.
+    pub reading: Option<Sender<Received<Box<reader::Reading>>>>,
 }
 
 impl Mailboxes {
@@ -90,6 +96,7 @@
             wire::Message::Config(message) => pass(&self.config, from, message),
             wire::Message::Register(message) => pass(&self.register, from, message),
             wire::Message::Report(message) => pass(&self.report, from, message),
+            wire::Message::Reading(message) => pass(&self.reading, from, message),
             wire::Message::Probe(_) | wire::Message::Echo(_) => {}
         }
     }
--- a/src/proxy/catalog.rs
+++ b/src/proxy/catalog.rs
@@ -79,6 +79,7 @@
     away: bool,
     back_at: Option<Duration>,
     listed: bool,
+    generation: u64,
     options: Options,
 }
 
@@ -93,6 +94,7 @@
             away: false,
             back_at: None,
             listed: false,
+            generation: 0,
             options: Options {
                 eject_at: EJECT_AT,
                 eject_for: EJECT_FOR,
@@ -107,6 +109,17 @@
         self.listed
     }
 
+    /// Grows with each change of what upstreams say of themselves that others must know.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// What the upstreams say of themselves, as of now.
+    pub fn entries(&self, now: Duration) -> Vec<Entry> {
+        let all = self.replicas.values();
+        all.map(|replica| replica.entry_at(now)).collect()
+    }
+
     /// The platform can't be read, or can be again.
     pub fn reach(&mut self, now: Duration, reached: bool) {
         if self.away && reached {
@@ -141,10 +154,16 @@
         let id = entry.id.clone();
         let Some(replica) = self.replicas.get_mut(&id) else {
             self.replicas.insert(id.clone(), Replica::new(now, entry));
+            self.generation += 1;
             return Some(Change::Listed(id));
         };
         let left = replica.entry.leaving;
-        if replica.describe(now, entry) {
+        let before = replica.entry_at(now);
+        let restarted = replica.describe(now, entry);
+        if !replica.entry_at(now).agrees(&before) {
+            self.generation += 1;
+        }
+        if restarted {
             return Some(Change::Restarted(id));
         }
         (replica.entry.leaving && !left).then_some(Change::Leaving(id))
@@ -182,6 +201,7 @@
     }
 
     fn forget(&mut self, id: &name::Upstream) -> Option<Change> {
+        self.generation += 1;
         self.replicas
             .remove(id)
             .map(|replica| Change::Gone(replica.entry.id))
--- a/src/proxy/core/mod.rs
+++ b/src/proxy/core/mod.rs
@@ -8,8 +8,10 @@
     super::{
         catalog::{Catalog, Change},
         fleet::{Due, Fleet, Identity, News, Report},
+        follow::Section,
         place::{self, Choice, Job},
         rate::Limiter,
+        reader::{self, Duty, Listing, Reading},
         replica::{Outcome, Replica, Tally, millis},
         table::{Match, Pool, Table},
     },
@@ -99,6 +101,8 @@
     pub region: name::Region,
     /// Predicted time to the first byte, in milliseconds.
     pub predicted_ms: f64,
+    /// Age of the report that told what the region has to spare.
+    pub report_age: Duration,
 }
 
 #[derive(Debug)]
@@ -124,6 +128,8 @@
     pub fleet: Fleet,
     /// The customers' rates.
     pub limiter: Limiter,
+    /// This host's part in reading the platform.
+    pub duty: Duty,
     setup: Setup,
     table: Option<Arc<Table>>,
     held: BTreeMap<u64, Held>,
@@ -150,6 +156,7 @@
             catalog: Catalog::new(domains),
             fleet: Fleet::new(setup.own.clone(), setup.seeds.clone()),
             limiter: Limiter::new(now),
+            duty: Duty::new(now, setup.own.host.clone()),
             table: None,
             held: BTreeMap::new(),
             tickets: 0,
@@ -264,6 +271,47 @@
         reports
     }
 
+    /// An upstream's address belongs to another one: the list is out of date.
+    pub fn misdirected(&mut self, now: Duration, upstream: &name::Upstream) -> Option<Change> {
+        self.duty.doubt(now, Section::Upstreams);
+        self.catalog.misdirected(upstream)
+    }
+
+    /// What to announce now of what was read of the platform, and to whom.
+    pub fn announce(&mut self, now: Duration) -> Option<(Reading, Vec<name::Host>)> {
+        let generation = self.catalog.generation();
+        self.duty.count(Section::Upstreams, generation);
+        let own = &self.setup.own;
+        let before = self.fleet.before(now);
+        let announcement = self.duty.announce(now, before)?;
+        let listing = announcement.listing.map(|revision| Listing {
+            revision,
+            entries: self.catalog.entries(now),
+        });
+        let reading = Reading {
+            from: own.host.clone(),
+            incarnation: own.incarnation,
+            operator: announcement.operator,
+            upstreams: announcement.upstreams,
+            listing,
+        };
+        Some((reading, self.fleet.neighbours(now)))
+    }
+
+    /// Another host of the region announces what it has read.
+    pub fn take_reading(&mut self, now: Duration, reading: Reading) -> (reader::News, Vec<Change>) {
+        let news = self.duty.hear(now, &reading);
+        if news != reader::News::Ignored {
+            self.catalog.reach(now, true);
+        }
+        let listing = reading.listing.as_ref();
+        if !listing.is_some_and(|listing| self.duty.accepts(&reading, listing)) {
+            return (news, Vec::new());
+        }
+        let entries = reading.listing.map(|listing| listing.entries);
+        (news, self.catalog.list(now, entries.unwrap_or_default()))
+    }
+
     /// Where a request goes now. An upstream of this region that answers on time goes first; then
     /// another region, if it may be used; then one of this region that answers late.
     pub fn place(&mut self, now: Duration, job: &Job) -> Placement {
--- a/src/proxy/core/region.rs
+++ b/src/proxy/core/region.rs
@@ -115,22 +115,29 @@
             .fleet
             .working(now)
             .filter(|peer| peer.identity.region == region && !is_behind(peer));
-        let host = in_region
-            .max_by_key(|peer| {
-                let point = affinity::hash(peer.identity.host.as_str().as_bytes());
-                affinity::weight(key, point)
-            })?
-            .identity
-            .clone();
+        let chosen = in_region.max_by_key(|peer| {
+            let point = affinity::hash(peer.identity.host.as_str().as_bytes());
+            affinity::weight(key, point)
+        })?;
+        let (host, heard) = (chosen.identity.clone(), chosen.heard);
         self.charge_away(&region, job);
         Some(Away {
             host: host.host,
             peers: host.peers,
             region,
             predicted_ms,
+            report_age: now.saturating_sub(heard),
         })
     }
 
+    /// Working hosts of this region beside this one, and of other regions.
+    pub fn others(&self, now: Duration) -> (usize, usize) {
+        let own = &self.setup.own.region;
+        let near = |peer: &&Peer| peer.identity.region == *own;
+        let near = self.fleet.working(now).filter(near).count();
+        (near, self.fleet.working(now).count() - near)
+    }
+
     /// Takes a forwarded request off what a region has to spare, until it reports again.
     fn charge_away(&mut self, region: &name::Region, job: &Job) {
         let hosts: Vec<_> = self
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -2,11 +2,12 @@
 
 use {
     crate::name,
+    serde::{Deserialize, Serialize},
     std::{net::SocketAddr, time::Duration},
 };
 
 /// One upstream as it last described itself.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
     /// Its name. An upstream that starts again may keep it.
     pub id: name::Upstream,
@@ -27,3 +28,22 @@
     /// Grows with each description of one run.
     pub sequence: u64,
 }
+
+impl Entry {
+    /// Difference of two remaining times in the cold that comes from rounding and from the age of
+    /// a heartbeat, and is no change.
+    const COLD_ROUNDING: Duration = Duration::from_millis(1_500);
+
+    /// Whether another description of the upstream, of the same time, says the same but for its
+    /// number.
+    pub fn agrees(&self, other: &Self) -> bool {
+        let cold = self.cold_for.abs_diff(other.cold_for);
+        let thawed = self.cold_for.is_zero() != other.cold_for.is_zero();
+        let counted = Self {
+            sequence: self.sequence,
+            cold_for: self.cold_for,
+            ..other.clone()
+        };
+        cold < Self::COLD_ROUNDING && !thawed && *self == counted
+    }
+}
--- a/src/proxy/fleet.rs
+++ b/src/proxy/fleet.rs
@@ -314,6 +314,30 @@
         hosts.max((hosts * domains).div_ceil(known.len()))
     }
 
+    /// How many working hosts of this region come before this one by name.
+    pub fn before(&self, now: Duration) -> usize {
+        let own = &self.own;
+        let before =
+            |peer: &&Peer| peer.identity.region == own.region && peer.identity.host < own.host;
+        self.working(now).filter(before).count()
+    }
+
+    /// The other hosts of this region that may live.
+    pub fn neighbours(&self, now: Duration) -> Vec<name::Host> {
+        let near = |peer: &&Peer| {
+            let heard = now.saturating_sub(peer.heard) < GONE;
+            heard && !peer.leaving && peer.identity.region == self.own.region
+        };
+        let near = self.peers.values().filter(near);
+        near.map(|peer| peer.identity.host.clone()).collect()
+    }
+
+    /// The newest version of the configuration that a host is known to have.
+    pub fn newest_version(&self) -> u64 {
+        let versions = self.peers.values().map(|peer| peer.version);
+        versions.max().unwrap_or(0)
+    }
+
     /// Hosts of this region that were heard lately or may only be silent, this one included.
     pub fn near(&self) -> usize {
         let near = |peer: &&Peer| peer.identity.region == self.own.region && !peer.leaving;
--- a/src/proxy/follow.rs
+++ b/src/proxy/follow.rs
@@ -1,12 +1,15 @@
 //! Keeps a host's view of the platform fresh: a list, then a watch from its revision on, and a list
 //! again when the watch has lost its place.
 //!
-//! The platform prices each call and upstreams describe themselves all the time, so changes of
-//! upstreams are taken in batches. A watch waits for less than a configuration may take to come
-//! into force, since a connection that has gone silent shows only when the wait is over.
+//! The platform prices each call and upstreams describe themselves all the time, so one host of a
+//! region reads for the others ([`super::reader`]), and takes changes of upstreams in batches. A
+//! watch waits for less than a configuration may take to come into force, since a connection that
+//! has gone silent shows only when the wait is over.
 
 use {
-    super::{dialect::Dialect, entry::Entry, host::Host, server::until, table::Table},
+    super::{
+        dialect::Dialect, entry::Entry, host::Host, reader::Asked, server::until, table::Table,
+    },
     crate::{Result, clock::Clock, entry::Phase, name},
     rand::{RngExt, SeedableRng, rngs::StdRng},
     std::{collections::BTreeSet, future::Future, time::Duration},
@@ -16,20 +19,22 @@
     },
 };
 
-/// Longest wait of one watch.
-const WATCH: Duration = Duration::from_millis(2_500);
+/// Longest wait of one watch: what was read must not grow old for the hosts that rely on it.
+const WATCH: Duration = Duration::from_millis(1_000);
 /// How much longer than its wait a call may take.
 const SLACK: Duration = Duration::from_millis(800);
 /// Pause between two batches of changes of upstreams; a leaving one must be known well within
 /// three seconds.
 const BATCH: Duration = Duration::from_millis(900);
+/// How long the host that reads may take to learn of a configuration that another host has.
+const BEHIND: Duration = Duration::from_millis(500);
 /// First pause after a failed call.
 const BACKOFF: Duration = Duration::from_millis(150);
 /// Longest pause after failed calls in a row.
 const BACKOFF_MOST: Duration = Duration::from_millis(1_000);
 
 /// A part of what the platform publishes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Section {
     /// The configuration, and the evacuations.
     Operator,
@@ -103,6 +108,7 @@
         store,
         section,
         after: None,
+        changes: 0,
         failures: 0,
         evacuated: BTreeSet::new(),
         rng: StdRng::from_rng(&mut rand::rng()),
@@ -120,6 +126,7 @@
     store: S,
     section: Section,
     after: Option<u64>,
+    changes: u64,
     failures: u32,
     evacuated: BTreeSet<name::Domain>,
     rng: StdRng,
@@ -127,6 +134,11 @@
 
 impl<D: Dialect, C: Clock, S: Store> Follower<D, C, S> {
     async fn step(&mut self) {
+        if let Some(rest) = self.rests() {
+            self.after = None;
+            return self.rest(rest).await;
+        }
+        let asked = self.host.core().duty.begin(self.section);
         let read = match self.after {
             None => timeout(SLACK, self.store.list(self.section))
                 .await
@@ -137,24 +149,16 @@
                 tokio::select! {
                     watched = timeout(WATCH + SLACK, watching) => watched,
                     () = self.host.behind(), if operator => {
+                        self.host.count_call(true);
                         self.after = None;
                         return;
                     }
                 }
             }
         };
+        self.host.count_call(!matches!(read, Ok(Ok(_))));
         match read {
-            Ok(Ok(Watched::Changes(batch))) => {
-                self.reached();
-                let whole = self.after.is_none();
-                let changed = !batch.items.is_empty();
-                let newest = self.after.unwrap_or(0).max(batch.revision);
-                self.after = Some(newest);
-                self.take(batch.items, whole);
-                if changed && self.section == Section::Upstreams {
-                    sleep(BATCH).await;
-                }
-            }
+            Ok(Ok(Watched::Changes(batch))) => self.changes(batch, asked).await,
             Ok(Ok(Watched::Lost)) => {
                 self.reached();
                 tracing::info!(event = "store", section = ?self.section, state = "history lost");
@@ -165,6 +169,58 @@
         }
     }
 
+    fn rests(&self) -> Option<Duration> {
+        let now = self.host.clock.now();
+        self.host.core().duty.rests(now, self.section)
+    }
+
+    /// Another host reads: waits until it has more to say, or is late.
+    async fn rest(&mut self, rest: Duration) {
+        let operator = self.section == Section::Operator;
+        tokio::select! {
+            () = sleep(rest) => {}
+            () = self.host.told(self.section) => {}
+            () = self.host.behind(), if operator => {
+                sleep(BEHIND).await;
+                let now = self.host.clock.now();
+                let mut core = self.host.core();
+                if core.fleet.newest_version() > core.version() {
+                    core.duty.doubt(now, self.section);
+                }
+            }
+        }
+    }
+
+    async fn changes(&mut self, batch: Batch, asked: Asked) {
+        self.reached();
+        let now = self.host.clock.now();
+        let whole = self.after.is_none();
+        let known = self.host.core().duty.revision(self.section);
+        if batch.revision < known {
+            tracing::info!(event = "store", section = ?self.section, state = "old answer",
+                revision = batch.revision, known);
+            return sleep(BACKOFF).await;
+        }
+        let changed = !batch.items.is_empty();
+        let newest = self.after.unwrap_or(0).max(batch.revision);
+        self.after = Some(newest);
+        self.take(batch.items, whole);
+        if changed && self.section == Section::Operator {
+            self.changes += 1;
+        }
+        {
+            let mut core = self.host.core();
+            core.duty.read(now, self.section, asked, newest);
+            if self.section == Section::Operator {
+                core.duty.count(self.section, self.changes);
+            }
+        }
+        self.host.announce();
+        if changed && self.section == Section::Upstreams {
+            sleep(BATCH).await;
+        }
+    }
+
     fn reached(&mut self) {
         if std::mem::take(&mut self.failures) > 0 {
             tracing::info!(event = "store", section = ?self.section, state = "back");
--- a/src/proxy/host.rs
+++ b/src/proxy/host.rs
@@ -7,7 +7,9 @@
         core::{Core, Grant, Placement, Setup},
         dialect::Dialect,
         fleet::{self, News},
+        follow::Section,
         place::Job,
+        reader::{self, Reading},
         replica::Outcome,
         sample::Sampler,
         server::until,
@@ -72,6 +74,9 @@
     phase: watch::Receiver<Phase>,
     running: AtomicUsize,
     stale: Notify,
+    told: [Notify; 2],
+    store_calls: Counter,
+    store_failures: Counter,
     grace: Duration,
     left_at: OnceLock<Duration>,
     sampler: Mutex<Sampler>,
@@ -116,7 +121,19 @@
         let now = parts.clock.now();
         let predicted_ratio = Histogram::new(RATIO_BUCKETS);
         let log_lines_sampled_out = Counter::default();
+        let store_calls = Counter::default();
+        let store_failures = Counter::default();
         parts.metrics.register(|registry| {
+            registry.register(
+                "store_calls",
+                "Calls to the platform's store",
+                store_calls.clone(),
+            );
+            registry.register(
+                "store_failures",
+                "Calls to the platform's store that brought nothing",
+                store_failures.clone(),
+            );
             registry.register(
                 "predicted_ratio",
                 "Time to the first byte over its prediction",
@@ -141,6 +158,9 @@
             phase: parts.phase,
             running: AtomicUsize::new(0),
             stale: Notify::new(),
+            told: Default::default(),
+            store_calls,
+            store_failures,
             grace: parts.grace,
             left_at: OnceLock::new(),
             sampler: Mutex::default(),
@@ -246,6 +266,19 @@
         self.stale.notified().await;
     }
 
+    /// Wakes once another host has announced something about a section.
+    pub(super) async fn told(&self, section: Section) {
+        self.told[section as usize].notified().await;
+    }
+
+    /// Counts a call to the store.
+    pub(super) fn count_call(&self, failed: bool) {
+        self.store_calls.inc();
+        if failed {
+            self.store_failures.inc();
+        }
+    }
+
     /// Logs changes of belief about upstreams.
     pub fn note(&self, changes: impl IntoIterator<Item = Change>) {
         for change in changes {
@@ -278,9 +311,9 @@
     }
 
     /// Where a request goes, after a wait if need be.
-    pub(super) async fn place(&self, job: &Job) -> Result<Placement, Failure> {
+    pub(super) async fn place(&self, request: &str, job: &Job) -> Result<Placement, Failure> {
         let now = self.clock.now();
-        let (place, placed, limit) = {
+        let (place, placed, limit, before) = {
             let mut core = self.core();
             match core.place(now, job) {
                 Placement::Wait => {}
@@ -288,13 +321,18 @@
             }
             let limit = core.wait_limit(now, job);
             if limit.is_zero() {
-                return Err(refused(&mut core, now, job));
+                return Err(refused(&mut core, now, request, job));
             }
+            let before = core.waiting();
             let place = core.enqueue(job.clone());
             let (sender, placed) = oneshot::channel();
             self.waiters().insert(place, sender);
-            (place, placed, limit)
+            (place, placed, limit, before)
         };
+        if self.logs(request) {
+            tracing::info!(event = "queued", request, pool = %job.pool, priority = job.matched.priority,
+                before, limit_ms = limit.as_millis() as u64);
+        }
         let mut waiting = Waiting {
             host: self,
             place,
@@ -304,7 +342,7 @@
             placement = &mut waiting.placed => placement.map_err(|_| stopped()),
             () = sleep(limit) => {
                 let now = self.clock.now();
-                Err(refused(&mut self.core(), now, job))
+                Err(refused(&mut self.core(), now, request, job))
             }
         }
     }
@@ -354,6 +392,54 @@
             }
             self.send_reports();
             self.expire();
+            self.announce();
+        }
+    }
+
+    /// Announces what was read of the platform, if that is this host's part.
+    pub(super) fn announce(&self) {
+        if !self.is_ready() {
+            return;
+        }
+        let now = self.clock.now();
+        let (was, announced, is) = {
+            let mut core = self.core();
+            let was = core.duty.is_announcing();
+            (was, core.announce(now), core.duty.is_announcing())
+        };
+        if was != is {
+            tracing::info!(
+                event = "reader",
+                announcing = is,
+                "part in reading the platform"
+            );
+        }
+        let Some((reading, hosts)) = announced else {
+            return;
+        };
+        for host in hosts {
+            let reading = Box::new(reading.clone());
+            self.link.send(&host, wire::Message::Reading(reading));
+        }
+    }
+
+    /// Takes what other hosts of the region have read until their sender closes.
+    pub async fn learn(self, mut mailbox: mpsc::Receiver<link::Received<Box<Reading>>>) {
+        while let Some(received) = mailbox.recv().await {
+            let reading = *received.message;
+            let reader = reading.from.clone();
+            let now = self.clock.now();
+            let (news, changes) = self.core().take_reading(now, reading);
+            if news == reader::News::Source {
+                tracing::info!(event = "reader", host = %reader, "relies on another host's reading");
+            }
+            if news != reader::News::Ignored {
+                self.told.iter().for_each(Notify::notify_one);
+            }
+            if !changes.is_empty() {
+                self.note(changes);
+                self.pump();
+            }
         }
     }
 
@@ -507,8 +593,16 @@
     pub headers: HeaderMap,
 }
 
-fn refused(core: &mut Core, now: Duration, job: &Job) -> Failure {
+fn refused(core: &mut Core, now: Duration, request: &str, job: &Job) -> Failure {
     let wait = core.retry_after(now, &job.pool);
+    let eligible = core.catalog.eligible(&job.pool);
+    let (upstreams, open) = eligible.fold((0, 0), |(all, open), replica| {
+        (all + 1, open + usize::from(replica.is_open(now)))
+    });
+    let (hosts, away) = core.others(now);
+    tracing::info!(event = "unplaced", request, pool = %job.pool, version = job.matched.version,
+        upstreams, open, waiting = core.waiting(), hosts, hosts_away = away, may_leave = job.may_leave,
+        waited_ms = now.saturating_sub(job.arrived).as_millis() as u64);
     Failure::not_run(Code::NoCapacity, "no upstream can answer in time").retry_after(wait)
 }
 
--- a/src/proxy/intake.rs
+++ b/src/proxy/intake.rs
@@ -258,7 +258,10 @@
     // The sender counts this as one attempt, and makes the others itself.
     job.attempts = 1;
     job.may_leave = false;
-    tracing::debug!(event = "taken", request = call.request, host = %from);
+    if host.logs(&call.request) {
+        tracing::info!(event = "taken", request = call.request, from = %from, route = %call.route,
+            version = call.version, elapsed_ms = call.elapsed.as_millis() as u64);
+    }
     let ask = Ask {
         call: parsed,
         method,
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -17,6 +17,7 @@
 pub mod intake;
 pub mod place;
 pub mod rate;
+pub mod reader;
 pub mod replica;
 pub mod sample;
 mod send;
--- a/src/proxy/replica.rs
+++ b/src/proxy/replica.rs
@@ -152,6 +152,14 @@
         restarted
     }
 
+    /// What it says of itself, with the rest of its time in the cold.
+    pub fn entry_at(&self, now: Duration) -> Entry {
+        Entry {
+            cold_for: self.cold_until.saturating_sub(now),
+            ..self.entry.clone()
+        }
+    }
+
     fn cool(&mut self, now: Duration) {
         self.cold_until = now + self.entry.cold_for;
     }
--- a/src/proxy/send.rs
+++ b/src/proxy/send.rs
@@ -94,11 +94,17 @@
 ) -> Result<Opened<D, C>, Failure> {
     let repeatable = job.matched.route.kind.is_repeatable();
     loop {
-        let placement = host.place(job).await?;
+        let placement = host.place(ask.id(), job).await?;
         tries.placed_after = host.clock.now().saturating_sub(job.arrived);
         let failure = match placement {
             Placement::Here(grant) => {
                 tries.predicted_ms = grant.predicted_ms;
+                if host.logs(ask.id()) {
+                    tracing::info!(event = "placed", request = ask.id(), upstream = %grant.upstream,
+                        predicted_ms = grant.predicted_ms as u64, uncached = grant.uncached,
+                        version = job.matched.version, resume_after = resume,
+                        waited_ms = tries.placed_after.as_millis() as u64);
+                }
                 let upstream = grant.upstream.clone();
                 tries.runs += 1;
                 match send(host, ask, job, grant, resume, tries).await {
@@ -200,7 +206,7 @@
     }
     if reply.misdirected {
         reservation.outcome = Outcome::Unknown;
-        let changed = host.core().catalog.misdirected(&upstream);
+        let changed = host.core().misdirected(now, &upstream);
         host.note(changed);
         return Err(not_run("the address belongs to another upstream"));
     }
@@ -348,7 +354,8 @@
     };
     host.metrics.forwarded.inc();
     tracing::info!(event = "forwarded", request = ask.id(), host = %away.host, region = %away.region,
-        predicted = away.predicted_ms);
+        predicted_ms = away.predicted_ms as u64, report_age_ms = away.report_age.as_millis() as u64,
+        version = job.matched.version);
     let repeatable = job.matched.route.kind.is_repeatable();
     let remaining = job.deadline.saturating_sub(now);
     let silence = longest_silence(repeatable, away.predicted_ms, remaining);
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -2,7 +2,12 @@
 
 use {
     crate::{
-        Error, Result, attempt::register, config::spread, limit, member, name, proxy::fleet, route,
+        Error, Result,
+        attempt::register,
+        config::spread,
+        limit, member, name,
+        proxy::{fleet, reader},
+        route,
     },
     bytes::Bytes,
     serde::{Deserialize, Serialize, de::DeserializeOwned},
@@ -31,6 +36,8 @@
     Register(register::Message),
     /// A host's report to the others.
     Report(Box<fleet::Report>),
+    /// What a host of the region has read of the platform.
+    Reading(Box<reader::Reading>),
 }
 
 /// A round-trip probe.
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -10,6 +10,8 @@
 mod place;
 #[path = "proxy/rate.rs"]
 mod rate;
+#[path = "proxy/reader.rs"]
+mod reader;
 #[path = "proxy/replay.rs"]
 mod replay;
 #[path = "proxy/sample.rs"]
--- /dev/null
+++ b/tests/proxy/reader.rs
@@ -0,0 +1,331 @@
+//! One host of a region reads the store for the others.
+
+use {
+    crate::common::ms,
+    greengagecleat::{
+        name,
+        proxy::{
+            entry::Entry,
+            follow::Section,
+            reader::{Asked, Duty, FRESH, Listing, Mark, News, Reading},
+        },
+    },
+    quickcheck::{Gen, QuickCheck},
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+    std::time::Duration,
+};
+
+const SECTIONS: [Section; 2] = [Section::Operator, Section::Upstreams];
+const TICK: Duration = Duration::from_millis(50);
+/// Within it a change must be known: the least that deployments ask for.
+const BOUND: Duration = Duration::from_millis(3_000);
+/// How long a call waits for a change.
+const WAIT: Duration = Duration::from_millis(1_000);
+/// Pause after a batch of changes of upstreams.
+const BATCH: Duration = Duration::from_millis(900);
+
+#[derive(Debug, Default)]
+struct Call {
+    asked: Option<Asked>,
+    until: Duration,
+    idle_until: Duration,
+}
+
+#[derive(Debug)]
+struct Node {
+    duty: Duty,
+    known: [u64; 2],
+    calls: [Call; 2],
+    asleep_until: Duration,
+    cut_until: Duration,
+    /// Since when it has been awake and has reached the store.
+    sound_since: Duration,
+}
+
+/// What a reading stands for, beside what it says.
+type Told = (Reading, [u64; 2]);
+
+struct Region {
+    now: Duration,
+    rng: StdRng,
+    loss: f64,
+    nodes: Vec<Node>,
+    store: [u64; 2],
+    changed_at: [Duration; 2],
+    calls: u32,
+    late: Vec<(Duration, usize, Section)>,
+}
+
+impl Region {
+    fn new(hosts: usize, loss: f64, seed: u64) -> Self {
+        let node = |number: usize| Node {
+            duty: Duty::new(ms(0), name::Host::from(format!("h{number:02}"))),
+            known: [0; 2],
+            calls: Default::default(),
+            asleep_until: ms(0),
+            cut_until: ms(0),
+            sound_since: ms(0),
+        };
+        Self {
+            now: ms(0),
+            rng: StdRng::seed_from_u64(seed),
+            loss,
+            nodes: (0..hosts).map(node).collect(),
+            store: [1; 2],
+            changed_at: [ms(0); 2],
+            calls: 0,
+            late: Vec::new(),
+        }
+    }
+
+    fn change(&mut self, section: Section) {
+        self.store[section as usize] += 1;
+        self.changed_at[section as usize] = self.now;
+    }
+
+    fn step(&mut self) {
+        self.now += TICK;
+        let mut told: Vec<(usize, Told)> = Vec::new();
+        for at in 0..self.nodes.len() {
+            if self.now < self.nodes[at].asleep_until {
+                self.nodes[at].sound_since = self.nodes[at].asleep_until;
+                continue;
+            }
+            for section in SECTIONS {
+                self.read(at, section);
+            }
+            let before = (0..at).filter(|other| self.now >= self.nodes[*other].asleep_until);
+            let before = before.count();
+            let node = &mut self.nodes[at];
+            let Some(announced) = node.duty.announce(self.now, before) else {
+                continue;
+            };
+            let reading = Reading {
+                from: name::Host::from(format!("h{at:02}")),
+                incarnation: 1,
+                operator: announced.operator,
+                upstreams: announced.upstreams,
+                listing: announced.listing.map(|revision| Listing {
+                    revision,
+                    entries: Vec::<Entry>::new(),
+                }),
+            };
+            told.push((at, (reading, node.known)));
+        }
+        for (from, (reading, known)) in told {
+            for at in 0..self.nodes.len() {
+                let lost = self.rng.random_bool(self.loss);
+                if at == from || lost || self.now < self.nodes[at].asleep_until {
+                    continue;
+                }
+                let node = &mut self.nodes[at];
+                node.duty.hear(self.now, &reading);
+                if let Some(listing) = &reading.listing
+                    && node.duty.accepts(&reading, listing)
+                {
+                    node.known[1] = node.known[1].max(known[1]);
+                }
+            }
+        }
+        self.judge();
+    }
+
+    /// A call that is over brings what the store says now; the next one begins if it is due.
+    fn read(&mut self, at: usize, section: Section) {
+        let (now, store) = (self.now, self.store[section as usize]);
+        let cut = now < self.nodes[at].cut_until;
+        let node = &mut self.nodes[at];
+        if cut {
+            node.sound_since = node.cut_until;
+        }
+        let call = &mut node.calls[section as usize];
+        let known = &mut node.known[section as usize];
+        let over = now >= call.until || store > *known;
+        if let Some(asked) = call.asked.take_if(|_| over) {
+            if cut {
+                return;
+            }
+            if *known != store {
+                call.idle_until = match section {
+                    Section::Operator => now,
+                    Section::Upstreams => now + BATCH,
+                };
+            }
+            *known = store;
+            node.duty.read(now, section, asked, store);
+            node.duty.count(section, store);
+        }
+        let idle = call.asked.is_none() && now >= call.idle_until;
+        if idle && node.duty.rests(now, section).is_none() {
+            call.asked = Some(node.duty.begin(section));
+            call.until = now + WAIT;
+            self.calls += 1;
+        }
+    }
+
+    fn judge(&mut self) {
+        for (at, node) in self.nodes.iter().enumerate() {
+            for section in SECTIONS {
+                let since = self.changed_at[section as usize].max(node.sound_since);
+                let behind = node.known[section as usize] < self.store[section as usize];
+                if behind && self.now > since + BOUND {
+                    self.late.push((self.now, at, section));
+                }
+            }
+        }
+    }
+
+    fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.step();
+        }
+    }
+}
+
+fn reading(from: &str, generation: u64, age: Duration) -> Reading {
+    let mark = Mark { generation, age };
+    Reading {
+        from: from.into(),
+        incarnation: 1,
+        operator: mark,
+        upstreams: mark,
+        listing: None,
+    }
+}
+
+/// A host that has read everything, at 0 ms.
+fn duty(name: &str) -> Duty {
+    let mut duty = Duty::new(ms(0), name.into());
+    for section in SECTIONS {
+        let asked = duty.begin(section);
+        duty.read(ms(0), section, asked, 5);
+    }
+    duty
+}
+
+#[test]
+fn a_region_of_many_hosts_asks_the_store_as_often_as_one_host() {
+    let mut region = Region::new(25, 0.0, 1);
+    region.run(Duration::from_secs(5));
+    region.calls = 0;
+    for _ in 0..20 {
+        region.change(Section::Upstreams);
+        region.run(Duration::from_secs(1));
+    }
+    // One call a second for each section, and for twenty hosts not one more.
+    assert!(region.calls <= 2 * 20 + 5, "{} calls", region.calls);
+    assert_eq!(region.late, []);
+}
+
+#[test]
+fn a_lost_announcement_is_made_up_by_one_call() {
+    let mut region = Region::new(5, 0.0, 1);
+    region.run(Duration::from_secs(3));
+    region.loss = 1.0;
+    region.change(Section::Upstreams);
+    region.run(ms(100));
+    region.loss = 0.0;
+    region.calls = 0;
+    region.run(Duration::from_secs(2));
+    assert!(region.nodes.iter().all(|node| node.known[1] == 2));
+    assert!(region.calls <= 4 + 5, "{} calls", region.calls);
+}
+
+#[test]
+fn a_change_is_known_in_time_whichever_hosts_sleep_or_are_cut_off() {
+    fn holds(seed: u64) -> bool {
+        let mut region = Region::new(6, 0.2, seed);
+        region.run(Duration::from_secs(3));
+        for _ in 0..120 {
+            let (at, span) = (
+                region.rng.random_range(0..6),
+                ms(region.rng.random_range(0..6_000)),
+            );
+            match region.rng.random_range(0..8) {
+                0 => region.nodes[at].asleep_until = region.now + span,
+                1 => region.nodes[at].cut_until = region.now + span,
+                2 | 3 => region.change(Section::Upstreams),
+                4 => region.change(Section::Operator),
+                _ => {}
+            }
+            region.run(ms(500));
+        }
+        region.late.is_empty()
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(100, 21))
+        .tests(100)
+        .quickcheck(holds as fn(u64) -> bool);
+}
+
+#[test]
+fn a_reading_that_is_old_already_is_not_relied_on() {
+    let mut duty = duty("b");
+    assert_eq!(duty.hear(ms(10), &reading("a", 1, FRESH)), News::Ignored);
+    assert_eq!(duty.rests(ms(10), Section::Operator), None);
+    assert_eq!(duty.hear(ms(20), &reading("a", 1, ms(0))), News::Source);
+    let asked = duty.begin(Section::Operator);
+    duty.read(ms(30), Section::Operator, asked, 6);
+    assert!(duty.rests(ms(40), Section::Operator).is_some());
+    assert_eq!(duty.rests(ms(20) + FRESH, Section::Operator), None);
+}
+
+#[test]
+fn a_change_of_the_configuration_is_read_at_once_and_once() {
+    let mut duty = duty("b");
+    duty.hear(ms(10), &reading("a", 1, ms(0)));
+    assert_eq!(duty.rests(ms(10), Section::Operator), None);
+    let asked = duty.begin(Section::Operator);
+    duty.hear(ms(15), &reading("a", 2, ms(0)));
+    duty.read(ms(20), Section::Operator, asked, 6);
+    assert_eq!(
+        duty.rests(ms(20), Section::Operator),
+        None,
+        "the call had begun before"
+    );
+    let asked = duty.begin(Section::Operator);
+    duty.read(ms(30), Section::Operator, asked, 7);
+    assert!(duty.rests(ms(30), Section::Operator).is_some());
+}
+
+#[test]
+fn of_two_readers_the_first_by_name_goes_on() {
+    let (mut a, mut b) = (duty("a"), duty("b"));
+    assert!(a.announce(ms(10), 0).is_some());
+    assert_eq!(b.announce(ms(10), 1), None, "it leaves the other time");
+    assert!(b.announce(ms(200), 1).is_some());
+    assert_eq!(a.hear(ms(210), &reading("b", 1, ms(0))), News::Ignored);
+    assert_eq!(b.hear(ms(210), &reading("a", 1, ms(0))), News::Source);
+    assert!(a.is_announcing() && !b.is_announcing());
+}
+
+#[test]
+fn a_listing_older_than_what_is_known_is_not_taken() {
+    let mut duty = duty("b");
+    let told = reading("a", 1, ms(0));
+    duty.hear(ms(10), &told);
+    let listing = |revision| Listing {
+        revision,
+        entries: Vec::new(),
+    };
+    assert!(!duty.accepts(&told, &listing(4)));
+    assert!(duty.accepts(&told, &listing(5)));
+    assert!(duty.rests(ms(10), Section::Upstreams).is_some());
+}
+
+#[test]
+fn a_wrong_list_is_read_again_although_another_host_reads() {
+    let mut duty = duty("b");
+    let told = reading("a", 1, ms(0));
+    duty.hear(ms(10), &told);
+    let listing = Listing {
+        revision: 5,
+        entries: Vec::new(),
+    };
+    duty.accepts(&told, &listing);
+    duty.doubt(ms(20), Section::Upstreams);
+    let rest = duty.rests(ms(20), Section::Upstreams).unwrap();
+    assert!(rest < ms(500), "{rest:?}");
+    assert_eq!(duty.rests(ms(20) + rest, Section::Upstreams), None);
+}
--- a/tests/proxy/upstreams.rs
+++ b/tests/proxy/upstreams.rs
@@ -160,3 +160,29 @@
     assert!(!catalog.get(&"e0".into()).unwrap().is_open(ms(7_201)));
     assert!(catalog.get(&"e1".into()).unwrap().is_open(ms(7_201)));
 }
+
+/// Heartbeats come all the time; only what others must know counts as a change.
+#[test]
+fn a_heartbeat_that_says_nothing_new_is_no_change() {
+    let mut catalog = catalog();
+    let before = catalog.generation();
+    catalog.put(ms(10), entry("e0", "north-a", POOL, 2));
+    catalog.put(ms(20), entry("far", "south-a", POOL, 2));
+    assert_eq!(catalog.generation(), before);
+    let mut cold = entry("e0", "north-a", POOL, 3);
+    cold.cold_for = ms(3_000);
+    catalog.put(ms(30), cold.clone());
+    assert_eq!(catalog.generation(), before + 1, "it has become cold");
+    cold.cold_for = ms(2_100);
+    cold.sequence = 4;
+    catalog.put(ms(830), cold);
+    assert_eq!(catalog.generation(), before + 1, "it is still as cold");
+    let mut leaving = entry("e1", "north-b", POOL, 2);
+    leaving.leaving = true;
+    catalog.put(ms(900), leaving);
+    assert_eq!(catalog.generation(), before + 2);
+    catalog.remove(ms(910), &"e1".into());
+    assert_eq!(catalog.generation(), before + 3);
+    let told = catalog.entries(ms(1_030));
+    assert_eq!(told[0].cold_for, ms(1_900), "the rest of its time");
+}
