Trace a request through the logs of several hosts

greengagecleat trace ID puts the lines of all hosts' logs in order, with changes of belief around them, silences, and what is missing.

--- a/src/bin/greengagecleat/arguments.rs
+++ b/src/bin/greengagecleat/arguments.rs
@@ -18,6 +18,7 @@
     Check(Check),
     Key(Key),
     Status(Status),
+    Trace(Trace),
 }
 
 /// Run a host until SIGTERM, then drain. Each flag can be given as an environment variable
@@ -113,3 +114,17 @@
     #[argh(positional)]
     pub(crate) address: String,
 }
+
+/// Print one request's way through the logs of several hosts, in order, with the changes of belief
+/// around it and what is missing. Each file is one host's log and is named after it; a host's name
+/// before a line's first brace goes first. Without files, standard input is read.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "trace")]
+pub(crate) struct Trace {
+    /// the request's id
+    #[argh(positional)]
+    pub(crate) request: String,
+    /// the hosts' logs, lines of JSON
+    #[argh(positional)]
+    pub(crate) files: Vec<PathBuf>,
+}
--- a/src/bin/greengagecleat/main.rs
+++ b/src/bin/greengagecleat/main.rs
@@ -6,6 +6,7 @@
 mod serve;
 mod setting;
 mod status;
+mod trace;
 
 use {
     arguments::{Arguments, Command, KeyCommand},
@@ -28,6 +29,7 @@
             KeyCommand::Digest(_) => digest(),
         },
         Command::Status(flags) => status::run(&flags),
+        Command::Trace(flags) => trace::run(&flags),
     }
 }
 
--- /dev/null
+++ b/src/bin/greengagecleat/trace.rs
@@ -0,0 +1,51 @@
+//! `greengagecleat trace`: one request's way through several hosts' logs.
+
+use {
+    crate::{USAGE, arguments::Trace},
+    greengagecleat::trace::Collector,
+    std::{
+        fs::File,
+        io::{self, BufRead, BufReader},
+        path::Path,
+        process::ExitCode,
+    },
+};
+
+/// Prints the request's way as the logs tell it.
+pub(crate) fn run(flags: &Trace) -> ExitCode {
+    let mut collector = Collector::new(&flags.request);
+    if flags.files.is_empty()
+        && let Err(error) = read(io::stdin().lock(), "-", &mut collector)
+    {
+        eprintln!("greengagecleat: standard input: {error}");
+        return ExitCode::FAILURE;
+    }
+    for path in &flags.files {
+        let name = path.file_stem().unwrap_or(path.as_os_str());
+        let taken = open(path).and_then(|log| read(log, &name.to_string_lossy(), &mut collector));
+        if let Err(error) = taken {
+            eprintln!("greengagecleat: {}: {error}", path.display());
+            return ExitCode::from(USAGE);
+        }
+    }
+    let Some(timeline) = collector.finish() else {
+        eprintln!(
+            "greengagecleat: no line tells of request {}; lines of successes are sampled under load",
+            flags.request
+        );
+        return ExitCode::FAILURE;
+    };
+    print!("{timeline}");
+    ExitCode::SUCCESS
+}
+
+fn open(path: &Path) -> io::Result<BufReader<File>> {
+    File::open(path).map(BufReader::new)
+}
+
+fn read(log: impl BufRead, file: &str, collector: &mut Collector) -> io::Result<()> {
+    for line in log.split(b'\n') {
+        collector.push(&String::from_utf8_lossy(&line?), file);
+    }
+    Ok(())
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod route;
 pub mod settings;
 pub mod source;
+pub mod trace;
 pub mod upstream;
 pub mod wire;
 
