Keep connections to other regions ready, also for calls that may not repeat

Requests that may not repeat (unsafe ones and plain streams) used only connections idle for less than a second, so nearly each opened its own; and idle ones older than 9 s may have been closed by the peer unnoticed. Ruled out: queues on the way (the median is 63 ms) and processor time (new connections in quiet seconds take as long). Change: a host forwards to three hosts of a region, and keeps three connections to each ready. An idle connection is looked at every half second, pinged when nothing was heard for two seconds, and used for calls that may not repeat if the peer was heard on it within four. Closed ones are found before use. Tests: a call that may not repeat finds a connection ready after 1, 10 and 40 s (fails with the old limit); closed connections are not used.

--- a/src/link/exchange.rs
+++ b/src/link/exchange.rs
@@ -2,17 +2,17 @@
 //! back-pressure from a slow caller to the upstream, and closing it cancels the work.
 
 use {
-    super::socket::{Identity, Purpose, Socket},
+    super::socket::{Identity, Purpose, Rest, Socket},
     crate::{
         failure::{Code, Failure, Ran},
         name, wire,
     },
     bytes::Bytes,
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
         sync::{
-            Arc, Mutex, PoisonError,
+            Arc, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicU64, Ordering},
         },
         time::Duration,
@@ -22,25 +22,41 @@
 
 /// Idle connections kept for one peer.
 const IDLE_PER_PEER: usize = 32;
-/// An idle connection older than this is not used again.
+/// Connections that are kept ready for each peer that calls are forwarded to: as many as begin
+/// within the two round trips that another one takes, but for bursts.
+const READY_PER_PEER: usize = 3;
+/// How long after a peer was heard on an idle connection it is asked for a sign of life.
+const PING_AFTER: Duration = Duration::from_secs(2);
+/// An idle connection on which the peer was silent for longer is not used again.
 const IDLE_LIMIT: Duration = Duration::from_secs(20);
-/// For a call that may not be repeated an idle connection must be younger than this, lest it has
-/// gone silent unnoticed.
-const FRESH_LIMIT: Duration = Duration::from_secs(1);
+/// For a call that may not be repeated the peer must have been heard within this, lest the
+/// connection has gone silent unnoticed: the time until a ping, its way and back, and a look at it.
+const FRESH_LIMIT: Duration = Duration::from_secs(4);
 
 /// Opens exchanges and keeps idle connections.
 #[derive(Debug, Clone)]
 pub struct Client {
     identity: Identity,
     idle: Arc<Mutex<BTreeMap<SocketAddr, Vec<Idle>>>>,
+    warm: Arc<Mutex<Warm>>,
     next: Arc<AtomicU64>,
     crossed: Arc<AtomicU64>,
 }
 
+/// Peers for which connections are kept ready.
+#[derive(Debug, Default)]
+struct Warm {
+    wanted: BTreeSet<SocketAddr>,
+    connecting: BTreeMap<SocketAddr, usize>,
+}
+
 #[derive(Debug)]
 struct Idle {
     socket: Socket,
+    /// When the peer was last heard on it.
     since: Instant,
+    /// It was asked for a sign of life since.
+    pinged: bool,
 }
 
 /// The head of a forwarded call's answer.
@@ -71,6 +87,7 @@
         Self {
             identity,
             idle: Arc::default(),
+            warm: Arc::default(),
             next: Arc::default(),
             crossed: Arc::default(),
         }
@@ -130,9 +147,60 @@
         }
     }
 
+    /// Keeps connections ready for these peers and no others: opening one takes two round trips.
+    pub fn keep_warm(&self, peers: BTreeSet<SocketAddr>) {
+        let all: Vec<_> = peers.iter().copied().collect();
+        self.lock_warm().wanted = peers;
+        for address in all {
+            self.replenish(address);
+        }
+    }
+
+    fn lock_warm(&self) -> MutexGuard<'_, Warm> {
+        self.warm.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Opens in the background what is missing of a peer's ready connections.
+    fn replenish(&self, address: SocketAddr) {
+        let ready = {
+            let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+            let sockets = idle.entry(address).or_default();
+            sockets.retain_mut(Idle::is_usable);
+            if self.lock_warm().wanted.contains(&address) {
+                sockets.iter_mut().for_each(Idle::ping);
+            }
+            sockets.len()
+        };
+        let missing = {
+            let mut warm = self.lock_warm();
+            if !warm.wanted.contains(&address) {
+                return;
+            }
+            let connecting = warm.connecting.entry(address).or_default();
+            let missing = READY_PER_PEER.saturating_sub(ready + *connecting);
+            *connecting += missing;
+            missing
+        };
+        for _ in 0..missing {
+            let client = self.clone();
+            tokio::spawn(async move {
+                let connecting = Socket::connect(address, Purpose::Exchange, &client.identity);
+                match connecting.await {
+                    Ok(socket) => client.put(address, socket),
+                    Err(error) => tracing::debug!(%error, "no connection is kept ready"),
+                }
+                if let Some(connecting) = client.lock_warm().connecting.get_mut(&address) {
+                    *connecting = connecting.saturating_sub(1);
+                }
+            });
+        }
+    }
+
     async fn socket(&self, address: SocketAddr, repeatable: bool) -> Result<Socket, Failure> {
         let limit = if repeatable { IDLE_LIMIT } else { FRESH_LIMIT };
-        if let Some(socket) = self.take(address, limit) {
+        let ready = self.take(address, limit);
+        self.replenish(address);
+        if let Some(socket) = ready {
             return Ok(socket);
         }
         Socket::connect(address, Purpose::Exchange, &self.identity)
@@ -140,16 +208,21 @@
             .map_err(|error| Failure::not_run(Code::Unreachable, error.to_string()))
     }
 
-    /// The youngest idle connection, if it is younger than `limit`; all older ones are closed
-    /// when they pass the idle limit.
+    /// The idle connection on which the peer was heard last, if that is less than `limit` ago.
     fn take(&self, address: SocketAddr, limit: Duration) -> Option<Socket> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let sockets = idle.get_mut(&address)?;
-        sockets.retain(|idle| idle.since.elapsed() < IDLE_LIMIT);
-        if sockets.last()?.since.elapsed() >= limit {
-            return None;
-        }
-        sockets.pop().map(|idle| idle.socket)
+        sockets.retain_mut(Idle::is_usable);
+        let youngest = sockets.iter().enumerate();
+        let (at, idle) = youngest.max_by_key(|(_, idle)| idle.since)?;
+        let usable = idle.since.elapsed() < limit;
+        usable.then(|| sockets.swap_remove(at).socket)
+    }
+
+    /// Connections that are ready for a peer.
+    pub fn ready(&self, address: SocketAddr) -> usize {
+        let idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.get(&address).map_or(0, Vec::len)
     }
 
     fn put(&self, address: SocketAddr, socket: Socket) {
@@ -159,11 +232,35 @@
             sockets.push(Idle {
                 socket,
                 since: Instant::now(),
+                pinged: false,
             });
         }
     }
 }
 
+impl Idle {
+    /// Whether the peer has been heard lately and has not closed the connection.
+    fn is_usable(&mut self) -> bool {
+        match self.socket.rest() {
+            Rest::Closed => return false,
+            Rest::Heard => {
+                self.since = Instant::now();
+                self.pinged = false;
+            }
+            Rest::Quiet => {}
+        }
+        self.since.elapsed() < IDLE_LIMIT
+    }
+
+    /// Asks the peer for a sign of life, if it was not heard for a while.
+    fn ping(&mut self) {
+        if !self.pinged && self.since.elapsed() >= PING_AFTER {
+            self.pinged = true;
+            self.socket.ping_now();
+        }
+    }
+}
+
 impl Body {
     /// The next piece, or `None` at the end of a whole body.
     pub async fn next(&mut self) -> Result<Option<Bytes>, Failure> {
--- a/src/link/socket.rs
+++ b/src/link/socket.rs
@@ -7,7 +7,7 @@
         wire,
     },
     bytes::Bytes,
-    futures::{SinkExt, StreamExt},
+    futures::{FutureExt, SinkExt, StreamExt},
     serde::{Serialize, de::DeserializeOwned},
     std::{net::SocketAddr, sync::Arc, time::Duration},
     subtle::ConstantTimeEq,
@@ -78,6 +78,17 @@
     peer: String,
 }
 
+/// What an idle connection shows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Rest {
+    /// Nothing has come.
+    Quiet,
+    /// The peer lives.
+    Heard,
+    /// It is closed, or something came that nobody asked for.
+    Closed,
+}
+
 /// An accepted connection: who opened it and what for.
 #[derive(Debug)]
 pub(super) struct Accepted {
@@ -211,6 +222,26 @@
         }
     }
 
+    /// Looks, without waiting, at what has come on a connection that should be idle; answers pings.
+    pub(super) fn rest(&mut self) -> Rest {
+        let mut rest = Rest::Quiet;
+        loop {
+            match self.stream.next().now_or_never() {
+                None => return rest,
+                Some(Some(Ok(Message::Ping(_) | Message::Pong(_)))) => rest = Rest::Heard,
+                Some(_) => return Rest::Closed,
+            }
+        }
+    }
+
+    /// Pings the peer, as far as that needs no waiting.
+    pub(super) fn ping_now(&mut self) {
+        let sent = self.stream.send(Message::Ping(Bytes::new())).now_or_never();
+        if let Some(Err(error)) = sent {
+            tracing::debug!(peer = %self.peer, %error, "an idle connection has closed");
+        }
+    }
+
     async fn receive_bytes(&mut self) -> Result<Option<Bytes>> {
         let mut heard = Instant::now();
         let mut pinged = false;
--- a/src/proxy/core/region.rs
+++ b/src/proxy/core/region.rs
@@ -14,11 +14,13 @@
         route::affinity,
     },
     rand::RngExt,
-    std::time::Duration,
+    std::{cmp::Reverse, collections::BTreeSet, net::SocketAddr, time::Duration},
 };
 
 /// Time that the way to another region and back adds to an answer, in milliseconds.
 const FAR_MS: f64 = 115.0;
+/// Hosts of another region that one host forwards to: enough that the loss of one costs little.
+const RELAYS: usize = 3;
 /// Share of the objective up to which a region's spare room is counted.
 const SPARE_SHARE: f64 = 0.45;
 
@@ -111,11 +113,8 @@
         let (predicted_ms, region) = best?;
         let session = cache::session(&job.chain).map(|link| link.hash);
         let key = session.unwrap_or_else(|| self.rng.random());
-        let in_region = self
-            .fleet
-            .working(now)
-            .filter(|peer| peer.identity.region == region && !is_behind(peer));
-        let chosen = in_region.max_by_key(|peer| {
+        let relays = self.relays(now, &region).into_iter();
+        let chosen = relays.filter(|peer| !is_behind(peer)).max_by_key(|peer| {
             let point = affinity::hash(peer.identity.host.as_str().as_bytes());
             affinity::weight(key, point)
         })?;
@@ -138,6 +137,33 @@
         (near, self.fleet.working(now).count() - near)
     }
 
+    /// The hosts of another region that this one forwards to: a few, so that connections can be kept
+    /// ready, and others for each host, so that all hosts of the region get their part.
+    fn relays(&self, now: Duration, region: &name::Region) -> Vec<&Peer> {
+        let own = affinity::hash(self.setup.own.host.as_str().as_bytes());
+        let weight = |peer: &&Peer| {
+            let point = affinity::hash(peer.identity.host.as_str().as_bytes());
+            Reverse(affinity::weight(own, point))
+        };
+        let of_region = |peer: &&Peer| peer.identity.region == *region;
+        let mut working: Vec<_> = self.fleet.working(now).filter(of_region).collect();
+        working.sort_by_key(weight);
+        working.truncate(RELAYS);
+        working
+    }
+
+    /// Where the hosts are reached to which requests of this one may be forwarded.
+    pub fn relay_addresses(&self, now: Duration) -> BTreeSet<SocketAddr> {
+        let own = &self.setup.own.region;
+        let regions: BTreeSet<_> = self.setup.domains.values().collect();
+        regions
+            .into_iter()
+            .filter(|region| *region != own)
+            .flat_map(|region| self.relays(now, region))
+            .map(|peer| peer.identity.peers)
+            .collect()
+    }
+
     /// Takes a forwarded request off what a region has to spare, until it reports again.
     fn charge_away(&mut self, region: &name::Region, job: &Job) {
         let hosts: Vec<_> = self
--- a/src/proxy/host.rs
+++ b/src/proxy/host.rs
@@ -43,6 +43,9 @@
 
 /// How often due reports are looked for; a fraction of the shortest time between two.
 const REPORT_TICK: Duration = Duration::from_millis(50);
+/// How often connections to other regions are looked after: well within the time for which an idle
+/// one can be used.
+const WARM_EVERY: Duration = Duration::from_millis(500);
 
 /// Upper bounds of the buckets of seen over predicted time.
 const RATIO_BUCKETS: [f64; 9] = [0.25, 0.5, 0.75, 1.0, 1.25, 1.5, 2.0, 4.0, 10.0];
@@ -385,6 +388,7 @@
     /// Sends reports as they fall due, until the host has closed.
     pub async fn report(self) {
         let mut phase = self.phase.clone();
+        let mut warmed = Duration::ZERO;
         loop {
             tokio::select! {
                 () = sleep(REPORT_TICK) => {}
@@ -393,6 +397,12 @@
             self.send_reports();
             self.expire();
             self.announce();
+            let now = self.clock.now();
+            if now >= warmed + WARM_EVERY {
+                warmed = now;
+                let relays = self.core().relay_addresses(now);
+                self.exchanges.keep_warm(relays);
+            }
         }
     }
 
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -14,7 +14,7 @@
         net::{Memory, Network},
         wire,
     },
-    std::{net::SocketAddr, time::Duration},
+    std::{collections::BTreeSet, net::SocketAddr, time::Duration},
     tokio::{sync::watch, time::sleep},
 };
 
@@ -124,6 +124,45 @@
     }
 }
 
+/// Lets time pass as a host does that keeps connections ready.
+async fn keep_warm(client: &Client, to: SocketAddr, span: Duration) {
+    let step = Duration::from_millis(500);
+    for _ in 0..span.as_millis() / step.as_millis() {
+        client.keep_warm([to].into());
+        sleep(step).await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_call_that_may_not_repeat_finds_a_connection_ready_however_long_nothing_was_sent() {
+    let network = Network::Memory(Memory::new());
+    let (address, _stop) = start(&network).await;
+    let client = Client::new(identity(&network, "asking", "secret"));
+    for idle in [1, 10, 40] {
+        keep_warm(&client, address, Duration::from_secs(idle)).await;
+        let ready = client.ready(address);
+        assert!(ready > 0);
+        client.keep_warm(BTreeSet::new());
+        let (_, body) = client.open(address, call(), false).await.expect("a head");
+        assert_eq!(client.ready(address), ready - 1, "after {idle} s");
+        drop(body);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn connections_that_the_peer_has_closed_are_not_used() {
+    let network = Network::Memory(Memory::new());
+    let (address, stop) = start(&network).await;
+    let client = Client::new(identity(&network, "asking", "secret"));
+    keep_warm(&client, address, Duration::from_secs(2)).await;
+    assert!(client.ready(address) > 0);
+    drop(stop);
+    sleep(Duration::from_secs(15)).await;
+    let failure = client.open(address, call(), false).await;
+    let failure = failure.expect_err("nobody serves");
+    assert_eq!(failure.ran, greengagecleat::failure::Ran::No, "{failure:?}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn slow_reader_gets_the_whole_answer() {
     let network = Network::Memory(Memory::new());
