Take the backlog of all hosts at an engine as one

With 24 other hosts the engine seemed to read 24 times as fast, and everything that others had sent was gone after some tens of milliseconds. Change: the rate is shared by the prompts of all hosts. Beliefs about upstreams are logged in one place. Test: a backlog of 24 hosts is read as one.

--- a/src/proxy/catalog.rs
+++ b/src/proxy/catalog.rs
@@ -69,6 +69,32 @@
     Standing(name::Upstream),
 }
 
+impl Change {
+    /// The upstream.
+    pub fn upstream(&self) -> &name::Upstream {
+        match self {
+            Self::Listed(upstream)
+            | Self::Restarted(upstream)
+            | Self::Leaving(upstream)
+            | Self::Gone(upstream)
+            | Self::Silent(upstream)
+            | Self::Standing(upstream) => upstream,
+        }
+    }
+
+    /// What is believed of it now, as logs say it.
+    pub fn state(&self) -> &'static str {
+        match self {
+            Self::Listed(_) => "listed",
+            Self::Restarted(_) => "restarted",
+            Self::Leaving(_) => "leaving",
+            Self::Gone(_) => "gone",
+            Self::Silent(_) => "silent",
+            Self::Standing(_) => "standing changed",
+        }
+    }
+}
+
 /// The upstreams of one region.
 #[derive(Debug)]
 pub struct Catalog {
--- a/src/proxy/host.rs
+++ b/src/proxy/host.rs
@@ -285,26 +285,7 @@
     /// Logs changes of belief about upstreams.
     pub fn note(&self, changes: impl IntoIterator<Item = Change>) {
         for change in changes {
-            match change {
-                Change::Listed(upstream) => {
-                    tracing::info!(event = "upstream", %upstream, state = "listed");
-                }
-                Change::Restarted(upstream) => {
-                    tracing::info!(event = "upstream", %upstream, state = "restarted");
-                }
-                Change::Leaving(upstream) => {
-                    tracing::info!(event = "upstream", %upstream, state = "leaving");
-                }
-                Change::Gone(upstream) => {
-                    tracing::info!(event = "upstream", %upstream, state = "gone");
-                }
-                Change::Silent(upstream) => {
-                    tracing::warn!(event = "upstream", %upstream, state = "silent");
-                }
-                Change::Standing(upstream) => {
-                    tracing::info!(event = "upstream", %upstream, state = "standing changed");
-                }
-            }
+            tracing::info!(event = "upstream", upstream = %change.upstream(), state = change.state());
         }
     }
 
--- a/src/proxy/replica.rs
+++ b/src/proxy/replica.rs
@@ -208,13 +208,20 @@
     }
 
     /// Prompt tokens that are read before those of a request of this rank. What other hosts
-    /// reported has been read on since at this rate, in tokens a millisecond.
+    /// reported has been read on since at this rate, in tokens a millisecond, which all hosts'
+    /// prompts share.
     pub fn ahead(&self, now: Duration, rank: u8, rate: f64) -> f64 {
-        let others: f64 = self
-            .fresh(now)
-            .map(|(age, tally)| (tally.ahead(rank) - rate * millis(age)).max(0.0))
-            .sum();
-        self.own.ahead(rank) + others
+        let own = self.own.ahead(rank);
+        let told = self.fresh(now).map(|(_, tally)| tally.ahead(rank));
+        let all = own + told.sum::<f64>();
+        if all <= 0.0 {
+            return 0.0;
+        }
+        let left = |(age, tally): (Duration, &Tally)| {
+            let told = tally.ahead(rank);
+            (told - rate * millis(age) * told / all).max(0.0)
+        };
+        own + self.fresh(now).map(left).sum::<f64>()
     }
 
     fn fresh(&self, now: Duration) -> impl Iterator<Item = (Duration, &Tally)> {
--- a/tests/proxy/upstreams.rs
+++ b/tests/proxy/upstreams.rs
@@ -4,7 +4,7 @@
     crate::common::{POOL, entry, ms},
     greengagecleat::proxy::{
         catalog::{Catalog, Change},
-        replica::Outcome,
+        replica::{Outcome, Replica, Tally},
     },
     std::collections::BTreeSet,
 };
@@ -186,3 +186,28 @@
     let told = catalog.entries(ms(1_030));
     assert_eq!(told[0].cold_for, ms(1_900), "the rest of its time");
 }
+
+/// A peak in a region of 25 hosts: each has one prompt waiting at the same engine. An engine reads
+/// one backlog, so that 100 ms later it has read 8,000 tokens of it, and not all 72,000.
+#[test]
+fn a_backlog_of_many_hosts_is_read_as_one() {
+    const RATE: f64 = 80.0;
+    let mut engine = Replica::new(ms(0), entry("e0", "north-a", POOL, 1));
+    for host in 0..24 {
+        let mut tally = Tally {
+            running: 1,
+            ..Tally::default()
+        };
+        tally.waiting[1] = 3_000;
+        engine.hear(ms(0), &format!("n{host}").as_str().into(), tally);
+    }
+    let left = |at| engine.ahead(ms(at), 1, RATE).round() as u64;
+    assert_eq!(left(0), 72_000);
+    assert_eq!(left(100), 64_000);
+    assert_eq!(left(900), 0);
+    assert_eq!(
+        engine.ahead(ms(0), 0, RATE),
+        0.0,
+        "it yields to what is more urgent"
+    );
+}
