Read through: one place for what several did

- send: a repeatable request's retry after an upstream's own error was decided in both ways of sending, and told to the loop by a flag; the loop decides it now.
- fleet: who is of the own region, and a host's rendezvous point, were worked out anew at six places, and the set of hosts that forward here at each tick; they are one predicate, a field, and asked for reports that are due.
- region: the relays of all other regions in one iterator; room is charged in one pass.
- follow: the evacuated domains were held twice; the catalog's are used.
- sample: left-out lines were counted twice.
- reader, run: both sections from one constant. place: a prefix without its last part in one line.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -8,6 +8,7 @@
         link::exchange::{Body, Head},
         name, wire,
     },
+    std::time::Duration,
     tokio::time::timeout,
 };
 
@@ -41,7 +42,7 @@
             hosts,
             hops: call.hops.saturating_sub(1),
             version: 0,
-            elapsed: std::time::Duration::ZERO,
+            elapsed: Duration::ZERO,
         };
         self.parts().metrics.forwarded.inc();
         let opening = self
--- a/src/proxy/core/mod.rs
+++ b/src/proxy/core/mod.rs
@@ -12,7 +12,7 @@
         place::{self, Choice, Job},
         rate::Limiter,
         reader::{self, Duty, Listing, Reading},
-        replica::{Outcome, Replica, Tally, millis},
+        replica::{Outcome, Replica, millis},
         table::{Match, Pool, Table},
     },
     crate::{
@@ -295,7 +295,7 @@
             upstreams: announcement.upstreams,
             listing,
         };
-        Some((reading, self.fleet.neighbours(now)))
+        Some((reading, self.fleet.audience(now)))
     }
 
     /// Another host of the region announces what it has read.
@@ -348,13 +348,12 @@
         let all = (pool.cold_per_s * COLD_SHARE).floor() as usize;
         let hosts = self.fleet.near();
         if hosts > all {
-            let own = self.cold_weight(&self.setup.own.host, replica);
-            let region = &self.setup.own.region;
+            let own = affinity::weight(self.fleet.point, replica.point);
             let before = self
                 .fleet
                 .peers()
-                .filter(|peer| peer.identity.region == *region && !peer.leaving)
-                .filter(|peer| self.cold_weight(&peer.identity.host, replica) > own)
+                .filter(|peer| self.fleet.is_near(peer) && !peer.leaving)
+                .filter(|peer| affinity::weight(peer.point, replica.point) > own)
                 .count();
             return usize::from(before < all);
         }
@@ -364,10 +363,6 @@
         (all / hosts.max(2)).max(1)
     }
 
-    fn cold_weight(&self, host: &name::Host, replica: &Replica) -> u64 {
-        affinity::weight(affinity::hash(host.as_str().as_bytes()), replica.point)
-    }
-
     fn reserve(&mut self, now: Duration, job: &Job, choice: Choice) -> Grant {
         self.tickets += 1;
         let ticket = self.tickets;
@@ -478,7 +473,7 @@
     pub fn end(&mut self, now: Duration, ticket: u64, outcome: Outcome) -> Option<Change> {
         let held = self.held.remove(&ticket)?;
         if let Some(replica) = self.catalog.get_mut(&held.upstream) {
-            let own: &mut Tally = &mut replica.own;
+            let own = &mut replica.own;
             own.running = own.running.saturating_sub(1);
             own.memory = own.memory.saturating_sub(held.memory);
             if !held.started {
--- a/src/proxy/core/region.rs
+++ b/src/proxy/core/region.rs
@@ -83,9 +83,7 @@
         // A host with an older configuration would only say that it has not run the request.
         let is_behind = |peer: &Peer| peer.version < job.matched.version;
         let mut best: Option<(f64, name::Region)> = None;
-        let regions: BTreeSet<_> = self.setup.domains.values().collect();
-        let others = regions.into_iter().filter(|region| *region != own);
-        for peer in others.flat_map(|region| self.fleet.relays(now, region)) {
+        for peer in self.all_relays(now) {
             let region = &peer.identity.region;
             if !job.matched.allows(region) || is_behind(peer) {
                 continue;
@@ -114,10 +112,9 @@
         let session = cache::session(&job.chain).map(|link| link.hash);
         let key = session.unwrap_or_else(|| self.rng.random());
         let relays = self.fleet.relays(now, &region).into_iter();
-        let chosen = relays.filter(|peer| !is_behind(peer)).max_by_key(|peer| {
-            let point = affinity::hash(peer.identity.host.as_str().as_bytes());
-            affinity::weight(key, point)
-        })?;
+        let chosen = relays
+            .filter(|peer| !is_behind(peer))
+            .max_by_key(|peer| affinity::weight(key, peer.point))?;
         let (host, heard) = (chosen.identity.clone(), chosen.heard);
         self.charge_away(&region, job);
         Some(Away {
@@ -131,36 +128,29 @@
 
     /// Working hosts of this region beside this one, and of other regions.
     pub fn others(&self, now: Duration) -> (usize, usize) {
-        let own = &self.setup.own.region;
-        let near = |peer: &&Peer| peer.identity.region == *own;
-        let near = self.fleet.working(now).filter(near).count();
+        let near = self.fleet.neighbours(now).count();
         (near, self.fleet.working(now).count() - near)
     }
 
-    /// Where the hosts are reached to which requests of this one may be forwarded.
-    pub fn relay_addresses(&self, now: Duration) -> BTreeSet<SocketAddr> {
-        let own = &self.setup.own.region;
+    /// The hosts of other regions to which requests of this one may be forwarded.
+    fn all_relays(&self, now: Duration) -> impl Iterator<Item = &Peer> {
         let regions: BTreeSet<_> = self.setup.domains.values().collect();
-        regions
+        let others = regions
             .into_iter()
-            .filter(|region| *region != own)
-            .flat_map(|region| self.fleet.relays(now, region))
-            .map(|peer| peer.identity.peers)
-            .collect()
+            .filter(|region| **region != self.setup.own.region);
+        others.flat_map(move |region| self.fleet.relays(now, region))
+    }
+
+    /// Where they are reached.
+    pub fn relay_addresses(&self, now: Duration) -> BTreeSet<SocketAddr> {
+        let relays = self.all_relays(now);
+        relays.map(|peer| peer.identity.peers).collect()
     }
 
     /// Takes a forwarded request off what a region has to spare, until it reports again.
     fn charge_away(&mut self, region: &name::Region, job: &Job) {
-        let hosts: Vec<_> = self
-            .fleet
-            .peers()
-            .filter(|peer| peer.identity.region == *region)
-            .map(|peer| peer.identity.host.clone())
-            .collect();
-        for host in hosts {
-            let Some(peer) = self.fleet.get_mut(&host) else {
-                continue;
-            };
+        let peers = self.fleet.peers_mut();
+        for peer in peers.filter(|peer| peer.identity.region == *region) {
             if let Some(spare) = peer.spare.get_mut(&job.pool) {
                 spare.tokens -= job.tokens.0 as f32;
                 spare.requests -= 1.0;
--- a/src/proxy/fleet.rs
+++ b/src/proxy/fleet.rs
@@ -114,7 +114,8 @@
     pub version: u64,
     /// What its region has to spare, less what was forwarded there since.
     pub spare: BTreeMap<name::Pool, Spare>,
-    point: u64,
+    /// Its point for rendezvous.
+    pub point: u64,
     sequence: u64,
     due: Duration,
     sent: u64,
@@ -125,6 +126,8 @@
 pub struct Fleet {
     /// This host.
     pub own: Identity,
+    /// Its point for rendezvous.
+    pub point: u64,
     peers: BTreeMap<name::Host, Peer>,
     contacts: BTreeMap<name::Host, (SocketAddr, Duration)>,
     seeds: Vec<SocketAddr>,
@@ -167,6 +170,7 @@
             .filter(|seed| *seed != own.peers)
             .collect();
         Self {
+            point: point(&own.host),
             own,
             peers: BTreeMap::new(),
             contacts: BTreeMap::new(),
@@ -226,21 +230,23 @@
         let near = self.near() - 1;
         let stretch = |peers: usize| (peers as f64 / SMALL as f64).max(1.0);
         let near_every = NEAR_EVERY.mul_f64(stretch(near));
-        let far_every = FAR_EVERY.mul_f64(stretch(self.peers.len() - near.min(self.peers.len())));
-        let forwarding = self.forwarding(now);
-        let own = &self.own;
+        let far_every = FAR_EVERY.mul_f64(stretch(self.peers.len() - near));
+        let near_points: Vec<_> = self.neighbours(now).map(|peer| peer.point).collect();
+        let (own, own_point) = (&self.own, self.point);
         let mut due = Vec::new();
         for (host, peer) in &mut self.peers {
             if now < peer.due || (peer.leaving && now.saturating_sub(peer.heard) > GONE) {
                 continue;
             }
             let near = peer.identity.region == own.region;
-            peer.due = now
-                + match near {
-                    true => near_every,
-                    false if forwarding.contains(host) => FAR_EVERY,
-                    false => far_every,
-                };
+            let every = if near {
+                near_every
+            } else if is_relay(peer.point, own_point, &near_points) {
+                FAR_EVERY
+            } else {
+                far_every
+            };
+            peer.due = now + every;
             peer.sent += 1;
             due.push(Due {
                 to: host.clone(),
@@ -259,32 +265,13 @@
     /// The hosts of another region that this one forwards to: others for each host, so that all
     /// hosts of the region get their part.
     pub fn relays(&self, now: Duration, region: &name::Region) -> Vec<&Peer> {
-        let own = point(&self.own.host);
         let of_region = |peer: &&Peer| peer.identity.region == *region;
         let mut working: Vec<_> = self.working(now).filter(of_region).collect();
-        working.sort_by_key(|peer| Reverse(affinity::weight(own, peer.point)));
+        working.sort_by_key(|peer| Reverse(affinity::weight(self.point, peer.point)));
         working.truncate(RELAYS);
         working
     }
 
-    /// The hosts of other regions that forward to this one, as far as both see the same hosts.
-    fn forwarding(&self, now: Duration) -> BTreeSet<name::Host> {
-        let own = point(&self.own.host);
-        let near = |peer: &&Peer| peer.identity.region == self.own.region;
-        let near: Vec<_> = self.working(now).filter(near).collect();
-        let far = |peer: &&Peer| peer.identity.region != self.own.region;
-        self.peers
-            .values()
-            .filter(far)
-            .filter(|origin| {
-                let weight = affinity::weight(origin.point, own);
-                let before = |peer: &&&Peer| affinity::weight(origin.point, peer.point) > weight;
-                near.iter().filter(before).count() < RELAYS
-            })
-            .map(|origin| origin.identity.host.clone())
-            .collect()
-    }
-
     /// Addresses at which there may be hosts that have not reported.
     fn unknown(&self) -> Vec<Due> {
         let known: Vec<_> = self
@@ -325,16 +312,16 @@
         self.sequence
     }
 
-    /// A host by name.
-    pub fn get_mut(&mut self, host: &name::Host) -> Option<&mut Peer> {
-        self.peers.get_mut(host)
-    }
-
     /// All other hosts that are known.
     pub fn peers(&self) -> impl Iterator<Item = &Peer> {
         self.peers.values()
     }
 
+    /// All other hosts that are known.
+    pub fn peers_mut(&mut self) -> impl Iterator<Item = &mut Peer> {
+        self.peers.values_mut()
+    }
+
     /// Hosts that can be given work now.
     pub fn working(&self, now: Duration) -> impl Iterator<Item = &Peer> {
         self.peers.values().filter(move |peer| {
@@ -358,22 +345,29 @@
         hosts.max((hosts * domains).div_ceil(known.len()))
     }
 
-    /// How many working hosts of this region come before this one by name.
+    /// Whether a host is of this one's region.
+    pub fn is_near(&self, peer: &Peer) -> bool {
+        peer.identity.region == self.own.region
+    }
+
+    /// The other hosts of this region that can be given work now.
+    pub fn neighbours(&self, now: Duration) -> impl Iterator<Item = &Peer> {
+        self.working(now).filter(|peer| self.is_near(peer))
+    }
+
+    /// How many of them come before this one by name.
     pub fn before(&self, now: Duration) -> usize {
-        let own = &self.own;
-        let before =
-            |peer: &&Peer| peer.identity.region == own.region && peer.identity.host < own.host;
-        self.working(now).filter(before).count()
+        let before = |peer: &&Peer| peer.identity.host < self.own.host;
+        self.neighbours(now).filter(before).count()
     }
 
     /// The other hosts of this region that may live.
-    pub fn neighbours(&self, now: Duration) -> Vec<name::Host> {
-        let near = |peer: &&Peer| {
-            let heard = now.saturating_sub(peer.heard) < GONE;
-            heard && !peer.leaving && peer.identity.region == self.own.region
-        };
-        let near = self.peers.values().filter(near);
-        near.map(|peer| peer.identity.host.clone()).collect()
+    pub fn audience(&self, now: Duration) -> Vec<name::Host> {
+        let lives = |peer: &&Peer| now.saturating_sub(peer.heard) < GONE && !peer.leaving;
+        let near = self.peers().filter(|peer| self.is_near(peer));
+        near.filter(lives)
+            .map(|peer| peer.identity.host.clone())
+            .collect()
     }
 
     /// The newest version of the configuration that a host is known to have.
@@ -384,8 +378,8 @@
 
     /// Hosts of this region that were heard lately or may only be silent, this one included.
     pub fn near(&self) -> usize {
-        let near = |peer: &&Peer| peer.identity.region == self.own.region && !peer.leaving;
-        1 + self.peers.values().filter(near).count()
+        let stays = |peer: &&Peer| self.is_near(peer) && !peer.leaving;
+        1 + self.peers.values().filter(stays).count()
     }
 
     /// The hosts that callers of a region should use, by address, this one included if it `serves`,
@@ -427,6 +421,14 @@
     }
 }
 
+/// Whether a host of another region at `origin` forwards to the one at `own`, if it sees the same
+/// hosts of the region beside it.
+fn is_relay(origin: u64, own: u64, others: &[u64]) -> bool {
+    let weight = affinity::weight(origin, own);
+    let before = |other: &&u64| affinity::weight(origin, **other) > weight;
+    others.iter().filter(before).count() < RELAYS
+}
+
 /// A host's point for rendezvous.
 fn point(host: &name::Host) -> u64 {
     affinity::hash(host.as_str().as_bytes())
--- a/src/proxy/follow.rs
+++ b/src/proxy/follow.rs
@@ -42,6 +42,11 @@
     Upstreams,
 }
 
+impl Section {
+    /// All of them.
+    pub const ALL: [Self; 2] = [Self::Operator, Self::Upstreams];
+}
+
 /// Something published.
 #[derive(Debug)]
 pub enum Item {
@@ -110,7 +115,6 @@
         after: None,
         changes: 0,
         failures: 0,
-        evacuated: BTreeSet::new(),
         rng: StdRng::from_rng(&mut rand::rng()),
     };
     loop {
@@ -128,7 +132,6 @@
     after: Option<u64>,
     changes: u64,
     failures: u32,
-    evacuated: BTreeSet<name::Domain>,
     rng: StdRng,
 }
 
@@ -249,18 +252,20 @@
         let now = self.host.clock.now();
         let mut entries = Vec::new();
         let mut removed = Vec::new();
-        let before = self.evacuated.clone();
-        if whole {
-            self.evacuated.clear();
-        }
+        let before = self.host.core().catalog.evacuated().clone();
+        let mut evacuated = if whole {
+            BTreeSet::new()
+        } else {
+            before.clone()
+        };
         for item in items {
             match item {
                 Item::Table(table) => self.host.configure(table),
                 Item::Evacuated(domain) => {
-                    self.evacuated.insert(domain);
+                    evacuated.insert(domain);
                 }
                 Item::Restored(domain) => {
-                    self.evacuated.remove(&domain);
+                    evacuated.remove(&domain);
                 }
                 Item::Upstream(entry) => {
                     removed.retain(|id| *id != entry.id);
@@ -278,9 +283,9 @@
         let changes = {
             let mut core = self.host.core();
             if self.section == Section::Operator {
-                if self.evacuated != before {
-                    tracing::info!(event = "evacuation", domains = ?self.evacuated);
-                    core.catalog.evacuate(now, self.evacuated.clone());
+                if evacuated != before {
+                    tracing::info!(event = "evacuation", domains = ?evacuated);
+                    core.catalog.evacuate(now, evacuated);
                 }
                 Vec::new()
             } else if whole {
--- a/src/proxy/host.rs
+++ b/src/proxy/host.rs
@@ -84,7 +84,6 @@
     left_at: OnceLock<Duration>,
     sampler: Mutex<Sampler>,
     predicted_ratio: Histogram,
-    log_lines_sampled_out: Counter,
 }
 
 /// What a host is made of.
@@ -123,7 +122,7 @@
     pub fn new(parts: Parts<D, C>) -> Self {
         let now = parts.clock.now();
         let predicted_ratio = Histogram::new(RATIO_BUCKETS);
-        let log_lines_sampled_out = Counter::default();
+        let sampler = Sampler::default();
         let store_calls = Counter::default();
         let store_failures = Counter::default();
         parts.metrics.register(|registry| {
@@ -145,7 +144,7 @@
             registry.register(
                 "log_lines_sampled_out",
                 "Lines of successful requests that were not logged",
-                log_lines_sampled_out.clone(),
+                sampler.counter(),
             );
         });
         Self(Arc::new(Shared {
@@ -166,9 +165,8 @@
             store_failures,
             grace: parts.grace,
             left_at: OnceLock::new(),
-            sampler: Mutex::default(),
+            sampler: Mutex::new(sampler),
             predicted_ratio,
-            log_lines_sampled_out,
         }))
     }
 
@@ -213,11 +211,7 @@
     pub(super) fn logs(&self, request: &str) -> bool {
         let now = self.clock.now();
         let mut sampler = self.sampler.lock().unwrap_or_else(PoisonError::into_inner);
-        let keep = sampler.keep(now, request);
-        if !keep {
-            self.log_lines_sampled_out.inc();
-        }
-        keep
+        sampler.keep(now, request)
     }
 
     /// Counts a request for as long as the guard lives.
--- a/src/proxy/place.rs
+++ b/src/proxy/place.rs
@@ -181,10 +181,8 @@
 
 /// Tokens of all parts but the last.
 fn shared(chain: &[Link]) -> u32 {
-    let (_, shared) = chain
-        .split_last()
-        .unwrap_or((&Link { hash: 0, tokens: 0 }, &[]));
-    shared.iter().map(|link| link.tokens).sum()
+    let shared = chain.iter().rev().skip(1);
+    shared.map(|link| link.tokens).sum()
 }
 
 /// The engine that every host of the region takes for the holder of a session's prefix, if this
--- a/src/proxy/reader.rs
+++ b/src/proxy/reader.rs
@@ -138,10 +138,9 @@
 impl Duty {
     /// A host that has read nothing yet.
     pub fn new(now: Duration, own: name::Host) -> Self {
-        let sections = [Section::Operator, Section::Upstreams];
         Self {
             own,
-            sections: sections
+            sections: Section::ALL
                 .map(|section| (section, Progress::default()))
                 .into(),
             source: None,
@@ -165,7 +164,7 @@
             .as_ref()
             .is_some_and(|source| *source < reading.from)
             && self.relies(now);
-        let fresh = [Section::Operator, Section::Upstreams]
+        let fresh = Section::ALL
             .iter()
             .all(|section| reading.mark(*section).age < FRESH);
         if outranked || other || !fresh || reading.from == self.own {
--- a/src/proxy/sample.rs
+++ b/src/proxy/sample.rs
@@ -1,7 +1,7 @@
 //! Which lines of successful requests are logged under load: all up to a number a second, beyond
 //! that a sample by request id, so that a request which is kept on one host is kept on every host.
 
-use {crate::route::affinity, std::time::Duration};
+use {crate::route::affinity, prometheus_client::metrics::counter::Counter, std::time::Duration};
 
 /// Lines a second up to which all are kept.
 const ALL: u32 = 60;
@@ -13,7 +13,7 @@
 pub struct Sampler {
     second: u64,
     kept: u32,
-    dropped: u64,
+    dropped: Counter,
 }
 
 impl Sampler {
@@ -28,12 +28,17 @@
             return true;
         }
         let keep = affinity::hash(request.as_bytes()).is_multiple_of(ONE_IN);
-        self.dropped += u64::from(!keep);
+        self.dropped.inc_by(u64::from(!keep));
         keep
     }
 
     /// Lines that were left out, in all.
     pub fn dropped(&self) -> u64 {
-        self.dropped
+        self.dropped.get()
+    }
+
+    /// Their counter, for the metrics.
+    pub fn counter(&self) -> Counter {
+        self.dropped.clone()
     }
 }
--- a/src/proxy/send.rs
+++ b/src/proxy/send.rs
@@ -62,7 +62,6 @@
     pub(super) runs: u32,
     pub(super) refused: u32,
     pub(super) forwards: u32,
-    pub(super) paid: bool,
     /// The last placement's prediction of the time to the first byte, in milliseconds.
     pub(super) predicted_ms: f64,
     /// Time from the request's arrival to its last placement.
@@ -96,7 +95,7 @@
     loop {
         let placement = host.place(ask.id(), job).await?;
         tries.placed_after = host.clock.now().saturating_sub(job.arrived);
-        let failure = match placement {
+        let (sent, upstream) = match placement {
             Placement::Here(grant) => {
                 tries.predicted_ms = grant.predicted_ms;
                 if host.logs(ask.id()) {
@@ -107,30 +106,39 @@
                 }
                 let upstream = grant.upstream.clone();
                 tries.runs += 1;
-                match send(host, ask, job, grant, resume, tries).await {
-                    Ok(opened) => return Ok(opened),
-                    Err(failure) => {
-                        job.tried.push(upstream);
-                        failure
-                    }
-                }
+                (send(host, ask, job, grant, resume).await, Some(upstream))
             }
             Placement::Away(away) => {
                 tries.predicted_ms = away.predicted_ms;
                 tries.runs += 1;
-                match forward(host, ask, job, &away, resume, tries).await {
-                    Ok(opened) => return Ok(opened),
-                    Err(failure) => {
-                        tries.forwards += 1;
-                        job.may_leave &= tries.forwards < FORWARDS;
-                        failure
-                    }
-                }
+                (forward(host, ask, job, &away, resume).await, None)
             }
             Placement::Wait => {
                 return Err(Failure::not_run(Code::NoCapacity, "no upstream is free"));
             }
         };
+        let mut paid = false;
+        let failure = match sent {
+            Err(failure) => failure,
+            Ok(opened) => {
+                let may_pass = !opened.head.status.is_server_error()
+                    || !repeatable
+                    || tries.runs >= job.attempts;
+                paid = !may_pass && host.core().may_retry(host.clock.now(), &job.pool);
+                if !paid {
+                    return Ok(opened);
+                }
+                let reason = "the upstream failed by itself";
+                Failure::new(Code::UpstreamFailed, Ran::Yes, reason)
+            }
+        };
+        match upstream {
+            Some(upstream) => job.tried.push(upstream),
+            None => {
+                tries.forwards += 1;
+                job.may_leave &= tries.forwards < FORWARDS;
+            }
+        }
         if failure.ran == Ran::No {
             tries.runs -= 1;
         }
@@ -151,7 +159,6 @@
             continue;
         }
         let more = repeatable && tries.runs < job.attempts;
-        let paid = std::mem::take(&mut tries.paid);
         if !more || !(paid || host.core().may_retry(now, &job.pool)) {
             return Err(failure);
         }
@@ -169,7 +176,6 @@
     job: &Job,
     grant: Grant,
     resume: Option<u64>,
-    tries: &mut Tries,
 ) -> Result<Opened<D, C>, Failure> {
     let repeatable = job.matched.route.kind.is_repeatable();
     let now = host.clock.now();
@@ -251,7 +257,6 @@
     } else {
         Outcome::Whole
     };
-    pass_or_retry(host, job, tries, head.status)?;
     Ok(Opened {
         head,
         first: Some(collected),
@@ -260,30 +265,6 @@
     })
 }
 
-/// Fails if an answer is an upstream's own error and another attempt may be made, which the budget
-/// then has paid for.
-fn pass_or_retry<D: Dialect, C: Clock>(
-    host: &Host<D, C>,
-    job: &Job,
-    tries: &mut Tries,
-    status: StatusCode,
-) -> Result<(), Failure> {
-    let repeatable = job.matched.route.kind.is_repeatable();
-    if !status.is_server_error() || !repeatable || tries.runs >= job.attempts {
-        return Ok(());
-    }
-    let now = host.clock.now();
-    tries.paid = host.core().may_retry(now, &job.pool);
-    if !tries.paid {
-        return Ok(());
-    }
-    Err(Failure::new(
-        Code::UpstreamFailed,
-        Ran::Yes,
-        "the upstream failed by itself",
-    ))
-}
-
 /// A body that comes piece by piece.
 trait Pieces {
     /// The next piece, or `None` at the end of a whole body.
@@ -328,7 +309,6 @@
     job: &Job,
     away: &Away,
     resume: Option<u64>,
-    tries: &mut Tries,
 ) -> Result<Opened<D, C>, Failure> {
     let now = host.clock.now();
     let mut carried = ask.headers.clone();
@@ -372,7 +352,6 @@
         (first, source)
     } else {
         let whole = collect(first, &mut body, silence).await?;
-        pass_or_retry(host, job, tries, status)?;
         (Some(whole), None)
     };
     Ok(Opened {
--- a/testbed/src/fuzz.rs
+++ b/testbed/src/fuzz.rs
@@ -274,7 +274,7 @@
             hosts: vec!["a".into()],
             hops: 2,
             version: 0,
-            elapsed: std::time::Duration::ZERO,
+            elapsed: Duration::ZERO,
         }),
     }
 }
