Close idle connections to hosts that nothing is forwarded to any more

Found on reading the change: an idle connection was looked at only when a call to its peer was made or wanted, so those to former relays stayed open on this side after the peer had closed them. The stock of idle connections is under one lock now, instead of two that were taken within each other, and every look at it covers all peers. The new test fails without the change.

--- a/src/link/exchange.rs
+++ b/src/link/exchange.rs
@@ -37,16 +37,18 @@
 #[derive(Debug, Clone)]
 pub struct Client {
     identity: Identity,
-    idle: Arc<Mutex<BTreeMap<SocketAddr, Vec<Idle>>>>,
-    warm: Arc<Mutex<Warm>>,
+    stock: Arc<Mutex<Stock>>,
     next: Arc<AtomicU64>,
     crossed: Arc<AtomicU64>,
 }
 
-/// Peers for which connections are kept ready.
+/// Connections that wait for a call.
 #[derive(Debug, Default)]
-struct Warm {
+struct Stock {
+    idle: BTreeMap<SocketAddr, Vec<Idle>>,
+    /// Peers for which some are kept ready.
     wanted: BTreeSet<SocketAddr>,
+    /// How many are being opened in the background.
     connecting: BTreeMap<SocketAddr, usize>,
 }
 
@@ -86,8 +88,7 @@
     pub fn new(identity: Identity) -> Self {
         Self {
             identity,
-            idle: Arc::default(),
-            warm: Arc::default(),
+            stock: Arc::default(),
             next: Arc::default(),
             crossed: Arc::default(),
         }
@@ -148,57 +149,43 @@
     }
 
     /// Keeps connections ready for these peers and no others: opening one takes two round trips.
+    /// Called again and again, it also closes those that can't be used any more.
     pub fn keep_warm(&self, peers: BTreeSet<SocketAddr>) {
         let all: Vec<_> = peers.iter().copied().collect();
-        self.lock_warm().wanted = peers;
+        self.stock().keep(peers);
         for address in all {
             self.replenish(address);
         }
     }
 
-    fn lock_warm(&self) -> MutexGuard<'_, Warm> {
-        self.warm.lock().unwrap_or_else(PoisonError::into_inner)
+    fn stock(&self) -> MutexGuard<'_, Stock> {
+        self.stock.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Opens in the background what is missing of a peer's ready connections.
     fn replenish(&self, address: SocketAddr) {
-        let ready = {
-            let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-            let sockets = idle.entry(address).or_default();
-            sockets.retain_mut(Idle::is_usable);
-            if self.lock_warm().wanted.contains(&address) {
-                sockets.iter_mut().for_each(Idle::ping);
-            }
-            sockets.len()
-        };
-        let missing = {
-            let mut warm = self.lock_warm();
-            if !warm.wanted.contains(&address) {
-                return;
-            }
-            let connecting = warm.connecting.entry(address).or_default();
-            let missing = READY_PER_PEER.saturating_sub(ready + *connecting);
-            *connecting += missing;
-            missing
-        };
+        let missing = self.stock().begin_missing(address);
         for _ in 0..missing {
             let client = self.clone();
             tokio::spawn(async move {
                 let connecting = Socket::connect(address, Purpose::Exchange, &client.identity);
-                match connecting.await {
-                    Ok(socket) => client.put(address, socket),
+                let connected = connecting.await;
+                let mut stock = client.stock();
+                stock
+                    .connecting
+                    .entry(address)
+                    .and_modify(|count| *count -= 1);
+                match connected {
+                    Ok(socket) => stock.put(address, socket),
                     Err(error) => tracing::debug!(%error, "no connection is kept ready"),
                 }
-                if let Some(connecting) = client.lock_warm().connecting.get_mut(&address) {
-                    *connecting = connecting.saturating_sub(1);
-                }
             });
         }
     }
 
     async fn socket(&self, address: SocketAddr, repeatable: bool) -> Result<Socket, Failure> {
         let limit = if repeatable { IDLE_LIMIT } else { FRESH_LIMIT };
-        let ready = self.take(address, limit);
+        let ready = self.stock().take(address, limit);
         self.replenish(address);
         if let Some(socket) = ready {
             return Ok(socket);
@@ -208,10 +195,42 @@
             .map_err(|error| Failure::not_run(Code::Unreachable, error.to_string()))
     }
 
+    /// Connections that are ready for a peer.
+    pub fn ready(&self, address: SocketAddr) -> usize {
+        self.stock().idle.get(&address).map_or(0, Vec::len)
+    }
+}
+
+impl Stock {
+    /// Sets the peers for which connections are kept ready, closes what can't be used, and pings
+    /// the wanted ones that were not heard for a while.
+    fn keep(&mut self, wanted: BTreeSet<SocketAddr>) {
+        self.wanted = wanted;
+        self.idle.retain(|_, sockets| {
+            sockets.retain_mut(Idle::is_usable);
+            !sockets.is_empty()
+        });
+        for address in &self.wanted {
+            let sockets = self.idle.get_mut(address).into_iter().flatten();
+            sockets.for_each(Idle::ping);
+        }
+    }
+
+    /// How many connections to a wanted peer are to be opened; they count as begun.
+    fn begin_missing(&mut self, address: SocketAddr) -> usize {
+        if !self.wanted.contains(&address) {
+            return 0;
+        }
+        let ready = self.idle.get(&address).map_or(0, Vec::len);
+        let connecting = self.connecting.entry(address).or_default();
+        let missing = READY_PER_PEER.saturating_sub(ready + *connecting);
+        *connecting += missing;
+        missing
+    }
+
     /// The idle connection on which the peer was heard last, if that is less than `limit` ago.
-    fn take(&self, address: SocketAddr, limit: Duration) -> Option<Socket> {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let sockets = idle.get_mut(&address)?;
+    fn take(&mut self, address: SocketAddr, limit: Duration) -> Option<Socket> {
+        let sockets = self.idle.get_mut(&address)?;
         sockets.retain_mut(Idle::is_usable);
         let youngest = sockets.iter().enumerate();
         let (at, idle) = youngest.max_by_key(|(_, idle)| idle.since)?;
@@ -219,15 +238,8 @@
         usable.then(|| sockets.swap_remove(at).socket)
     }
 
-    /// Connections that are ready for a peer.
-    pub fn ready(&self, address: SocketAddr) -> usize {
-        let idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.get(&address).map_or(0, Vec::len)
-    }
-
-    fn put(&self, address: SocketAddr, socket: Socket) {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let sockets = idle.entry(address).or_default();
+    fn put(&mut self, address: SocketAddr, socket: Socket) {
+        let sockets = self.idle.entry(address).or_default();
         if sockets.len() < IDLE_PER_PEER {
             sockets.push(Idle {
                 socket,
@@ -305,7 +317,7 @@
     /// Gives the connection back for the next exchange.
     fn keep(&mut self) {
         if let Some(socket) = self.socket.take() {
-            self.client.put(self.address, socket);
+            self.client.stock().put(self.address, socket);
         }
     }
 }
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -149,6 +149,18 @@
     }
 }
 
+#[tokio::test(start_paused = true)]
+async fn connections_to_a_peer_that_is_no_longer_wanted_are_closed() {
+    let network = Network::Memory(Memory::new());
+    let (address, _stop) = start(&network).await;
+    let client = Client::new(identity(&network, "asking", "secret"));
+    keep_warm(&client, address, Duration::from_secs(2)).await;
+    assert!(client.ready(address) > 0);
+    sleep(Duration::from_secs(25)).await;
+    client.keep_warm(BTreeSet::new());
+    assert_eq!(client.ready(address), 0);
+}
+
 #[tokio::test(start_paused = true)]
 async fn connections_that_the_peer_has_closed_are_not_used() {
     let network = Network::Memory(Memory::new());
