Log how each answer's end was marked and whether a stream ended within an event

`answered` now has `framing` and `within_event`, and a stream that ended within an event is never sampled out. What is passed on and when it counts as complete is unchanged.

--- a/src/attempt/sse.rs
+++ b/src/attempt/sse.rs
@@ -109,6 +109,39 @@
     }
 }
 
+/// Number of bytes of a stream that tell whether an event has just ended.
+const TAIL_BYTES: usize = 3;
+
+/// Follows a stream that is not split into events, and tells whether it has reached the end of one.
+#[derive(Debug)]
+pub struct Boundary {
+    tail: [u8; TAIL_BYTES],
+}
+
+impl Default for Boundary {
+    /// The start of a stream, before its first event.
+    fn default() -> Self {
+        Self {
+            tail: [b'\n'; TAIL_BYTES],
+        }
+    }
+}
+
+impl Boundary {
+    /// Records the next bytes of the stream.
+    pub fn push(&mut self, chunk: &[u8]) {
+        let kept = chunk.len().min(TAIL_BYTES);
+        self.tail.rotate_left(kept);
+        self.tail[TAIL_BYTES - kept..].copy_from_slice(&chunk[chunk.len() - kept..]);
+    }
+
+    /// Whether the stream so far ends within an event, that is, not after a blank line.
+    pub fn is_within_event(&self) -> bool {
+        let ends: [&[u8]; 3] = [b"\n\n", b"\n\r\n", b"\r\r"];
+        !ends.iter().any(|end| self.tail.ends_with(end))
+    }
+}
+
 fn kind(event: &[u8]) -> Kind {
     match data(event) {
         None => Kind::Empty,
--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -14,10 +14,10 @@
         table::Kind,
     },
     crate::{
-        attempt::sse::Splitter,
+        attempt::sse::{Boundary, Splitter},
         clock::Clock,
         failure::{Code, Failure, Ran},
-        metric, name,
+        metric, name, upstream,
     },
     bytes::{Bytes, BytesMut},
     http::{HeaderMap, Method, StatusCode},
@@ -50,6 +50,28 @@
     }
 }
 
+/// How a body is relayed.
+#[derive(Debug)]
+enum Relay {
+    /// Piece by piece, as it arrives.
+    Pieces,
+    /// Piece by piece, as it arrives; the body is an event stream.
+    Stream(Boundary),
+    /// As whole events, after any of which another upstream can resume the stream.
+    Events(Splitter),
+}
+
+impl Relay {
+    /// Whether the body so far ends within an event.
+    fn is_within_event(&self) -> bool {
+        match self {
+            Self::Pieces => false,
+            Self::Stream(boundary) => boundary.is_within_event(),
+            Self::Events(splitter) => splitter.is_partial(),
+        }
+    }
+}
+
 /// An answer being relayed to the caller. Dropping it before its end cancels the request.
 #[derive(Debug)]
 pub struct Answer<D: Dialect, C: Clock> {
@@ -62,9 +84,10 @@
     /// Where the rest of the body comes from; `None` once it has been read.
     source: Option<Source<D, C>>,
     upstream: name::Upstream,
+    /// How that upstream marks the end of the body; `None` if a peer forwards the answer.
+    framing: Option<upstream::Framing>,
     tries: Tries,
-    /// Splits the body into events; present for resumable streams.
-    splitter: Option<Splitter>,
+    relay: Relay,
     /// The last event that was delivered.
     last_event_id: Option<u64>,
     arrived_at: Duration,
@@ -97,10 +120,14 @@
         let opened = opened
             .unwrap_or(Err(timed_out))
             .map_err(|failure| tries.account_for_runs(failure))?;
-        let is_resumable =
-            job.matched.route.kind == Kind::Resumable && opened.head.status.is_success();
+        let relay = match job.matched.route.kind {
+            _ if !opened.head.status.is_success() => Relay::Pieces,
+            Kind::Resumable => Relay::Events(Splitter::new()),
+            Kind::Stream => Relay::Stream(Boundary::default()),
+            Kind::Idempotent | Kind::NonIdempotent => Relay::Pieces,
+        };
         Ok(Self {
-            splitter: is_resumable.then(Splitter::new),
+            relay,
             last_event_id: resume,
             arrived_at: job.arrived_at,
             opened_at: host.clock.now(),
@@ -110,6 +137,7 @@
             first: opened.first,
             source: opened.source,
             upstream: opened.upstream,
+            framing: opened.framing,
             host,
             inbound,
             job,
@@ -140,7 +168,7 @@
 
     /// Takes the complete body if it has already been received; `None` for streams.
     pub fn take_body(&mut self) -> Option<Bytes> {
-        if self.source.is_some() || self.splitter.is_some() {
+        if self.source.is_some() || self.is_resumable() {
             return None;
         }
         let body = self.first.take().unwrap_or_default();
@@ -165,7 +193,7 @@
                     }
                     Err(failure) => failure,
                 },
-                Ok(None) if self.is_partial() => {
+                Ok(None) if self.is_resumable() && self.relay.is_within_event() => {
                     upstream_failed("the stream ended within an event")
                 }
                 Ok(None) => {
@@ -189,15 +217,15 @@
         }
     }
 
-    /// Whether the bytes so far end within an event.
-    fn is_partial(&self) -> bool {
-        self.splitter.as_ref().is_some_and(Splitter::is_partial)
+    /// Whether another upstream can resume the answer if it breaks off.
+    fn is_resumable(&self) -> bool {
+        matches!(self.relay, Relay::Events(_))
     }
 
     /// Reads the next piece from the source, within the deadline and the idle timeout.
     async fn next_piece(&mut self) -> Result<Option<Bytes>, Failure> {
         let time_left = self.job.deadline.saturating_sub(self.host.clock.now());
-        let limit = if self.splitter.is_some() {
+        let limit = if self.is_resumable() {
             time_left.min(STREAM_IDLE_TIMEOUT)
         } else {
             time_left
@@ -227,8 +255,13 @@
     /// Returns the bytes to pass on: all of them, or for a resumable stream the complete events
     /// that the caller has not received yet.
     fn undelivered(&mut self, bytes: Bytes) -> Result<Bytes, Failure> {
-        let Some(splitter) = &mut self.splitter else {
-            return Ok(bytes);
+        let splitter = match &mut self.relay {
+            Relay::Pieces => return Ok(bytes),
+            Relay::Stream(boundary) => {
+                boundary.push(&bytes);
+                return Ok(bytes);
+            }
+            Relay::Events(splitter) => splitter,
         };
         let events = splitter
             .push(&bytes)
@@ -256,14 +289,14 @@
         }
         self.source = None;
         let now = self.host.clock.now();
-        let may_resume = self.splitter.is_some() && self.tries.runs < self.job.max_attempts;
+        let may_resume = self.is_resumable() && self.tries.runs < self.job.max_attempts;
         if !may_resume || self.job.deadline <= now + MIN_TIME_LEFT {
             return Err(failure);
         }
         if !self.host.core().withdraw_retry(now, &self.job.pool) {
             return Err(failure);
         }
-        self.splitter = Some(Splitter::new());
+        self.relay = Relay::Events(Splitter::new());
         self.job.arrived_at = now;
         let time_left = self.job.deadline.saturating_sub(self.job.arrived_at);
         let attempts = run_attempts(
@@ -285,6 +318,7 @@
         self.first = opened.first;
         self.source = opened.source;
         self.upstream = opened.upstream;
+        self.framing = opened.framing;
         Ok(())
     }
 
@@ -308,12 +342,16 @@
                 status: self.head.status.as_u16(),
             })
             .inc();
-        if outcome == "whole" && !self.host.should_log(self.inbound.id()) {
+        let within_event = self.relay.is_within_event();
+        if outcome == "whole" && !within_event && !self.host.should_log(self.inbound.id()) {
             return;
         }
+        let framing = self
+            .framing
+            .map_or_else(|| "link".into(), |framing| framing.to_string());
         tracing::info!(event = "answered", request = self.inbound.id(), outcome,
             route = %self.job.matched.route.name, version = self.job.matched.version,
-            status = self.head.status.as_u16(), upstream = %self.upstream, first_ms, total_ms,
+            status = self.head.status.as_u16(), upstream = %self.upstream, framing, within_event, first_ms, total_ms,
             bytes = self.byte_count, runs = self.tries.runs, predicted_ms = self.tries.predicted_ms as u64,
             placed_ms = self.tries.placed_after.as_millis() as u64);
     }
--- a/src/proxy/send.rs
+++ b/src/proxy/send.rs
@@ -57,6 +57,8 @@
     pub(super) first: Option<Bytes>,
     pub(super) source: Option<Source<D, C>>,
     pub(super) upstream: name::Upstream,
+    /// How the upstream marked the end of the body; `None` if a peer forwards the answer.
+    pub(super) framing: Option<upstream::Framing>,
 }
 
 /// Counts and measurements over all attempts at one request.
@@ -248,6 +250,7 @@
     if job.matched.route.kind == Kind::Resumable {
         headers.remove(header::CONTENT_LENGTH);
     }
+    let framing = Some(body.framing());
     let first = with_timeout(limit, body.next()).await?;
     reservation.record_first_byte();
     let head = Head {
@@ -264,6 +267,7 @@
             first,
             source,
             upstream,
+            framing,
         });
     }
     let collected = collect(first, &mut body, limit).await?;
@@ -277,6 +281,7 @@
         first: Some(collected),
         source: None,
         upstream,
+        framing,
     })
 }
 
@@ -378,6 +383,7 @@
         first,
         source,
         upstream: head.upstream,
+        framing: None,
     })
 }
 
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -9,10 +9,11 @@
         net::Network,
     },
     bytes::Bytes,
-    http::{Request, Response},
+    derive_more::Display,
+    http::{Request, Response, header},
     http_body_util::{BodyExt, Full},
     hyper::{
-        body::Incoming,
+        body::{Body as _, Incoming},
         client::conn::http1::{self, SendRequest},
     },
     hyper_util::rt::TokioIo,
@@ -70,11 +71,26 @@
     idle_since: Instant,
 }
 
+/// How the end of an answer's body is marked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Framing {
+    /// The head states the length, or that there is no body.
+    #[display("length")]
+    Length,
+    /// The body comes in chunks, of which the last one is marked.
+    #[display("chunked")]
+    Chunked,
+    /// The body ends with its connection.
+    #[display("close")]
+    Close,
+}
+
 /// The body of an upstream's answer. Dropping it before its end closes the connection, which
 /// cancels the work.
 #[derive(Debug)]
 pub struct Body {
     incoming: Incoming,
+    framing: Framing,
     sender: Option<Sender>,
     address: SocketAddr,
     client: Client,
@@ -134,12 +150,16 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Body>, SendError> {
         match sender.try_send_request(request).await {
-            Ok(response) => Ok(response.map(|incoming| Body {
-                incoming,
-                sender: Some(sender),
-                address,
-                client: self.clone(),
-            })),
+            Ok(response) => {
+                let framing = framing(&response);
+                Ok(response.map(|incoming| Body {
+                    incoming,
+                    framing,
+                    sender: Some(sender),
+                    address,
+                    client: self.clone(),
+                }))
+            }
             Err(mut error) => Err(match error.take_message() {
                 Some(request) => SendError {
                     failure: Failure::not_run(Code::Unreachable, "the connection had closed"),
@@ -184,6 +204,11 @@
 }
 
 impl Body {
+    /// How the end of the body is marked.
+    pub fn framing(&self) -> Framing {
+        self.framing
+    }
+
     /// The next piece, or `None` at the end of a complete body.
     pub async fn next(&mut self) -> Result<Option<Bytes>, Failure> {
         loop {
@@ -212,6 +237,16 @@
     }
 }
 
+fn framing(response: &Response<Incoming>) -> Framing {
+    if response.body().size_hint().exact().is_some() {
+        Framing::Length
+    } else if response.headers().contains_key(header::TRANSFER_ENCODING) {
+        Framing::Chunked
+    } else {
+        Framing::Close
+    }
+}
+
 async fn connect(network: &Network, address: SocketAddr) -> Result<Sender, Failure> {
     let unreachable = |reason: String| {
         Failure::not_run(
