Break off a stream that ends within an event, whatever its kind

Cause: an answer may have neither a length nor chunks and end with its connection. The host looked whether the last event was complete only where it splits the stream to resume it; for other streams the end of the connection was the end of the answer.

The rule is now one for all streams: an end within an event is a break, the upstream's reservation is released as broken, and the caller's connection is closed without the last chunk, since no length was promised.

--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -193,7 +193,7 @@
                     }
                     Err(failure) => failure,
                 },
-                Ok(None) if self.is_resumable() && self.relay.is_within_event() => {
+                Ok(None) if self.relay.is_within_event() => {
                     upstream_failed("the stream ended within an event")
                 }
                 Ok(None) => {
