Treat a stream without a length that brings no event as broken off

Callers of either kind of stream got an empty answer that was framed as complete.

Cause: the end of the connection before the first event was taken for the end of the stream, since it lies between two events. An engine that crashes after its head ends just so, and an empty stream tells nothing of a caller's question. It now counts as a failed attempt: a resumable stream is sent elsewhere within its attempts, one that may not run again fails with 502. An empty stream with a length or a last chunk stays complete.

Boundary, which follows the streams that are not split, gets tests against the splitter after each byte.

--- a/src/proxy/send.rs
+++ b/src/proxy/send.rs
@@ -258,6 +258,9 @@
         headers,
     };
     if is_stream {
+        if first.is_none() && framing == Some(upstream::Framing::Close) {
+            return Err(upstream_failed("the stream ended before its first event"));
+        }
         reservation.outcome = Outcome::Unknown;
         let source = first
             .is_some()
--- a/tests/attempt/sse.rs
+++ b/tests/attempt/sse.rs
@@ -1,7 +1,7 @@
 //! Tests the splitting of server-sent events at arbitrary chunk boundaries.
 
 use {
-    greengagecleat::attempt::sse::{Kind, MAX_EVENT_BYTES, Splitter},
+    greengagecleat::attempt::sse::{Boundary, Kind, MAX_EVENT_BYTES, Splitter},
     quickcheck::{Gen, QuickCheck},
 };
 
@@ -39,6 +39,57 @@
         .quickcheck(holds as fn(Vec<usize>) -> bool);
 }
 
+#[test]
+fn boundary_and_splitter_agree_after_each_byte_wherever_chunks_end() {
+    fn holds(cuts: Vec<usize>) -> bool {
+        let stream = STREAM.as_bytes();
+        (0..=stream.len()).all(|end| {
+            let mut splitter = Splitter::new();
+            let mut boundary = Boundary::default();
+            let mut cuts: Vec<usize> = cuts.iter().map(|cut| cut % (end + 1)).collect();
+            cuts.extend([0, end]);
+            cuts.sort_unstable();
+            for cut in cuts.windows(2) {
+                let chunk = &stream[cut[0]..cut[1]];
+                splitter.push(chunk).unwrap();
+                boundary.push(chunk);
+            }
+            boundary.is_within_event() == splitter.is_partial()
+        })
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(20, 4))
+        .tests(200)
+        .quickcheck(holds as fn(Vec<usize>) -> bool);
+}
+
+#[test]
+fn boundary_accepts_each_line_ending_and_further_blank_lines() {
+    let is_within_event = |text: &str| {
+        let mut boundary = Boundary::default();
+        boundary.push(text.as_bytes());
+        boundary.is_within_event()
+    };
+    for whole in [
+        "",
+        "data: a\n\n",
+        "data: a\r\n\r\n",
+        "data: a\r\r",
+        "data: a\n\n\n",
+    ] {
+        assert!(!is_within_event(whole), "{whole:?}");
+    }
+    for cut in [
+        "d",
+        "data: a",
+        "data: a\n",
+        "data: a\r\n",
+        "data: a\n\ndata",
+    ] {
+        assert!(is_within_event(cut), "{cut:?}");
+    }
+}
+
 #[test]
 fn unfinished_event_is_known_as_such() {
     let mut splitter = Splitter::new();
