--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod plain;
 pub mod platform;
 pub mod plot;
+pub mod raw;
 pub mod run;
 pub mod seen;
 pub mod serve;
