Break off a plain service's event stream that ends within an event

Callers of a plain route whose service sends server-sent events without a length got a cut stream that was framed as complete, at the first host and through a forwarding one.

Cause: plain answers are passed through, and the end of the source was the end of the answer. Answers of type text/event-stream are now followed with the same Boundary, and an end within an event fails the exchange.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -9,7 +9,7 @@
         events::{Decoder, Event as StreamEvent},
     },
     crate::{
-        attempt::Event,
+        attempt::{Event, sse::Boundary},
         clock::Clock,
         config::Snapshot,
         failure::{Code, Failure, Ran},
@@ -30,6 +30,9 @@
 /// How long to wait for an upstream to close a stream after its end mark.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Media type of a stream of server-sent events.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// Source of the body of an answer.
 #[derive(Debug)]
 pub(super) enum Source {
@@ -55,6 +58,15 @@
     Buffered(Vec<u8>),
     /// Chunk by chunk, as it arrives.
     Passthrough,
+    /// Chunk by chunk, as it arrives; the body is a stream of server-sent events.
+    Stream(Boundary),
+}
+
+impl Mode {
+    /// Whether chunks are relayed as they arrive.
+    fn is_immediate(&self) -> bool {
+        matches!(self, Self::Passthrough | Self::Stream(_))
+    }
 }
 
 /// Relay of one answer. The body is pulled chunk by chunk, so that a slow reader slows down the
@@ -101,7 +113,7 @@
     /// Returns the head of the answer. Unless the body is passed through, it waits for the first
     /// chunk: until then a failed attempt can be repeated without the caller seeing it.
     pub(super) async fn head(&mut self) -> Result<Head, Failure> {
-        if !matches!(self.mode, Mode::Passthrough) || self.bytes_left == Some(0) {
+        if !self.mode.is_immediate() || self.bytes_left == Some(0) {
             self.fill().await?;
             self.settle_if_ended();
         }
@@ -198,8 +210,11 @@
 
     async fn receive(&mut self, bytes: Bytes) -> Result<(), Failure> {
         let attempt = self.answer.attempt;
+        if let Mode::Stream(boundary) = &mut self.mode {
+            boundary.push(&bytes);
+        }
         match &mut self.mode {
-            Mode::Passthrough => {
+            Mode::Passthrough | Mode::Stream(_) => {
                 let tokens = bytes.len() as u64;
                 self.ready_chunks.push_back(bytes);
                 self.attempts.step(Event::Chunk { attempt, tokens });
@@ -256,8 +271,13 @@
                     .retry_broken(upstream_failure("the stream ended without its end mark"))
                     .await;
             }
+            Mode::Stream(boundary) if boundary.is_within_event() => {
+                return self
+                    .retry_broken(upstream_failure("the stream ended within an event"))
+                    .await;
+            }
             Mode::Buffered(buffer) => self.ready_chunks.push_back(std::mem::take(buffer).into()),
-            Mode::Passthrough => {}
+            Mode::Passthrough | Mode::Stream(_) => {}
         }
         self.attempts.step(Event::End { attempt });
         self.has_ended = true;
@@ -290,6 +310,7 @@
     match (&call.model_request, head.status) {
         (Some(model_request), 200) if model_request.stream => Mode::Events(Decoder::default()),
         (Some(_), _) => Mode::Buffered(Vec::new()),
+        (None, 200..300) if is_event_stream(head) => Mode::Stream(Boundary::default()),
         (None, _) => Mode::Passthrough,
     }
 }
@@ -320,9 +341,15 @@
 
 /// Content length of the body, if the head has one.
 fn content_length(head: &Head) -> Option<u64> {
-    let header = head
-        .headers
-        .iter()
-        .find(|header| header.name == "content-length")?;
-    std::str::from_utf8(&header.value).ok()?.parse().ok()
+    header(head, "content-length")?.parse().ok()
+}
+
+fn is_event_stream(head: &Head) -> bool {
+    let media_type = header(head, "content-type").and_then(|value| value.split(';').next());
+    media_type.is_some_and(|media_type| media_type.trim().eq_ignore_ascii_case(EVENT_STREAM))
+}
+
+fn header<'a>(head: &'a Head, name: &str) -> Option<&'a str> {
+    let header = head.headers.iter().find(|header| header.name == name)?;
+    std::str::from_utf8(&header.value).ok()
 }
--- /dev/null
+++ b/tests/gateway/cut.rs
@@ -0,0 +1,80 @@
+//! Answers without a length whose connection is closed after any byte of the body.
+
+use {
+    crate::common::{Bed, KOLLAM, Running, chat, pools, until},
+    testbed::{
+        client::Call,
+        raw::{self, Cut, End, Framing, Scissors},
+    },
+};
+
+const EVENTS: &str = "id: 1\ndata: one\n\nid: 2\r\ndata: two\r\n\r\ndata: three\n\n";
+const COMPLETION: &str = r#"{"choices":[{"message":{"content":"whole"}}]}"#;
+
+/// Answers plain calls with events and model calls with a completion.
+fn answer(request: &raw::Request) -> raw::Answer {
+    let (kind, body) = if request.target.starts_with("/v1/") {
+        ("application/json", COMPLETION)
+    } else {
+        ("text/event-stream", EVENTS)
+    };
+    raw::Answer {
+        headers: vec![
+            ("content-type", kind.to_owned()),
+            ("x-request-id", request.header("x-request-id").to_owned()),
+        ],
+        body: body.as_bytes().to_vec(),
+    }
+}
+
+/// Starts a host beside upstreams whose answers are cut, and one that forwards to it.
+async fn deployment() -> (Bed, Scissors, [Running; 2]) {
+    let mut bed = Bed::start().await;
+    let scissors = Scissors::default();
+    let engine = raw::start(scissors.clone(), answer).await.unwrap();
+    let plain = raw::start(scissors.clone(), answer).await.unwrap();
+    bed.platform.publish("pools", &pools(engine, plain));
+    let hosts = [
+        bed.host("south-a", "south").await,
+        bed.host("north-a", "north").await,
+    ];
+    for host in &hosts {
+        bed.ready(host).await;
+        for call in [Call::get("/lookups/ready"), chat("ready", 8, false)] {
+            until(async || body(&bed, host, &call).await.is_some()).await;
+        }
+    }
+    (bed, scissors, hosts)
+}
+
+/// The body of the answer to a call, if the answer is complete and has status 200.
+async fn body(bed: &Bed, host: &Running, call: &Call) -> Option<String> {
+    let authorization = format!("Bearer {KOLLAM}");
+    let call = call.clone().header("authorization", &authorization);
+    let answer = bed.caller.whole(host.addresses.callers, &call).await.ok()?;
+    let text = String::from_utf8(answer.body.to_vec()).expect("text");
+    (answer.status == 200).then_some(text)
+}
+
+fn cut_after(bytes: usize) -> Option<Cut> {
+    Some(Cut {
+        framing: Framing::Close,
+        end: End::Close,
+        bytes,
+    })
+}
+
+/// An event stream of a plain service that ended within an event reached its caller as complete.
+#[tokio::test]
+async fn a_plain_event_stream_that_ends_within_an_event_never_looks_complete() {
+    let (bed, scissors, hosts) = deployment().await;
+    for host in &hosts {
+        for bytes in 1..=EVENTS.len() {
+            scissors.set(cut_after(bytes));
+            let seen = body(&bed, host, &Call::get("/lookups/1")).await;
+            let sent = &EVENTS[..bytes];
+            let is_complete = sent.ends_with("\n\n") || sent.ends_with("\n\r\n");
+            assert_eq!(seen.as_deref(), is_complete.then_some(sent), "{bytes}");
+        }
+    }
+}
