Ask again for a completion that ends within its JSON

Callers of a model route that don't stream got a cut completion, or an empty one, as complete where the engine marked the end of its answer with the end of its connection.

Cause: a buffered answer was whole once its source had ended. One that is ended by its connection alone is now whole only if it is a JSON value, which tells its own end; otherwise the attempt is broken and made again within the limits of the exchange.

Evidence: the test failed with the first cut, an empty completion with status 200; now no cut completion reaches a caller at either host.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -47,6 +47,14 @@
             Self::Peer(body) => body.next().await,
         }
     }
+
+    /// Whether only the end of the connection marks the end of the body.
+    fn is_ended_by_close(&self) -> bool {
+        match self {
+            Self::Upstream(body) => body.framing() == upstream::Framing::Close,
+            Self::Peer(_) => false,
+        }
+    }
 }
 
 /// How a body is relayed.
@@ -276,6 +284,13 @@
                     .retry_broken(upstream_failure("the stream ended within an event"))
                     .await;
             }
+            Mode::Buffered(buffer)
+                if self.answer.source.is_ended_by_close() && !is_json(buffer) =>
+            {
+                return self
+                    .retry_broken(upstream_failure("the answer ended within its JSON"))
+                    .await;
+            }
             Mode::Buffered(buffer) => self.ready_chunks.push_back(std::mem::take(buffer).into()),
             Mode::Passthrough | Mode::Stream(_) => {}
         }
@@ -315,6 +330,10 @@
     }
 }
 
+fn is_json(body: &[u8]) -> bool {
+    serde_json::from_slice::<serde::de::IgnoredAny>(body).is_ok()
+}
+
 fn upstream_failure(message: &str) -> Failure {
     Failure::new(Code::UpstreamFailed, Ran::Unknown, message)
 }
--- a/tests/gateway/cut.rs
+++ b/tests/gateway/cut.rs
@@ -78,3 +78,19 @@
         }
     }
 }
+
+/// A completion in JSON that was cut reached its caller as complete.
+#[tokio::test]
+async fn a_completion_that_is_cut_never_looks_complete() {
+    let (bed, scissors, hosts) = deployment().await;
+    for host in &hosts {
+        for bytes in 0..COMPLETION.len() {
+            scissors.set(cut_after(bytes));
+            if let Some(seen) = body(&bed, host, &chat("a question", 8, false)).await {
+                assert_eq!(seen, COMPLETION, "{bytes}");
+            }
+            scissors.set(None);
+            body(&bed, host, &chat("uncut", 8, false)).await;
+        }
+    }
+}
