Refuse a configuration document whose end is not marked

A host could have taken a part of a document, with fewer routes, pools or customers, for the whole: a reply with neither a length nor chunks whose connection was cut. A cut TOML document may be a valid one, so a reply that only the end of its connection ends is now an error with step and peer. The platform adapter's store client reads JSON, which tells its own end.

Evidence: the test read an empty routes document as revision 7 before.

--- a/src/source/http.rs
+++ b/src/source/http.rs
@@ -62,6 +62,10 @@
         response: Response<upstream::Body>,
     ) -> Result<Reply> {
         let (head, mut body) = response.into_parts();
+        if body.framing() == upstream::Framing::Close {
+            // A cut document may be a valid one.
+            return Err(self.protocol_error(step, "the end of the reply is not marked"));
+        }
         let mut bytes = Vec::new();
         while let Some(piece) = body
             .next()
--- a/testbed/src/raw.rs
+++ b/testbed/src/raw.rs
@@ -19,7 +19,7 @@
 
 /// Pause before a reset, which discards what the peer has not read.
 const PAUSE_BEFORE_RESET: Duration = Duration::from_millis(2);
-/// Header of a request's id; a request without one is never cut.
+/// Header of a request's id.
 const REQUEST_ID: &str = "x-request-id";
 
 /// How the end of a body is marked.
@@ -74,7 +74,8 @@
     pub body: Vec<u8>,
 }
 
-/// Cuts the answers of the upstreams that share it: each request with an id once.
+/// Cuts the answers of the upstreams that share it: the first one to a request with an id, each one
+/// to a request without.
 #[derive(Debug, Clone, Default)]
 pub struct Scissors(Arc<Mutex<State>>);
 
@@ -95,7 +96,7 @@
 }
 
 impl Scissors {
-    /// Cuts the first answer to each request that arrives from now on; with none, no answer.
+    /// How answers are cut from now on; with none, they are not.
     pub fn set(&self, cut: Option<Cut>) {
         self.state().cut = cut;
     }
@@ -108,8 +109,8 @@
     fn next_cut(&self, id: &str) -> Option<Cut> {
         let mut state = self.state();
         *state.arrivals.entry(id.to_owned()).or_default() += 1;
-        let cut = state.cut.filter(|_| !id.is_empty())?;
-        state.cut_requests.insert(id.to_owned()).then_some(cut)
+        let cut = state.cut?;
+        (id.is_empty() || state.cut_requests.insert(id.to_owned())).then_some(cut)
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
