Log the build that runs a request and the attempt that a caller takes up

The logs of second1 tell neither, so a break that was resumed by the host, a stream that a caller took up and an old list of upstreams look the same. Nothing is decided by it yet.

--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -77,6 +77,7 @@
         status: parts.status.as_u16(),
         headers: headers::to_caller(&parts.headers),
         upstream,
+        build: None,
         pool,
     };
     (head, body)
--- a/src/link/exchange.rs
+++ b/src/link/exchange.rs
@@ -74,6 +74,8 @@
     pub headers: Vec<wire::Header>,
     /// The upstream that produces the answer.
     pub upstream: name::Upstream,
+    /// Build of that upstream, where builds are told apart.
+    pub build: Option<name::Build>,
     /// The pool of that upstream.
     pub pool: name::Pool,
 }
@@ -133,6 +135,7 @@
                 status,
                 headers,
                 upstream,
+                build,
                 pool,
                 ..
             } => {
@@ -140,6 +143,7 @@
                     status,
                     headers,
                     upstream,
+                    build,
                     pool,
                 };
                 Ok((head, body))
--- a/src/link/server.rs
+++ b/src/link/server.rs
@@ -159,6 +159,7 @@
         status: head.status,
         headers: head.headers,
         upstream: head.upstream,
+        build: head.build,
         pool: head.pool,
     };
     socket.send(&head).await.ok()?;
--- a/src/name.rs
+++ b/src/name.rs
@@ -55,6 +55,11 @@
     /// An entry host: one instance of the gateway daemon.
     Host
 );
+name!(
+    /// A build of an upstream's software. Builds have no order, and an answer that one build began
+    /// can't be continued by another.
+    Build
+);
 name!(
     /// A region, within which network latency is low.
     Region
--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -84,6 +84,8 @@
     /// Where the rest of the body comes from; `None` once it has been read.
     source: Option<Source<D, C>>,
     upstream: name::Upstream,
+    /// Build of that upstream; `None` if a peer doesn't tell it.
+    build: Option<name::Build>,
     /// How that upstream marks the end of the body; `None` if a peer forwards the answer.
     framing: Option<upstream::Framing>,
     tries: Tries,
@@ -137,6 +139,7 @@
             first: opened.first,
             source: opened.source,
             upstream: opened.upstream,
+            build: opened.build,
             framing: opened.framing,
             host,
             inbound,
@@ -161,6 +164,11 @@
         &self.upstream
     }
 
+    /// Build of that upstream; `None` if a peer doesn't tell it.
+    pub fn build(&self) -> Option<&name::Build> {
+        self.build.as_ref()
+    }
+
     /// The pool of that upstream.
     pub fn pool(&self) -> &name::Pool {
         &self.job.pool
@@ -314,10 +322,12 @@
             return Err(upstream_failed("the stream could not be taken up"));
         }
         tracing::info!(event = "resumed", request = self.inbound.id(), after = self.last_event_id,
-            from = %self.upstream, upstream = %opened.upstream, "stream resumed at another upstream");
+            from = %self.upstream, from_build = self.build.as_ref().map(name::Build::as_str),
+            upstream = %opened.upstream, build = opened.build.as_ref().map(name::Build::as_str), "stream resumed at another upstream");
         self.first = opened.first;
         self.source = opened.source;
         self.upstream = opened.upstream;
+        self.build = opened.build;
         self.framing = opened.framing;
         Ok(())
     }
--- a/src/proxy/core/mod.rs
+++ b/src/proxy/core/mod.rs
@@ -80,6 +80,8 @@
     pub upstream: name::Upstream,
     /// Address of that upstream.
     pub address: SocketAddr,
+    /// Build of that upstream.
+    pub build: name::Build,
     /// Predicted time to the first byte, in milliseconds.
     pub predicted_ms: f64,
     /// Prompt tokens that the upstream is expected to prefill, because they are not in its cache.
@@ -417,7 +419,7 @@
                 .cache
                 .record_prompt(now, &job.prefixes, engine.memory_tokens);
         }
-        let address = replica.entry.address;
+        let (address, build) = (replica.entry.address, replica.entry.build.clone());
         let reservation = Reservation {
             upstream: choice.upstream.clone(),
             pool: job.pool.clone(),
@@ -435,6 +437,7 @@
             ticket,
             upstream: choice.upstream,
             address,
+            build,
             predicted_ms: choice.predicted_ms,
             uncached_tokens: choice.uncached_tokens,
         }
--- a/src/proxy/dialect.rs
+++ b/src/proxy/dialect.rs
@@ -22,6 +22,8 @@
     pub prompt_parts: Vec<Part>,
     /// The last event that the caller has received; the answer continues after it.
     pub resume_after: Option<u64>,
+    /// Id of the attempt that brought the first event of the stream that is resumed.
+    pub resumes: Option<Arc<str>>,
 }
 
 /// A part of a prompt that other requests may share.
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -17,6 +17,8 @@
     pub pool: name::Pool,
     /// Address of the upstream's HTTP server.
     pub address: SocketAddr,
+    /// Build of the software that the upstream runs.
+    pub build: name::Build,
     /// Failure domain of the upstream.
     pub domain: name::Domain,
     /// Number of requests that the upstream runs at once.
--- a/src/proxy/host.rs
+++ b/src/proxy/host.rs
@@ -601,6 +601,7 @@
             status: answer.status().as_u16(),
             headers: super::headers::to_wire(answer.headers()),
             upstream: answer.upstream().clone(),
+            build: answer.build().cloned(),
             pool: answer.pool().clone(),
         };
         Ok((head, answer))
--- a/src/proxy/send.rs
+++ b/src/proxy/send.rs
@@ -57,6 +57,8 @@
     pub(super) first: Option<Bytes>,
     pub(super) source: Option<Source<D, C>>,
     pub(super) upstream: name::Upstream,
+    /// Build of that upstream; `None` if a peer doesn't tell it.
+    pub(super) build: Option<name::Build>,
     /// How the upstream marked the end of the body; `None` if a peer forwards the answer.
     pub(super) framing: Option<upstream::Framing>,
 }
@@ -110,8 +112,9 @@
                 tries.predicted_ms = grant.predicted_ms;
                 if host.should_log(inbound.id()) {
                     tracing::info!(event = "placed", request = inbound.id(), upstream = %grant.upstream,
+                        build = %grant.build,
                         predicted_ms = grant.predicted_ms as u64, uncached = grant.uncached_tokens,
-                        version = job.matched.version, resume_after = resume,
+                        version = job.matched.version, resume_after = resume, resumes = inbound.metadata.resumes.as_deref(),
                         waited_ms = tries.placed_after.as_millis() as u64);
                 }
                 let upstream = grant.upstream.clone();
@@ -195,6 +198,7 @@
     let now = host.clock.now();
     let remaining = job.deadline.saturating_sub(now);
     let (address, upstream) = (grant.address, grant.upstream.clone());
+    let build = Some(grant.build.clone());
     let predicted = grant.predicted_ms;
     let mut reservation = host.reservation(grant);
     let mut headers = inbound.headers.clone();
@@ -270,6 +274,7 @@
             first,
             source,
             upstream,
+            build,
             framing,
         });
     }
@@ -284,6 +289,7 @@
         first: Some(collected),
         source: None,
         upstream,
+        build,
         framing,
     })
 }
@@ -386,6 +392,7 @@
         first,
         source,
         upstream: head.upstream,
+        build: head.build,
         framing: None,
     })
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -130,6 +130,9 @@
         headers: Vec<Header>,
         /// The upstream that answers, for the decision log.
         upstream: name::Upstream,
+        /// Build of that upstream, where builds are told apart.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        build: Option<name::Build>,
         /// The pool of that upstream.
         pool: name::Pool,
     },
--- a/testbed/src/fuzz.rs
+++ b/testbed/src/fuzz.rs
@@ -290,6 +290,7 @@
             status: 200,
             headers: Vec::new(),
             upstream: "u".into(),
+            build: Some("b".into()),
             pool: "p".into(),
         },
         Answer::Data {
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -33,6 +33,7 @@
             status: 200,
             headers: Vec::new(),
             upstream: "upstream".into(),
+            build: None,
             pool: "pool".into(),
         };
         Ok((head, PIECES_PER_ANSWER))
--- a/tests/proxy/common.rs
+++ b/tests/proxy/common.rs
@@ -94,6 +94,7 @@
         incarnation: 1,
         pool: pool.into(),
         address: address(1),
+        build: "b1".into(),
         domain: domain.into(),
         slots: 6,
         leaving: false,
