Resume a broken stream only at the build that began it

Cause: a host asked for any upstream of the pool but those that had failed; builds were not known to placement.

Once an event is delivered, the job names the build that made it, and only upstreams of that build may take the rest: in the choice, the queue, the retry after all upstreams have failed, and a forwarded call, which carries the build; a report tells other regions which builds are open. A stream that must go on at its build may wait behind others until its deadline, as it has few upstreams to go to, and is refused at once where its build serves nowhere. Before the first event any build may serve.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -43,6 +43,7 @@
             hops: call.hops_left.saturating_sub(1),
             version: 0,
             elapsed: Duration::ZERO,
+            build: None,
         };
         self.dependencies().metrics.forwarded.inc();
         let opening = self
--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -284,6 +284,9 @@
             }
             complete.extend_from_slice(&event.bytes);
         }
+        if !complete.is_empty() && self.job.build.is_none() {
+            self.job.build = self.build.clone();
+        }
         Ok(complete.freeze())
     }
 
@@ -297,13 +300,18 @@
         }
         self.source = None;
         let now = self.host.clock.now();
-        let may_resume = self.is_resumable() && self.tries.runs < self.job.max_attempts;
+        // Once an event was delivered, only the build that made it may go on.
+        let is_build_known = self.byte_count == 0 || self.job.build.is_some();
+        let may_resume =
+            self.is_resumable() && is_build_known && self.tries.runs < self.job.max_attempts;
         if !may_resume || self.job.deadline <= now + MIN_TIME_LEFT {
             return Err(failure);
         }
         if !self.host.core().withdraw_retry(now, &self.job.pool) {
             return Err(failure);
         }
+        self.job
+            .allow_tried_upstreams_if_none_is_left(&self.host.core().catalog);
         self.relay = Relay::Events(Splitter::new());
         self.job.arrived_at = now;
         let time_left = self.job.deadline.saturating_sub(self.job.arrived_at);
--- a/src/proxy/catalog.rs
+++ b/src/proxy/catalog.rs
@@ -6,6 +6,7 @@
 use {
     super::{
         entry::Entry,
+        place::Job,
         replica::{Outcome, Replica},
         speed::Speed,
     },
@@ -299,6 +300,12 @@
         })
     }
 
+    /// Eligible upstreams that may serve a request.
+    pub fn eligible_for<'a>(&'a self, job: &'a Job) -> impl Iterator<Item = &'a Replica> {
+        let eligible = self.eligible(&job.pool);
+        eligible.filter(|replica| job.allows_build(replica))
+    }
+
     /// Records the outcome of an attempt at an upstream. Returns a change if it ejects the upstream
     /// or ends its ejection.
     pub fn record_outcome(
--- a/src/proxy/core/region.rs
+++ b/src/proxy/core/region.rs
@@ -48,6 +48,7 @@
             replica.is_available(now) && !(pool.cold_per_s > 0.0 && replica.is_cold(now))
         });
         for replica in replicas {
+            spare.builds.insert(replica.entry.build.clone());
             let running = f64::from(replica.running(now));
             let slots = pool
                 .engine
@@ -88,7 +89,8 @@
         let own = &self.setup.identity.region;
         let prompt_tokens = f64::from(job.tokens.0);
         let elapsed_ms = job.elapsed_ms(now);
-        let may_be_local = job.matched.allows(own);
+        let has_build = job.build.is_none() || self.catalog.eligible_for(job).next().is_some();
+        let may_be_local = job.matched.allows(own) && has_build;
         let time_limit_ms = millis(job.deadline.saturating_sub(job.arrived_at));
         // A host with an older configuration would refuse the request without running it.
         let is_behind = |peer: &Peer| peer.version < job.matched.version;
@@ -101,14 +103,18 @@
             let Some(spare) = peer.spare.get(&job.pool) else {
                 continue;
             };
-            if spare.wait_ms == f32::MAX {
+            let has_build = job
+                .build
+                .as_ref()
+                .is_none_or(|build| spare.builds.contains(build));
+            if spare.wait_ms == f32::MAX || !has_build {
                 continue;
             }
             let prefill_ms = prompt_tokens / f64::from(spare.rate.max(1.0));
             let predicted_ms = f64::from(spare.wait_ms) + prefill_ms + REGION_ROUND_TRIP_MS;
             let is_on_time = elapsed_ms + predicted_ms <= REMOTE_ON_TIME_SHARE * job.objective_ms();
             let has_room = f64::from(spare.tokens) >= prompt_tokens && spare.requests >= 1.0;
-            // A request that may not be served in this region is better answered late than not at
+            // A request that can't be served in this region is better answered late than not at
             // all.
             let is_useful = if may_be_local {
                 is_on_time && has_room
--- a/src/proxy/core/wait.rs
+++ b/src/proxy/core/wait.rs
@@ -86,12 +86,15 @@
         let Some(pool) = pool.filter(|_| job.matched.allows(&self.setup.identity.region)) else {
             return true;
         };
+        if self.catalog.eligible_for(job).next().is_none() {
+            return true;
+        }
         if pool.engine.is_none() {
             return false;
         }
         let rank = job.matched.priority;
         let (tokens_per_ms, base_ms) = place::learned_speed(&self.catalog, &job.pool);
-        let replicas = self.catalog.eligible(&job.pool);
+        let replicas = self.catalog.eligible_for(job);
         let waits_ms: Vec<_> = replicas
             .filter(|replica| replica.is_available(now))
             .map(|replica| replica.prefill_ahead(now, rank, tokens_per_ms) / tokens_per_ms)
--- a/src/proxy/fleet.rs
+++ b/src/proxy/fleet.rs
@@ -88,7 +88,7 @@
 }
 
 /// Spare capacity of a pool's upstreams in one region.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Spare {
     /// Predicted time to the first byte at the least loaded upstream, without the prefill of the
     /// request itself, in milliseconds; `f32::MAX` if no upstream is open.
@@ -103,6 +103,9 @@
     /// Prompt tokens that one upstream prefills per millisecond.
     #[serde(rename = "s")]
     pub rate: f32,
+    /// Builds of the upstreams that are open.
+    #[serde(rename = "b", default)]
+    pub builds: BTreeSet<name::Build>,
 }
 
 /// Another host as its last report describes it.
--- a/src/proxy/host.rs
+++ b/src/proxy/host.rs
@@ -624,12 +624,13 @@
 /// Logs why a request could not be placed and returns the failure with a retry time.
 fn refusal(core: &mut Core, now: Duration, request: &str, job: &Job) -> Failure {
     let wait = core.retry_after(now, &job.pool);
-    let eligible = core.catalog.eligible(&job.pool);
+    let eligible = core.catalog.eligible_for(job);
     let (upstreams, open) = eligible.fold((0, 0), |(all, open), replica| {
         (all + 1, open + usize::from(replica.is_available(now)))
     });
     let (hosts, remote_hosts) = core.peer_counts(now);
     tracing::info!(event = "unplaced", request, pool = %job.pool, version = job.matched.version,
+        build = job.build.as_ref().map(name::Build::as_str),
         upstreams, open, waiting = core.queue_len(), hosts, hosts_away = remote_hosts, may_leave = job.may_forward,
         waited_ms = now.saturating_sub(job.arrived_at).as_millis() as u64);
     Failure::not_run(Code::NoCapacity, "no upstream can answer in time").retry_after(wait)
--- a/src/proxy/intake.rs
+++ b/src/proxy/intake.rs
@@ -217,6 +217,7 @@
         arrived_at,
         deadline,
         tried: Vec::new(),
+        build: None,
     })
 }
 
@@ -274,6 +275,7 @@
     // The sender counts this as one attempt and makes further attempts itself.
     job.max_attempts = 1;
     job.may_forward = false;
+    job.build = call.build;
     if host.should_log(&call.request) {
         tracing::info!(event = "taken", request = call.request, from = %from, route = %call.route,
             version = call.version, elapsed_ms = call.elapsed.as_millis() as u64);
--- a/src/proxy/place.rs
+++ b/src/proxy/place.rs
@@ -62,6 +62,8 @@
     pub max_attempts: u32,
     /// Upstreams that the request has failed at; they are not chosen again.
     pub tried: Vec<name::Upstream>,
+    /// The only build that may serve the request, as it began the stream that is resumed.
+    pub build: Option<name::Build>,
 }
 
 /// An upstream chosen for a job, with the prediction behind the choice.
@@ -90,6 +92,20 @@
         millis(self.matched.route.objective)
     }
 
+    /// Whether an upstream's build may serve the request.
+    pub fn allows_build(&self, replica: &Replica) -> bool {
+        let build = self.build.as_ref();
+        build.is_none_or(|build| *build == replica.entry.build)
+    }
+
+    /// If every eligible upstream has failed the request, allows them again.
+    pub fn allow_tried_upstreams_if_none_is_left(&mut self, catalog: &Catalog) {
+        let is_untried = |replica: &Replica| !self.tried.contains(&replica.entry.id);
+        if !catalog.eligible_for(self).any(is_untried) {
+            self.tried.clear();
+        }
+    }
+
     fn prompt_tokens(&self) -> u32 {
         let parts: u32 = self.prefixes.iter().map(|prefix| prefix.tokens).sum();
         parts.max(self.tokens.0)
@@ -103,8 +119,9 @@
             return Some(true);
         }
         let patience_ms = millis(self.deadline.saturating_sub(self.arrived_at));
-        let may_be_late = wait_ms <= LATE_WAIT_SHARE * self.objective_ms()
-            && done_ms <= LATE_PATIENCE_SHARE * patience_ms;
+        // A stream that must go on at its build has few upstreams to wait for.
+        let may_wait = self.build.is_some() || wait_ms <= LATE_WAIT_SHARE * self.objective_ms();
+        let may_be_late = may_wait && done_ms <= LATE_PATIENCE_SHARE * patience_ms;
         may_be_late.then_some(false)
     }
 }
@@ -121,7 +138,7 @@
     cold_limit: impl Fn(&Replica, &Pool) -> usize,
 ) -> Option<Choice> {
     let usable: Vec<_> = catalog
-        .eligible(&pool.name)
+        .eligible_for(job)
         .filter(|replica| !job.tried.contains(&replica.entry.id))
         .filter(|replica| {
             pool.cold_per_s <= 0.0
--- a/src/proxy/send.rs
+++ b/src/proxy/send.rs
@@ -179,10 +179,7 @@
         if !may_repeat || !(is_retry_granted || host.core().withdraw_retry(now, &job.pool)) {
             return Err(failure);
         }
-        // If every eligible upstream has failed this request, try them again.
-        if host.core().catalog.eligible(&job.pool).count() <= job.tried.len() {
-            job.tried.clear();
-        }
+        job.allow_tried_upstreams_if_none_is_left(&host.core().catalog);
     }
 }
 
@@ -360,6 +357,7 @@
         hops: 0,
         version: job.matched.version,
         elapsed: now.saturating_sub(job.arrived_at),
+        build: job.build.clone(),
     };
     host.metrics.forwarded.inc();
     tracing::info!(event = "forwarded", request = inbound.id(), host = %remote.host, region = %remote.region,
@@ -374,6 +372,9 @@
     )
     .await;
     let (head, mut body) = opened?;
+    if job.build.is_some() && head.build != job.build {
+        return Err(upstream_failed("the peer's answer is of another build"));
+    }
     let headers = headers::from_wire(&head.headers)
         .ok_or_else(|| upstream_failed("the peer's headers are not valid"))?;
     let status = StatusCode::from_u16(head.status)
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -105,6 +105,9 @@
     /// Time from the arrival of the caller's request until the call is sent.
     #[serde(default)]
     pub elapsed: Duration,
+    /// The only build that may serve the call, as it began the stream that is resumed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub build: Option<name::Build>,
 }
 
 /// An HTTP header that is passed on.
--- a/testbed/src/fuzz.rs
+++ b/testbed/src/fuzz.rs
@@ -279,6 +279,7 @@
             hops: 2,
             version: 0,
             elapsed: Duration::ZERO,
+            build: None,
         }),
     }
 }
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -96,6 +96,7 @@
         hops: 1,
         version: 0,
         elapsed: Duration::ZERO,
+        build: None,
     }
 }
 
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -1,5 +1,7 @@
 //! Tests of the proxy's decisions, without sockets.
 
+#[path = "proxy/build.rs"]
+mod build;
 #[path = "proxy/common.rs"]
 mod common;
 #[path = "proxy/core.rs"]
--- a/tests/proxy/common.rs
+++ b/tests/proxy/common.rs
@@ -172,6 +172,7 @@
         may_forward: false,
         max_attempts: 2,
         tried: Vec::new(),
+        build: None,
     }
 }
 
@@ -186,6 +187,7 @@
         may_forward: false,
         max_attempts: 1,
         tried: Vec::new(),
+        build: None,
     }
 }
 
--- a/tests/proxy/core.rs
+++ b/tests/proxy/core.rs
@@ -10,7 +10,7 @@
         replica::Outcome,
         table::Table,
     },
-    std::time::Duration,
+    std::{collections::BTreeSet, time::Duration},
 };
 
 fn report_from_south(core: &mut Core, now: Duration, sequence: u64, spare: Spare) {
@@ -40,6 +40,7 @@
         tokens: 100_000.0,
         requests: 200.0,
         rate: 80.0,
+        builds: BTreeSet::from(["b1".into()]),
     }
 }
 
