Let callers take up a stream only at the build that began it

Cause: the caller names the attempt that brought the first event, in a header that no host read, and an upstream doesn't check it. The host that served that attempt may be gone.

If nobody knows, the stream goes on only where no more than one build has served in any region for as long as a stream may last, by the reports of hosts that watched all the while; otherwise it is refused at once, and has not run.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -201,6 +201,7 @@
             member: Some(fleet.member_mailbox.clone()),
             config: Some(fleet.document_mailbox.clone()),
             reading: None,
+            origin: None,
         };
         let gateway = Gateway::new(Dependencies {
             settings: settings.clone(),
--- a/src/link/control.rs
+++ b/src/link/control.rs
@@ -11,7 +11,7 @@
         clock::Clock,
         config::spread,
         limit, member, name,
-        proxy::{fleet, reader},
+        proxy::{fleet, origin, reader},
         route, wire,
     },
     std::{
@@ -87,6 +87,8 @@
     pub report: Option<Sender<Received<Box<fleet::Report>>>>,
     /// What other hosts have read from the platform.
     pub reading: Option<Sender<Received<Box<reader::Reading>>>>,
+    /// Builds that began streams.
+    pub origin: Option<Sender<Received<origin::Message>>>,
 }
 
 impl Mailboxes {
@@ -99,6 +101,7 @@
             wire::Message::Register(message) => try_deliver(&self.register, from, message),
             wire::Message::Report(message) => try_deliver(&self.report, from, message),
             wire::Message::Reading(message) => try_deliver(&self.reading, from, message),
+            wire::Message::Origin(message) => try_deliver(&self.origin, from, message),
             wire::Message::Probe(_) | wire::Message::Echo(_) => {}
         }
     }
--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -8,6 +8,7 @@
     super::{
         dialect::{Dialect, Metadata},
         host::{Guard, Head, Host},
+        origin::{self, Key, Record},
         place::Job,
         replica::{Outcome, millis},
         send::{MIN_TIME_LEFT, Source, Tries, run_attempts, upstream_failed},
@@ -93,8 +94,13 @@
     /// The last event that was delivered.
     last_event_id: Option<u64>,
     arrived_at: Duration,
+    /// Whether the caller reached this host itself.
+    is_entry: bool,
+    /// Until when the caller may resume the stream.
+    resumable_until: Duration,
     opened_at: Duration,
     byte_count: usize,
+    is_origin_recorded: bool,
     is_finished: bool,
     _running: Guard<D, C>,
 }
@@ -113,11 +119,16 @@
         host.core().record_request(now, &job.pool);
         let time_left = job.deadline.saturating_sub(now);
         let resume = inbound.metadata.resume_after;
-        let opened = timeout(
-            time_left,
-            run_attempts(&host, &inbound, &mut job, &mut tries, resume),
-        )
-        .await;
+        let is_entry = job.may_forward;
+        let lifetime = inbound.metadata.timeout.unwrap_or(origin::MAX_TTL);
+        let resumable_until = job.arrived_at.saturating_add(lifetime);
+        let opening = async {
+            if resume.is_some() && job.matched.route.kind == Kind::Resumable {
+                job.build = pin_build(&host, &inbound, &job).await?;
+            }
+            run_attempts(&host, &inbound, &mut job, &mut tries, resume).await
+        };
+        let opened = timeout(time_left, opening).await;
         let timed_out = Failure::not_run(Code::Deadline, "no answer within the deadline");
         let opened = opened
             .unwrap_or(Err(timed_out))
@@ -132,8 +143,11 @@
             relay,
             last_event_id: resume,
             arrived_at: job.arrived_at,
+            is_entry,
+            resumable_until,
             opened_at: host.clock.now(),
             byte_count: 0,
+            is_origin_recorded: false,
             is_finished: false,
             head: opened.head,
             first: opened.first,
@@ -284,12 +298,35 @@
             }
             complete.extend_from_slice(&event.bytes);
         }
-        if !complete.is_empty() && self.job.build.is_none() {
-            self.job.build = self.build.clone();
+        if !complete.is_empty() && !self.is_origin_recorded {
+            self.record_origin();
         }
         Ok(complete.freeze())
     }
 
+    /// Pins the stream to the build that made its first event, and records that build for hosts at
+    /// which the caller may resume the stream.
+    fn record_origin(&mut self) {
+        self.is_origin_recorded = true;
+        if self.job.build.is_none() {
+            self.job.build = self.build.clone();
+        }
+        let metadata = &self.inbound.metadata;
+        let resumes = metadata
+            .resumes
+            .as_ref()
+            .filter(|_| metadata.resume_after.is_some());
+        let request = resumes.or(metadata.id.as_ref());
+        if let (Some(request), Some(build)) = (request, &self.job.build) {
+            let record = Record {
+                key: Key::new(request),
+                build: build.clone(),
+                ttl: self.resumable_until.saturating_sub(self.host.clock.now()),
+            };
+            self.host.record_origin(record, self.is_entry);
+        }
+    }
+
     /// Resumes a broken stream at another upstream, or returns `failure` if the stream's kind, its
     /// attempts, its deadline or the retry budget forbids that.
     async fn resume(&mut self, failure: Failure) -> Result<(), Failure> {
@@ -375,6 +412,25 @@
     }
 }
 
+/// The build that must serve a stream which a caller resumes. Fails if nobody knows it.
+async fn pin_build<D: Dialect, C: Clock>(
+    host: &Host<D, C>,
+    inbound: &Inbound,
+    job: &Job,
+) -> Result<Option<name::Build>, Failure> {
+    if job.build.is_some() {
+        return Ok(job.build.clone());
+    }
+    let resumes = inbound.metadata.resumes.as_deref();
+    let build = host.find_origin(inbound.id(), resumes, &job.pool).await;
+    if build.is_none() {
+        let wait = host.core().retry_after(host.clock.now(), &job.pool);
+        let reason = "the build that began the stream is not known";
+        return Err(Failure::not_run(Code::NoCapacity, reason).retry_after(wait));
+    }
+    Ok(build)
+}
+
 impl<D: Dialect, C: Clock> Drop for Answer<D, C> {
     fn drop(&mut self) {
         self.finish("cancelled");
--- a/src/proxy/catalog.rs
+++ b/src/proxy/catalog.rs
@@ -6,6 +6,7 @@
 use {
     super::{
         entry::Entry,
+        origin,
         place::Job,
         replica::{Outcome, Replica},
         speed::Speed,
@@ -112,6 +113,11 @@
     /// When the platform became reachable after its last outage.
     reachable_since: Option<Duration>,
     has_list: bool,
+    /// Since when the list was followed without a gap; `None` while the platform is unreachable or
+    /// before the first list.
+    watched_since: Option<Duration>,
+    /// When the last upstream of a build was removed or restarted with another one.
+    retired_builds: BTreeMap<(name::Pool, name::Build), Duration>,
     generation: u64,
     /// When and for how long failing upstreams are ejected.
     ejection: Options,
@@ -128,6 +134,8 @@
             is_unreachable: false,
             reachable_since: None,
             has_list: false,
+            watched_since: None,
+            retired_builds: BTreeMap::new(),
             generation: 0,
             ejection: Options {
                 ejection_threshold: EJECTION_THRESHOLD,
@@ -160,11 +168,51 @@
             self.reachable_since = Some(now);
         }
         self.is_unreachable = !is_reachable;
+        if self.is_unreachable {
+            self.watched_since = None;
+        } else if self.has_list {
+            self.watched_since.get_or_insert(now);
+        }
+    }
+
+    /// For how long the list has been followed without a gap.
+    pub fn watched(&self, now: Duration) -> Duration {
+        self.watched_since
+            .map_or(Duration::ZERO, |since| now.saturating_sub(since))
+    }
+
+    /// Builds of each pool that are listed or were within this time.
+    pub fn recent_builds(
+        &self,
+        now: Duration,
+        within: Duration,
+    ) -> BTreeMap<name::Pool, BTreeSet<name::Build>> {
+        let listed = self.replicas.values().map(|replica| &replica.entry);
+        let listed = listed.map(|entry| (&entry.pool, &entry.build));
+        let retired = self.retired_builds.iter();
+        let retired = retired.filter(|(_, at)| now.saturating_sub(**at) <= within);
+        let retired = retired.map(|((pool, build), _)| (pool, build));
+        let mut builds: BTreeMap<_, BTreeSet<_>> = BTreeMap::new();
+        for (pool, build) in listed.chain(retired) {
+            let pool = builds.entry(pool.clone()).or_default();
+            pool.insert(build.clone());
+        }
+        builds
+    }
+
+    fn retire_build(&mut self, now: Duration, entry: &Entry) {
+        let build = (entry.pool.clone(), entry.build.clone());
+        self.retired_builds
+            .retain(|_, at| now.saturating_sub(*at) <= origin::MAX_TTL);
+        self.retired_builds.insert(build, now);
     }
 
     /// Replaces the whole list of upstreams.
     pub fn replace_all(&mut self, now: Duration, entries: Vec<Entry>) -> Vec<Change> {
         self.has_list = true;
+        if !self.is_unreachable {
+            self.watched_since.get_or_insert(now);
+        }
         let present: BTreeSet<_> = entries.iter().map(|entry| entry.id.clone()).collect();
         let mut changes: Vec<_> = entries
             .into_iter()
@@ -197,10 +245,14 @@
         if !replica.entry_at(now).is_equivalent(&before) {
             self.generation += 1;
         }
+        let is_leaving = replica.entry.leaving;
+        if replica.entry.build != before.build {
+            self.retire_build(now, &before);
+        }
         if restarted {
             return Some(Change::Restarted(id));
         }
-        (replica.entry.leaving && !was_leaving).then_some(Change::Leaving(id))
+        (is_leaving && !was_leaving).then_some(Change::Leaving(id))
     }
 
     /// Removes an upstream that is no longer listed. While the platform is unreachable and shortly
@@ -212,7 +264,7 @@
             replica.removal_at = Some(grace_end.unwrap_or(now + RELIST_GRACE).max(now));
             return None;
         }
-        self.forget(id)
+        self.forget(now, id)
     }
 
     /// Removes upstreams that were not listed again in time.
@@ -226,19 +278,20 @@
         if self.is_unreachable {
             return Vec::new();
         }
-        expired.iter().filter_map(|id| self.forget(id)).collect()
+        let gone = expired.iter().filter_map(|id| self.forget(now, id));
+        gone.collect()
     }
 
     /// Removes an upstream whose address was found to belong to another one.
-    pub fn remove_misdirected(&mut self, id: &name::Upstream) -> Option<Change> {
-        self.forget(id)
+    pub fn remove_misdirected(&mut self, now: Duration, id: &name::Upstream) -> Option<Change> {
+        self.forget(now, id)
     }
 
-    fn forget(&mut self, id: &name::Upstream) -> Option<Change> {
+    fn forget(&mut self, now: Duration, id: &name::Upstream) -> Option<Change> {
         self.generation += 1;
-        self.replicas
-            .remove(id)
-            .map(|replica| Change::Gone(replica.entry.id))
+        let entry = self.replicas.remove(id)?.entry;
+        self.retire_build(now, &entry);
+        Some(Change::Gone(entry.id))
     }
 
     /// Sets the failure domains that are evacuated. Upstreams of a domain whose evacuation ends may
--- a/src/proxy/core/mod.rs
+++ b/src/proxy/core/mod.rs
@@ -4,6 +4,7 @@
 //! it with the reports of other hosts, the listings of upstreams, the configurations and the
 //! progress of answers, and sends the requests and reports that it returns.
 
+mod origin;
 mod region;
 mod wait;
 
@@ -12,6 +13,7 @@
         catalog::{Catalog, Change},
         fleet::{Fleet, Identity, Recipient, Report, Update},
         follow::Section,
+        origin::Ledger,
         place::{self, Choice, Job},
         rate::Limiter,
         reader::{self, Listing, Reading, Role},
@@ -140,6 +142,8 @@
     pub limiter: Limiter,
     /// Whether this host reads the platform's store for its region, and what it has read.
     pub reader_role: Role,
+    /// The builds that began the streams which callers may resume.
+    pub origins: Ledger,
     setup: Setup,
     table: Option<Arc<Table>>,
     reservations: BTreeMap<u64, Reservation>,
@@ -167,6 +171,7 @@
             fleet: Fleet::new(setup.identity.clone(), setup.seeds.clone()),
             limiter: Limiter::new(now),
             reader_role: Role::new(now, setup.identity.host.clone()),
+            origins: Ledger::default(),
             table: None,
             reservations: BTreeMap::new(),
             last_ticket: 0,
@@ -249,6 +254,7 @@
         let spent = self.limiter.usage(now);
         let hosts = self.limiter.host_count();
         let spare = self.region_spare(now);
+        let builds = self.region_builds(now);
         let tallies: Vec<_> = self
             .catalog
             .all()
@@ -281,6 +287,7 @@
                 } else {
                     spare.clone()
                 },
+                builds: builds.clone(),
                 contacts: if recipient.includes_contacts {
                     contacts.clone()
                 } else {
@@ -300,7 +307,7 @@
         upstream: &name::Upstream,
     ) -> Option<Change> {
         self.reader_role.invalidate(now, Section::Upstreams);
-        self.catalog.remove_misdirected(upstream)
+        self.catalog.remove_misdirected(now, upstream)
     }
 
     /// Returns the announcement that is due now of what this host has read from the platform's
--- a/src/proxy/fleet.rs
+++ b/src/proxy/fleet.rs
@@ -82,6 +82,9 @@
     /// Spare capacity of the sender's region by pool; only to hosts of other regions.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub spare: Vec<(name::Pool, Spare)>,
+    /// Builds that served in the sender's region lately.
+    #[serde(default)]
+    pub builds: Builds,
     /// Hosts that the sender knows, with their addresses for peers; only in some reports.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub contacts: Vec<(name::Host, SocketAddr)>,
@@ -108,6 +111,17 @@
     pub builds: BTreeSet<name::Build>,
 }
 
+/// Builds that served in a region within the life of a stream.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Builds {
+    /// For how long the host has followed the list of the region's upstreams without a gap.
+    #[serde(rename = "w")]
+    pub watched: Duration,
+    /// The builds of each pool.
+    #[serde(rename = "p")]
+    pub pools: BTreeMap<name::Pool, BTreeSet<name::Build>>,
+}
+
 /// Another host as its last report describes it.
 #[derive(Debug)]
 pub struct Peer {
@@ -123,6 +137,8 @@
     pub version: u64,
     /// Spare capacity of the host's region, less what was forwarded there since the report.
     pub spare: BTreeMap<name::Pool, Spare>,
+    /// Builds that served in the host's region lately.
+    pub builds: Builds,
     /// Hash of the host's name for rendezvous hashing.
     pub point: u64,
     sequence: u64,
@@ -219,6 +235,7 @@
             is_leaving: report.leaving,
             version: report.version,
             spare: report.spare.iter().cloned().collect(),
+            builds: report.builds.clone(),
             point: point(&report.from.host),
             sequence: report.sequence,
             next_report_at,
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -16,6 +16,7 @@
 mod headers;
 pub mod host;
 pub mod intake;
+pub mod origin;
 pub mod place;
 pub mod rate;
 pub mod reader;
--- a/src/proxy/table.rs
+++ b/src/proxy/table.rs
@@ -234,6 +234,14 @@
             .unwrap_or_default()
     }
 
+    /// Longest time limit of a stream that callers may resume.
+    pub fn longest_stream(&self) -> Duration {
+        let routes = self.routes.values().flatten();
+        let resumable = routes.filter(|route| route.kind == Kind::Resumable);
+        let limits = resumable.map(|route| route.timeout);
+        limits.max().unwrap_or_default()
+    }
+
     /// Number of routes of a host plus number of customers that a region may serve. Callers without
     /// a host in their region are sent to regions with the highest number.
     pub fn suitability(&self, host: &str, region: &name::Region) -> usize {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -7,7 +7,7 @@
         attempt::register,
         config::spread,
         limit, member, name,
-        proxy::{fleet, reader},
+        proxy::{fleet, origin, reader},
         route,
     },
     bytes::Bytes,
@@ -39,6 +39,8 @@
     Report(Box<fleet::Report>),
     /// What a host of the region has read from the platform.
     Reading(Box<reader::Reading>),
+    /// Builds that began streams.
+    Origin(origin::Message),
 }
 
 /// A round-trip probe.
--- a/tests/proxy/build.rs
+++ b/tests/proxy/build.rs
@@ -1,7 +1,7 @@
 //! Placement of streams that must go on at the build that began them.
 
 use {
-    crate::common::{POOL, address, core, entry, forwardable, identity, job, ms},
+    crate::common::{self, POOL, address, core, entry, forwardable, identity, job, ms},
     greengagecleat::proxy::{
         core::{Core, Placement},
         entry::Entry,
@@ -39,16 +39,8 @@
         builds: builds.iter().map(|build| (*build).into()).collect(),
     };
     let report = Report {
-        from: identity("s1", "south", 3),
-        sequence: 1,
-        ready: true,
-        leaving: false,
-        version: 1,
-        hosts: 1,
-        spent: Vec::new(),
-        tallies: Vec::new(),
         spare: vec![(POOL.into(), spare)],
-        contacts: Vec::new(),
+        ..common::report(identity("s1", "south", 3), 1)
     };
     core.receive_report(ms(0), report);
 }
--- a/tests/proxy/common.rs
+++ b/tests/proxy/common.rs
@@ -9,7 +9,7 @@
             core::{Core, Retries, Setup},
             dialect::Part,
             entry::Entry,
-            fleet::Identity,
+            fleet::{Builds, Identity, Report},
             place::Job,
             table::{Customer, Engine, Kind, Limits, Match, Pool, Route, Rows, Table},
         },
@@ -114,6 +114,23 @@
     }
 }
 
+/// A report of a host that serves and has nothing else to tell.
+pub(crate) fn report(from: Identity, sequence: u64) -> Report {
+    Report {
+        from,
+        sequence,
+        ready: true,
+        leaving: false,
+        version: 1,
+        hosts: 1,
+        spent: Vec::new(),
+        tallies: Vec::new(),
+        spare: Vec::new(),
+        builds: Builds::default(),
+        contacts: Vec::new(),
+    }
+}
+
 pub(crate) fn setup(host: &str, region: &str, last: u8) -> Setup {
     let domains = ["north", "south"];
     Setup {
--- a/tests/proxy/core.rs
+++ b/tests/proxy/core.rs
@@ -20,16 +20,9 @@
 /// Lets a host of the region `south` report, with a configuration of this version.
 fn report_with_version(core: &mut Core, now: Duration, sequence: u64, spare: Spare, version: u64) {
     let report = Report {
-        from: identity("s1", "south", 3),
-        sequence,
-        ready: true,
-        leaving: false,
         version,
-        hosts: 1,
-        spent: Vec::new(),
-        tallies: Vec::new(),
         spare: vec![(POOL.into(), spare)],
-        contacts: Vec::new(),
+        ..common::report(identity("s1", "south", 3), sequence)
     };
     core.receive_report(now, report);
 }
--- a/tests/proxy/fleet.rs
+++ b/tests/proxy/fleet.rs
@@ -2,7 +2,7 @@
 //! callers are directed to.
 
 use {
-    crate::common::{address, identity, ms},
+    crate::common::{self, address, identity, ms},
     greengagecleat::proxy::fleet::{Fleet, GONE_AFTER, Recipient, Report, Update},
     std::{net::SocketAddr, time::Duration},
 };
@@ -10,18 +10,7 @@
 fn report(host: &str, region: &str, last: u8, incarnation: u64, sequence: u64) -> Report {
     let mut from = identity(host, region, last);
     from.incarnation = incarnation;
-    Report {
-        from,
-        sequence,
-        ready: true,
-        leaving: false,
-        version: 1,
-        hosts: 1,
-        spent: Vec::new(),
-        tallies: Vec::new(),
-        spare: Vec::new(),
-        contacts: Vec::new(),
-    }
+    common::report(from, sequence)
 }
 
 fn fleet() -> Fleet {
--- a/tests/proxy/upstreams.rs
+++ b/tests/proxy/upstreams.rs
@@ -105,7 +105,7 @@
 #[test]
 fn an_upstream_whose_address_belongs_to_another_is_removed() {
     let mut catalog = catalog();
-    catalog.remove_misdirected(&"e0".into());
+    catalog.remove_misdirected(ms(0), &"e0".into());
     assert_eq!(eligible(&catalog), ["e1"]);
 }
 
