Test who holds the record of a stream, and what is known without one

Records expire in time, are told once and are bounded; each host finds the record after the first host and any other, or its whole region, is lost; one build is taken for granted only where all regions were watched for the life of a stream.

--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -8,6 +8,8 @@
 mod core;
 #[path = "proxy/fleet.rs"]
 mod fleet;
+#[path = "proxy/origin.rs"]
+mod origin;
 #[path = "proxy/place.rs"]
 mod place;
 #[path = "proxy/rate.rs"]
