--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -124,7 +124,7 @@
         let resumable_until = job.arrived_at.saturating_add(lifetime);
         let opening = async {
             if resume.is_some() && job.matched.route.kind == Kind::Resumable {
-                job.build = pin_build(&host, &inbound, &job).await?;
+                job.build = required_build(&host, &inbound, &job).await?;
             }
             run_attempts(&host, &inbound, &mut job, &mut tries, resume).await
         };
@@ -413,7 +413,7 @@
 }
 
 /// The build that must serve a stream which a caller resumes. Fails if nobody knows it.
-async fn pin_build<D: Dialect, C: Clock>(
+async fn required_build<D: Dialect, C: Clock>(
     host: &Host<D, C>,
     inbound: &Inbound,
     job: &Job,
--- a/src/proxy/host.rs
+++ b/src/proxy/host.rs
@@ -5,6 +5,8 @@
 //! the core where each request goes, queues requests that must wait, and sends the reports and
 //! announcements that the core returns.
 
+mod origin;
+
 use {
     super::{
         answer::{Answer, Inbound},
@@ -13,7 +15,6 @@
         dialect::Dialect,
         fleet::{self, Update},
         follow::Section,
-        origin::{self, Key, Record},
         place::Job,
         reader::{self, Reading},
         replica::Outcome,
@@ -31,7 +32,7 @@
     },
     bytes::Bytes,
     http::{HeaderMap, StatusCode},
-    prometheus_client::metrics::{counter::Counter, histogram::Histogram},
+    prometheus_client::metrics::{counter::Counter, family::Family, histogram::Histogram},
     std::{
         collections::BTreeMap,
         net::SocketAddr,
@@ -43,7 +44,7 @@
     },
     tokio::{
         sync::{Notify, mpsc, oneshot, watch},
-        time::{sleep, timeout},
+        time::sleep,
     },
 };
 
@@ -53,10 +54,6 @@
 /// How often to renew connections to other regions; well below the time an idle one stays usable.
 const WARM_INTERVAL: Duration = Duration::from_millis(500);
 
-/// How long to wait for the hosts that may know which build began a stream: more than a round trip
-/// between regions.
-const ORIGIN_TIMEOUT: Duration = Duration::from_millis(350);
-
 /// Upper bounds of the histogram buckets for measured over predicted time to the first byte.
 const RATIO_BUCKETS: [f64; 9] = [0.25, 0.5, 0.75, 1.0, 1.25, 1.5, 2.0, 4.0, 10.0];
 
@@ -88,6 +85,8 @@
     /// Channels to the tasks that ask which build began a stream, by the number of the question.
     questions: Mutex<BTreeMap<u64, mpsc::UnboundedSender<Option<name::Build>>>>,
     last_question: AtomicU64,
+    /// Streams resumed by callers, by how the build was found.
+    resumed: Family<origin::Labels, Counter>,
     phase: watch::Receiver<Phase>,
     running: AtomicUsize,
     /// Notified when another host reports a newer configuration.
@@ -141,6 +140,7 @@
         let now = dependencies.clock.now();
         let predicted_ratio = Histogram::new(RATIO_BUCKETS);
         let sampler = Sampler::default();
+        let resumed = Family::default();
         let store_calls = Counter::default();
         let store_failures = Counter::default();
         dependencies.metrics.register(|registry| {
@@ -159,6 +159,11 @@
                 "Time to the first byte over its prediction",
                 predicted_ratio.clone(),
             );
+            registry.register(
+                "streams_resumed",
+                "Streams resumed by callers, by how their build was found",
+                resumed.clone(),
+            );
             registry.register(
                 "log_lines_sampled_out",
                 "Lines of successful requests that were not logged",
@@ -177,6 +182,7 @@
             waiters: Mutex::default(),
             questions: Mutex::default(),
             last_question: AtomicU64::new(0),
+            resumed,
             phase: dependencies.phase,
             running: AtomicUsize::new(0),
             newer_configuration: Notify::new(),
@@ -480,114 +486,6 @@
         }
     }
 
-    /// Records which build began a stream; other hosts are told of it soon if it began here.
-    pub(super) fn record_origin(&self, record: Record, began_here: bool) {
-        let now = self.clock.now();
-        let mut core = self.core();
-        if began_here {
-            core.origins.begin(now, record);
-        } else {
-            core.origins.insert(now, record);
-        }
-    }
-
-    /// Tells other hosts of the streams that began here since the last time.
-    fn tell_origins(&self) {
-        let now = self.clock.now();
-        let messages = self.core().untold_streams(now);
-        for (host, message) in messages {
-            self.link.send(&host, wire::Message::Origin(message));
-        }
-    }
-
-    /// Finds out which build began a stream: from this host's records, from those of others, or
-    /// because only one build has served.
-    pub(super) async fn find_origin(
-        &self,
-        request: &str,
-        resumes: Option<&str>,
-        pool: &name::Pool,
-    ) -> Option<name::Build> {
-        let asked_at = self.clock.now();
-        let key = resumes.map(Key::new);
-        let own = key.and_then(|key| self.core().origins.build(asked_at, key).cloned());
-        let told = match key {
-            Some(key) if own.is_none() => self.ask_for_origin(asked_at, key).await,
-            _ => None,
-        };
-        let now = self.clock.now();
-        let source = match (&own, &told) {
-            (Some(_), _) => "record",
-            (_, Some(_)) => "host",
-            _ => "list",
-        };
-        let build = own.or(told).or_else(|| self.core().only_build(now, pool));
-        tracing::info!(event = "origin", request, resumes, %pool, source,
-            build = build.as_ref().map(name::Build::as_str),
-            waited_ms = now.saturating_sub(asked_at).as_millis() as u64);
-        build
-    }
-
-    /// Asks the hosts that hold the record of a stream, until one has it, all have answered or
-    /// [`ORIGIN_TIMEOUT`] has passed.
-    async fn ask_for_origin(&self, now: Duration, key: Key) -> Option<name::Build> {
-        let hosts = self.core().hosts_to_ask(now, key);
-        let ticket = self.last_question.fetch_add(1, Ordering::Relaxed);
-        let (sender, mut answers) = mpsc::unbounded_channel();
-        self.questions().insert(ticket, sender);
-        let _question = Question { host: self, ticket };
-        for host in &hosts {
-            let ask = origin::Message::Ask { ticket, key };
-            self.link.send(host, wire::Message::Origin(ask));
-        }
-        let answered = async {
-            for _ in &hosts {
-                if let Some(build) = answers.recv().await? {
-                    return Some(build);
-                }
-            }
-            None
-        };
-        timeout(ORIGIN_TIMEOUT, answered).await.ok().flatten()
-    }
-
-    fn questions(
-        &self,
-    ) -> MutexGuard<'_, BTreeMap<u64, mpsc::UnboundedSender<Option<name::Build>>>> {
-        self.questions
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Handles what other hosts tell and ask of streams until the channel closes.
-    pub async fn receive_origins(
-        self,
-        mut mailbox: mpsc::Receiver<link::Received<origin::Message>>,
-    ) {
-        while let Some(link::Received { from, message }) = mailbox.recv().await {
-            let now = self.clock.now();
-            match message {
-                origin::Message::Began(records) => {
-                    let mut core = self.core();
-                    for record in records {
-                        core.origins.insert(now, record);
-                    }
-                }
-                origin::Message::Ask { ticket, key } => {
-                    let build = self.core().origins.build(now, key).cloned();
-                    let told = origin::Message::Told { ticket, build };
-                    self.link.send(&from, wire::Message::Origin(told));
-                }
-                origin::Message::Told { ticket, build } => {
-                    // The question may have been answered by another host.
-                    if let Some(question) = self.questions().get(&ticket) {
-                        question.send(build).ok();
-                    }
-                }
-            }
-        }
-    }
-
     /// Removes expired state, finds silent upstreams and places queued requests.
     fn expire(&self) {
         let now = self.clock.now();
@@ -667,18 +565,6 @@
     }
 }
 
-/// A question to other hosts. Dropping it forgets the question.
-struct Question<'a, D: Dialect, C: Clock> {
-    host: &'a Host<D, C>,
-    ticket: u64,
-}
-
-impl<D: Dialect, C: Clock> Drop for Question<'_, D, C> {
-    fn drop(&mut self) {
-        self.host.questions().remove(&self.ticket);
-    }
-}
-
 /// A reservation of capacity at an upstream. Dropping it frees the capacity and records `outcome`.
 #[derive(Debug)]
 pub(super) struct Reservation<D: Dialect, C: Clock> {
