Relay an engine's error without a length that is no JSON

An answer of a model route that ends with its connection was taken for a cut completion unless it was a JSON value, whatever its status. An error in plain text was so held for broken: the call was sent again, and failed where it could not be.

Only answers with status 200 are completions. The test failed with two sends in place of one, at either host.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -284,8 +284,11 @@
                     .retry_broken(upstream_failure("the stream ended within an event"))
                     .await;
             }
+            // The format of an error is not known.
             Mode::Buffered(buffer)
-                if self.answer.source.is_ended_by_close() && !is_json(buffer) =>
+                if self.answer.head.status == 200
+                    && self.answer.source.is_ended_by_close()
+                    && !is_json(buffer) =>
             {
                 return self
                     .retry_broken(upstream_failure("the answer ended within its JSON"))
--- a/testbed/src/raw.rs
+++ b/testbed/src/raw.rs
@@ -65,9 +65,11 @@
     pub body: Vec<u8>,
 }
 
-/// A whole answer with status 200.
+/// A whole answer.
 #[derive(Debug, Clone)]
 pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
     /// Headers, without those that mark the end of the body.
     pub headers: Vec<(&'static str, String)>,
     /// The body.
@@ -106,6 +108,13 @@
         self.state().arrivals.get(id).copied().unwrap_or(0)
     }
 
+    /// Number of arrivals of all requests with an id.
+    pub fn total_arrivals(&self) -> usize {
+        let state = self.state();
+        let with_id = state.arrivals.iter().filter(|(id, _)| !id.is_empty());
+        with_id.map(|(_, count)| count).sum()
+    }
+
     fn next_cut(&self, id: &str) -> Option<Cut> {
         let mut state = self.state();
         *state.arrivals.entry(id.to_owned()).or_default() += 1;
@@ -164,7 +173,7 @@
 fn encode(answer: &Answer, framing: Framing, limit: usize) -> Vec<u8> {
     let length = answer.body.len();
     let body = &answer.body[..limit.min(length)];
-    let mut encoded = b"HTTP/1.1 200 OK\r\n".to_vec();
+    let mut encoded = format!("HTTP/1.1 {} \r\n", answer.status).into_bytes();
     for (name, value) in &answer.headers {
         encoded.extend(format!("{name}: {value}\r\n").bytes());
     }
--- a/tests/gateway/cut.rs
+++ b/tests/gateway/cut.rs
@@ -11,14 +11,22 @@
 const EVENTS: &str = "id: 1\ndata: one\n\nid: 2\r\ndata: two\r\n\r\ndata: three\n\n";
 const COMPLETION: &str = r#"{"choices":[{"message":{"content":"whole"}}]}"#;
 
-/// Answers plain calls with events and model calls with a completion.
+const ERROR: &str = "the prompt is too long";
+/// Prompt that the engine answers with [`ERROR`].
+const LONG_PROMPT: &str = "a long prompt";
+
+/// Answers plain calls with events and model calls with a completion or an error.
 fn answer(request: &raw::Request) -> raw::Answer {
-    let (kind, body) = if request.target.starts_with("/v1/") {
-        ("application/json", COMPLETION)
+    let is_long = String::from_utf8_lossy(&request.body).contains(LONG_PROMPT);
+    let (status, kind, body) = if !request.target.starts_with("/v1/") {
+        (200, "text/event-stream", EVENTS)
+    } else if is_long {
+        (400, "text/plain", ERROR)
     } else {
-        ("text/event-stream", EVENTS)
+        (200, "application/json", COMPLETION)
     };
     raw::Answer {
+        status,
         headers: vec![
             ("content-type", kind.to_owned()),
             ("x-request-id", request.header("x-request-id").to_owned()),
@@ -47,13 +55,19 @@
     (bed, scissors, hosts)
 }
 
-/// The body of the answer to a call, if the answer is complete and has status 200.
-async fn body(bed: &Bed, host: &Running, call: &Call) -> Option<String> {
+/// The status and the body of the answer to a call, if the answer is complete.
+async fn whole(bed: &Bed, host: &Running, call: &Call) -> Option<(u16, String)> {
     let authorization = format!("Bearer {KOLLAM}");
     let call = call.clone().header("authorization", &authorization);
     let answer = bed.caller.whole(host.addresses.callers, &call).await.ok()?;
     let text = String::from_utf8(answer.body.to_vec()).expect("text");
-    (answer.status == 200).then_some(text)
+    Some((answer.status.as_u16(), text))
+}
+
+/// The body of the answer to a call, if the answer is complete and has status 200.
+async fn body(bed: &Bed, host: &Running, call: &Call) -> Option<String> {
+    let (status, text) = whole(bed, host, call).await?;
+    (status == 200).then_some(text)
 }
 
 fn cut_after(bytes: usize) -> Option<Cut> {
@@ -94,3 +108,16 @@
         }
     }
 }
+
+/// An engine's error in plain text was taken for a cut completion, and the call sent again.
+#[tokio::test]
+async fn an_error_that_is_no_json_is_relayed() {
+    let (bed, scissors, hosts) = deployment().await;
+    for host in &hosts {
+        scissors.set(cut_after(ERROR.len()));
+        let before = scissors.total_arrivals();
+        let seen = whole(&bed, host, &chat(LONG_PROMPT, 8, false)).await;
+        assert_eq!(seen, Some((400, ERROR.to_owned())));
+        assert_eq!(scissors.total_arrivals() - before, 1, "it was sent again");
+    }
+}
--- a/tests/source.rs
+++ b/tests/source.rs
@@ -13,6 +13,7 @@
 
 fn answer(_: &raw::Request) -> raw::Answer {
     raw::Answer {
+        status: 200,
         headers: vec![("x-revision", "7".to_owned())],
         body: ROUTES.as_bytes().to_vec(),
     }
