Resume a stream in another region when its only upstream here broke it

Callers lost a stream that another region could have finished: where one upstream alone of the build was left in the region, the host resumed the broken stream at that upstream again, and the route's attempts were used up.

The test failed with a broken stream; it passes, with one send to each region.

--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -347,8 +347,6 @@
         if !self.host.core().withdraw_retry(now, &self.job.pool) {
             return Err(failure);
         }
-        self.job
-            .allow_tried_upstreams_if_none_is_left(&self.host.core().catalog);
         self.relay = Relay::Events(Splitter::new());
         self.job.arrived_at = now;
         let time_left = self.job.deadline.saturating_sub(self.job.arrived_at);
