--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -124,7 +124,7 @@
         let resumable_until = job.arrived_at.saturating_add(lifetime);
         let opening = async {
             if resume.is_some() && job.matched.route.kind == Kind::Resumable {
-                job.build = required_build(&host, &inbound, &job).await?;
+                job.build = Some(required_build(&host, &inbound, &job).await?);
             }
             run_attempts(&host, &inbound, &mut job, &mut tries, resume).await
         };
@@ -415,18 +415,17 @@
     host: &Host<D, C>,
     inbound: &Inbound,
     job: &Job,
-) -> Result<Option<name::Build>, Failure> {
-    if job.build.is_some() {
-        return Ok(job.build.clone());
+) -> Result<name::Build, Failure> {
+    if let Some(build) = &job.build {
+        return Ok(build.clone());
     }
     let resumes = inbound.metadata.resumes.as_deref();
-    let build = host.find_origin(inbound.id(), resumes, &job.pool).await;
-    if build.is_none() {
+    let found = host.find_origin(inbound.id(), resumes, &job.pool).await;
+    found.ok_or_else(|| {
         let wait = host.core().retry_after(host.clock.now(), &job.pool);
         let reason = "the build that began the stream is not known";
-        return Err(Failure::not_run(Code::NoCapacity, reason).retry_after(wait));
-    }
-    Ok(build)
+        Failure::not_run(Code::NoCapacity, reason).retry_after(wait)
+    })
 }
 
 impl<D: Dialect, C: Clock> Drop for Answer<D, C> {
--- a/src/proxy/catalog.rs
+++ b/src/proxy/catalog.rs
@@ -116,7 +116,7 @@
     /// Since when the list was followed without a gap; `None` while the platform is unreachable or
     /// before the first list.
     watched_since: Option<Duration>,
-    /// When the last upstream of a build was removed or restarted with another one.
+    /// When an upstream of a build was last removed, or restarted with another build.
     retired_builds: BTreeMap<(name::Pool, name::Build), Duration>,
     generation: u64,
     /// When and for how long failing upstreams are ejected.
--- a/src/proxy/core/region.rs
+++ b/src/proxy/core/region.rs
@@ -89,8 +89,8 @@
         let own = &self.setup.identity.region;
         let prompt_tokens = f64::from(job.tokens.0);
         let elapsed_ms = job.elapsed_ms(now);
-        let has_build = job.build.is_none() || self.catalog.eligible_for(job).next().is_some();
-        let may_be_local = job.matched.allows(own) && has_build;
+        let is_build_here = job.build.is_none() || self.catalog.eligible_for(job).next().is_some();
+        let may_be_local = job.matched.allows(own) && is_build_here;
         let time_limit_ms = millis(job.deadline.saturating_sub(job.arrived_at));
         // A host with an older configuration would refuse the request without running it.
         let is_behind = |peer: &Peer| peer.version < job.matched.version;
@@ -103,11 +103,9 @@
             let Some(spare) = peer.spare.get(&job.pool) else {
                 continue;
             };
-            let has_build = job
-                .build
-                .as_ref()
-                .is_none_or(|build| spare.builds.contains(build));
-            if spare.wait_ms == f32::MAX || !has_build {
+            let build = job.build.as_ref();
+            let is_build_there = build.is_none_or(|build| spare.builds.contains(build));
+            if spare.wait_ms == f32::MAX || !is_build_there {
                 continue;
             }
             let prefill_ms = prompt_tokens / f64::from(spare.rate.max(1.0));
