Log how long a broken answer's upstream was silent, and requests that end without an answer

The lines of a host did not tell why an answer that stalled was not resumed, and a request whose task ended before it had an answer left no line. `broken` has `silent_ms` and `obstacle`; `abandoned` and `panic` are new.

--- a/src/bin/greengagecleat/log.rs
+++ b/src/bin/greengagecleat/log.rs
@@ -1,15 +1,16 @@
 //! Sets up structured logging to standard error.
 
-use {crate::setting::Logging, std::io};
+use {crate::setting::Logging, greengagecleat::panic, std::io};
 
-/// Installs the process-wide log subscriber.
+/// Installs the process-wide log subscriber, which logs panics too.
 pub(crate) fn start(log: Logging) {
     let builder = tracing_subscriber::fmt()
         .with_env_filter(log.filter)
         .with_writer(io::stderr);
     if log.is_json {
         builder.json().flatten_event(true).init();
-        return;
+    } else {
+        builder.with_ansi(false).init();
     }
-    builder.with_ansi(false).init();
+    panic::log_all();
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod metric;
 pub mod name;
 pub mod net;
+pub mod panic;
 pub mod proxy;
 pub mod queue;
 pub mod rendezvous;
--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -99,6 +99,8 @@
     last_event_id: Option<u64>,
     /// Time for which the upstream was waited for since the last event that was delivered.
     waited: Duration,
+    /// When the source last brought a piece, or the answer was opened.
+    heard_at: Duration,
     arrived_at: Duration,
     /// Whether the caller reached this host itself.
     is_entry: bool,
@@ -151,6 +153,7 @@
             relay,
             last_event_id: resume,
             waited: Duration::ZERO,
+            heard_at: host.clock.now(),
             arrived_at: job.arrived_at,
             is_entry,
             resumable_until,
@@ -239,12 +242,14 @@
                 }
                 Err(failure) => failure,
             };
-            if let Err(failure) = self.resume(failure).await {
+            let silent_for = self.host.clock.now().saturating_sub(self.heard_at);
+            if let Err((failure, obstacle)) = self.resume(failure).await {
                 self.source = None;
                 self.finish("broken");
                 tracing::warn!(event = "broken", request = self.inbound.id(), upstream = %self.upstream,
                     parts = cache::format_parts(&self.job.prefixes),
-                    bytes = self.byte_count, reason = %failure, "answer ended early");
+                    bytes = self.byte_count, silent_ms = silent_for.as_millis() as u64, reason = %failure,
+                    obstacle, "answer ended early");
                 super::host::count_failure(&self.host.metrics, &failure);
                 return Err(failure);
             }
@@ -297,6 +302,9 @@
             Source::Peer(body) => timeout(limit, body.next()).await,
         };
         self.waited += self.host.clock.now().saturating_sub(now);
+        if let Ok(Ok(_)) = piece {
+            self.heard_at = self.host.clock.now();
+        }
         piece.unwrap_or_else(|_| Err(stalled()))
     }
 
@@ -356,9 +364,9 @@
         }
     }
 
-    /// Resumes a broken stream at another upstream, or returns `failure` if the stream's kind, its
-    /// attempts, its deadline or the retry budget forbids that.
-    async fn resume(&mut self, failure: Failure) -> Result<(), Failure> {
+    /// Resumes a broken stream at another upstream, or returns `failure` and what stands in the way
+    /// of that.
+    async fn resume(&mut self, failure: Failure) -> Result<(), (Failure, String)> {
         if let Some(Source::Upstream(_, reservation)) = &mut self.source {
             reservation.outcome = Outcome::Broken;
             let failed = reservation.grant.upstream.clone();
@@ -366,15 +374,8 @@
         }
         self.source = None;
         let now = self.host.clock.now();
-        // Once an event was delivered, only the build that made it may go on.
-        let is_build_known = self.byte_count == 0 || self.job.build.is_some();
-        let may_resume =
-            self.is_resumable() && is_build_known && self.tries.runs < self.job.max_attempts;
-        if !may_resume || self.job.deadline <= now + MIN_TIME_LEFT {
-            return Err(failure);
-        }
-        if !self.host.core().withdraw_retry(now, &self.job.pool) {
-            return Err(failure);
+        if let Some(obstacle) = self.resume_obstacle(now) {
+            return Err((failure, obstacle.to_owned()));
         }
         self.relay = Relay::Events(Splitter::new());
         self.job.arrived_at = now;
@@ -386,17 +387,20 @@
             &mut self.tries,
             self.last_event_id,
         );
-        let opened = timeout(time_left, attempts)
-            .await
-            .map_err(|_| failure.clone())?;
-        let opened = opened.map_err(|_| failure)?;
+        let opened = match timeout(time_left, attempts).await {
+            Ok(Ok(opened)) => opened,
+            Ok(Err(obstacle)) => return Err((failure, obstacle.to_string())),
+            Err(_) => return Err((failure, "the deadline".to_owned())),
+        };
         if !opened.head.status.is_success() {
-            return Err(upstream_failed("the stream could not be taken up"));
+            let failure = upstream_failed("the stream could not be taken up");
+            return Err((failure, format!("status {}", opened.head.status)));
         }
         tracing::info!(event = "resumed", request = self.inbound.id(), after = self.last_event_id,
             from = %self.upstream, from_build = self.build.as_ref().map(name::Build::as_str),
             upstream = %opened.upstream, build = opened.build.as_ref().map(name::Build::as_str), "stream resumed at another upstream");
         self.waited = Duration::ZERO;
+        self.heard_at = self.host.clock.now();
         self.first = opened.first;
         self.source = opened.source;
         self.upstream = opened.upstream;
@@ -405,6 +409,26 @@
         Ok(())
     }
 
+    /// Why another upstream may not go on with the answer; `None` if one may. Takes a retry out of
+    /// the budget in that case.
+    fn resume_obstacle(&self, now: Duration) -> Option<&'static str> {
+        // Once an event was delivered, only the build that made it may go on.
+        let is_build_known = self.byte_count == 0 || self.job.build.is_some();
+        if !self.is_resumable() {
+            Some("the kind of route")
+        } else if !is_build_known {
+            Some("the build is not known")
+        } else if self.tries.runs >= self.job.max_attempts {
+            Some("no attempt is left")
+        } else if self.job.deadline <= now + MIN_TIME_LEFT {
+            Some("the deadline")
+        } else if !self.host.core().withdraw_retry(now, &self.job.pool) {
+            Some("the retry budget")
+        } else {
+            None
+        }
+    }
+
     /// Counts and logs the end of the answer, once.
     fn finish(&mut self, outcome: &'static str) {
         if std::mem::replace(&mut self.is_finished, true) {
--- a/src/proxy/intake.rs
+++ b/src/proxy/intake.rs
@@ -50,7 +50,14 @@
         .to_owned();
     headers::remove_hop_by_hop(&mut head.headers);
     let leaving = host.is_leaving();
+    let unanswered = Unanswered {
+        id: id.as_deref().unwrap_or("-"),
+        clock: &host.clock,
+        arrived_at: host.clock.now(),
+        is_answered: false,
+    };
     let opened = admit(&host, metadata, head.method, target, head.headers, body).await;
+    unanswered.finish();
     let mut response = match opened {
         Ok(mut answer) => {
             let status = answer.status();
@@ -76,6 +83,35 @@
     response
 }
 
+/// A request that has no answer yet. Dropping it before [`Unanswered::finish`] means that the caller
+/// has left or that the task has failed.
+struct Unanswered<'a, C: Clock> {
+    id: &'a str,
+    clock: &'a C,
+    arrived_at: Duration,
+    is_answered: bool,
+}
+
+impl<C: Clock> Unanswered<'_, C> {
+    fn finish(mut self) {
+        self.is_answered = true;
+    }
+}
+
+impl<C: Clock> Drop for Unanswered<'_, C> {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            let after = self.clock.now().saturating_sub(self.arrived_at);
+            tracing::info!(
+                event = "abandoned",
+                request = self.id,
+                after_ms = after.as_millis() as u64,
+                panicking = std::thread::panicking()
+            );
+        }
+    }
+}
+
 /// Turns the rest of an answer into a stream of body frames.
 fn body_stream<D: Dialect, C: Clock>(
     answer: Answer<D, C>,
--- a/src/trace.rs
+++ b/src/trace.rs
@@ -104,7 +104,7 @@
     fn is_final(&self) -> bool {
         matches!(
             self.event.as_str(),
-            "answered" | "refused" | "broken" | "unplaced"
+            "answered" | "refused" | "broken" | "unplaced" | "abandoned"
         )
     }
 
