--- a/testbed/src/raw.rs
+++ b/testbed/src/raw.rs
@@ -1,5 +1,5 @@
 //! Stand-in of an upstream that writes its answers to the socket itself, so that an answer can be
-//! cut after any byte of its body and its connection closed or reset.
+//! cut after any byte of its body and its connection closed or reset, or pause at any byte.
 
 use {
     crate::serve,
@@ -54,6 +54,17 @@
     pub bytes: usize,
 }
 
+/// A silence within an answer, which goes on after it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Pause {
+    /// How the end of the body is marked.
+    pub framing: Framing,
+    /// Number of bytes of the body that are sent before; `None` for a silence before the head.
+    pub after: Option<usize>,
+    /// How long nothing is sent.
+    pub length: Duration,
+}
+
 /// A request as it was received.
 #[derive(Debug, Clone, Default)]
 pub struct Request {
@@ -74,6 +85,8 @@
     pub headers: Vec<(&'static str, String)>,
     /// The body.
     pub body: Vec<u8>,
+    /// A silence within it.
+    pub pause: Option<Pause>,
 }
 
 /// Cuts the answers of the upstreams that share it: the first one to a request with an id, each one
@@ -153,8 +166,21 @@
     while let Some(request) = read_request(&mut stream).await? {
         let answer = answer(&request);
         let Some(cut) = scissors.next_cut(request.header(REQUEST_ID)) else {
-            let whole = encode(&answer, Framing::Length, answer.body.len());
-            stream.write_all(&whole).await?;
+            let framing = answer.pause.map_or(Framing::Length, |pause| pause.framing);
+            let whole = encode(&answer, framing, answer.body.len());
+            let mut rest = &whole[..];
+            if let Some(pause) = answer.pause {
+                let before = pause
+                    .after
+                    .map_or(0, |bytes| encoded_len(&answer, framing, bytes));
+                stream.write_all(&rest[..before]).await?;
+                sleep(pause.length).await;
+                rest = &rest[before..];
+            }
+            stream.write_all(rest).await?;
+            if framing == Framing::Close {
+                return Ok(());
+            }
             continue;
         };
         stream
@@ -169,6 +195,17 @@
     Ok(())
 }
 
+/// Length of an encoded answer up to this number of bytes of its body.
+fn encoded_len(answer: &Answer, framing: Framing, bytes: usize) -> usize {
+    let whole = encode(answer, framing, answer.body.len());
+    let end_mark = match framing {
+        Framing::Chunked if answer.body.is_empty() => "0\r\n\r\n".len(),
+        Framing::Chunked => "\r\n0\r\n\r\n".len(),
+        Framing::Length | Framing::Close => 0,
+    };
+    whole.len() - end_mark - answer.body.len() + bytes
+}
+
 /// Encodes an answer of which at most `limit` bytes of the body are sent.
 fn encode(answer: &Answer, framing: Framing, limit: usize) -> Vec<u8> {
     let length = answer.body.len();
--- a/tests/gateway/cut.rs
+++ b/tests/gateway/cut.rs
@@ -32,6 +32,7 @@
             ("x-request-id", request.header("x-request-id").to_owned()),
         ],
         body: body.as_bytes().to_vec(),
+        pause: None,
     }
 }
 
--- a/tests/source.rs
+++ b/tests/source.rs
@@ -16,6 +16,7 @@
         status: 200,
         headers: vec![("x-revision", "7".to_owned())],
         body: ROUTES.as_bytes().to_vec(),
+        pause: None,
     }
 }
 
