Make another attempt beside a silent upstream instead of giving its answer up

Callers of resumable streams saw the connection close in the middle of an answer when every upstream was silent for 1.2 s or more, and callers of repeatable requests got 502, though the upstreams went on well within the deadline. Silence of a second or so is allowed to an upstream.

Each limit on silence exists so that another upstream can be tried, but the host closed the silent source first and looked for another one after that. With no attempt, no retry, no room or no upstream of the build left, an answer that would have come was lost; the host that others forward to makes one attempt, so there it always was.

Evidence: the test failed before with 126 of 384 answers (54 of 72 repeatable requests, 72 of 120 resumable streams, none of the 192 others); the lines were `broken` with a `silent_ms` of 1200, or `attempt failed` with "nothing came in time".

Now a late attempt goes on, and another one is made beside it within the same limits (`proxy::race`). What brings something that may be passed on first goes on, so nothing is thrown away before its place is taken.

An upstream that breaks off before its first event no longer counts as having resumed a stream.

The test passes: 0 of 384.

--- a/src/attempt/budget.rs
+++ b/src/attempt/budget.rs
@@ -61,6 +61,12 @@
         }
     }
 
+    /// Whether a retry is left.
+    pub fn has_retry(&mut self, now: Duration) -> bool {
+        self.refill(now);
+        self.tokens >= 1.0
+    }
+
     /// Adds the tokens that time has earned since the last call.
     fn refill(&mut self, now: Duration) {
         let elapsed = now.saturating_sub(self.refilled_at).as_secs_f64();
@@ -80,8 +86,7 @@
     }
 
     fn withdraw(&mut self, now: Duration) -> bool {
-        self.refill(now);
-        if self.tokens < 1.0 {
+        if !self.has_retry(now) {
             return false;
         }
         self.tokens -= 1.0;
--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -1,8 +1,9 @@
 //! An answer on its way to the caller.
 //!
 //! A complete answer is passed on at once, a stream piece by piece. A resumable stream that breaks
-//! off or stalls is resumed at another upstream after the last event that was delivered, so the
-//! caller sees one continuous stream.
+//! off is resumed at another upstream after the last event that was delivered, so the caller sees one
+//! continuous stream. Where one is silent, another upstream is asked to take it over; the stream goes
+//! on at whichever brings an event first.
 
 use {
     super::{
@@ -11,8 +12,11 @@
         host::{Guard, Head, Host},
         origin::{self, Key, Record},
         place::Job,
+        race::{
+            Destination, MIN_TIME_LEFT, Patience, Target, Tries, place_another, run_attempts, start,
+        },
         replica::{Outcome, millis},
-        send::{MIN_TIME_LEFT, Source, Tries, run_attempts, upstream_failed},
+        send::{Opened, Source, upstream_failed},
         table::Kind,
     },
     crate::{
@@ -26,11 +30,11 @@
     },
     bytes::{Bytes, BytesMut},
     http::{HeaderMap, Method, StatusCode, header},
-    std::{sync::Arc, time::Duration},
-    tokio::time::timeout,
+    std::{pin::pin, sync::Arc, time::Duration},
+    tokio::{sync::mpsc, time::timeout},
 };
 
-/// How long a resumable stream may bring no event before it is resumed at another upstream.
+/// How long a resumable stream may bring no event before another upstream is asked to take it over.
 const STREAM_IDLE_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 /// A request received from a caller or forwarded by another host, with its body read in full.
@@ -89,6 +93,8 @@
     /// Where the rest of the body comes from; `None` once it has been read.
     source: Option<Source<D, C>>,
     upstream: name::Upstream,
+    /// The host that forwards the answer; `None` if the upstream is one of this region.
+    peer: Option<name::Host>,
     /// Build of that upstream; `None` if a peer doesn't tell it.
     build: Option<name::Build>,
     /// How that upstream marks the end of the body; `None` if a peer forwards the answer.
@@ -166,6 +172,7 @@
             first: opened.first,
             source: opened.source,
             upstream: opened.upstream,
+            peer: opened.peer,
             build: opened.build,
             framing: opened.framing,
             host,
@@ -215,24 +222,18 @@
     /// Returns the next piece of the body, or `None` after the last one.
     pub async fn next(&mut self) -> Result<Option<Bytes>, Failure> {
         loop {
-            let piece = match self.first.take() {
-                Some(first) => Ok(Some(first)),
-                None => self.next_piece().await,
+            let delivery = match self.first.take() {
+                Some(first) => self.deliver(Ok(Some(first))),
+                None => self.read().await,
             };
-            let failure = match piece {
-                Ok(Some(bytes)) => match self.undelivered(bytes) {
-                    Ok(bytes) if bytes.is_empty() => continue,
-                    Ok(bytes) => {
-                        self.byte_count += bytes.len();
-                        if self.is_whole() {
-                            self.record_success();
-                        }
-                        return Ok(Some(bytes));
+            let failure = match delivery {
+                Ok(Some(bytes)) if bytes.is_empty() => continue,
+                Ok(Some(bytes)) => {
+                    self.byte_count += bytes.len();
+                    if self.is_whole() {
+                        self.record_success();
                     }
-                    Err(failure) => failure,
-                },
-                Ok(None) if self.relay.is_within_event() => {
-                    upstream_failed("the stream ended within an event")
+                    return Ok(Some(bytes));
                 }
                 Ok(None) => {
                     self.record_success();
@@ -273,41 +274,158 @@
         matches!(self.relay, Relay::Events(_))
     }
 
-    /// Reads the next piece from the source, within the deadline and the idle timeout.
+    /// Reads from the source what can be passed on next. Returns no bytes where a piece completes no
+    /// event, or the source has changed.
+    async fn read(&mut self) -> Result<Option<Bytes>, Failure> {
+        if !self.is_resumable() {
+            let piece = self.next_piece().await;
+            return self.deliver(piece);
+        }
+        let started_at = self.host.clock.now();
+        let limit = STREAM_IDLE_TIMEOUT.saturating_sub(self.waited);
+        let piece = timeout(limit, self.next_piece()).await;
+        self.waited += self.host.clock.now().saturating_sub(started_at);
+        match piece {
+            Ok(piece) => self.deliver(piece),
+            Err(_) => self.ask_for_takeover().await,
+        }
+    }
+
+    /// Reads the next piece from the source, within the deadline.
     async fn next_piece(&mut self) -> Result<Option<Bytes>, Failure> {
         let now = self.host.clock.now();
         let time_left = self.job.deadline.saturating_sub(now);
-        let is_resumable = self.is_resumable();
-        let limit = if is_resumable {
-            time_left.min(STREAM_IDLE_TIMEOUT.saturating_sub(self.waited))
-        } else {
-            time_left
-        };
         let Some(source) = &mut self.source else {
             return Ok(None);
         };
         // A piece that is there already is returned however short the limit is.
-        let is_idle = is_resumable && self.waited >= STREAM_IDLE_TIMEOUT;
-        if is_idle || now >= self.job.deadline + LATE_DELIVERY {
+        if now >= self.job.deadline + LATE_DELIVERY {
             return Err(stalled());
         }
         let piece = match source {
             Source::Upstream(body, reservation) => {
-                let piece = timeout(limit, body.next()).await;
+                let piece = timeout(time_left, body.next()).await;
                 if let Ok(Ok(_)) = piece {
                     reservation.record_progress();
                 }
                 piece
             }
-            Source::Peer(body) => timeout(limit, body.next()).await,
+            Source::Peer(body) => timeout(time_left, body.next()).await,
         };
-        self.waited += self.host.clock.now().saturating_sub(now);
         if let Ok(Ok(_)) = piece {
             self.heard_at = self.host.clock.now();
         }
         piece.unwrap_or_else(|_| Err(stalled()))
     }
 
+    /// What a piece of the source lets pass: see [`Self::undelivered`]. The end of the source within
+    /// an event is a failure.
+    fn deliver(&mut self, piece: Result<Option<Bytes>, Failure>) -> Result<Option<Bytes>, Failure> {
+        match piece? {
+            Some(bytes) => self.undelivered(bytes).map(Some),
+            None if self.relay.is_within_event() => {
+                Err(upstream_failed("the stream ended within an event"))
+            }
+            None => Ok(None),
+        }
+    }
+
+    /// Asks another upstream to take a silent stream over, and reads on meanwhile. The stream goes on
+    /// at whichever brings something first; if the other one fails, at the silent one.
+    async fn ask_for_takeover(&mut self) -> Result<Option<Bytes>, Failure> {
+        let unchanged = Ok(Some(Bytes::new()));
+        self.waited = Duration::ZERO;
+        let Some(destination) = self.place_successor() else {
+            return unchanged;
+        };
+        let (late, _) = mpsc::unbounded_channel();
+        let attempt = start(
+            &self.host,
+            &self.inbound,
+            &self.job,
+            &mut self.tries,
+            self.last_event_id,
+            destination,
+            Patience::new(0, late),
+        );
+        let time_left = self.job.deadline.saturating_sub(self.host.clock.now());
+        let mut attempt = pin!(timeout(time_left, attempt));
+        let mut failure = None;
+        loop {
+            tokio::select! {
+                biased;
+                piece = self.next_piece(), if failure.is_none() => match self.deliver(piece) {
+                    Ok(Some(bytes)) if bytes.is_empty() => {}
+                    Err(broken) => failure = Some(broken),
+                    delivery => return delivery,
+                },
+                opened = &mut attempt => {
+                    let opened = opened.unwrap_or_else(|_| Err(stalled()));
+                    let Err(obstacle) = self.adopt(opened) else {
+                        return unchanged;
+                    };
+                    if obstacle.ran == Ran::No {
+                        self.tries.runs -= 1;
+                    }
+                    tracing::info!(event = "attempt failed", request = self.inbound.id(),
+                        route = %self.job.matched.route.name, runs = self.tries.runs,
+                        ran = %obstacle.ran, reason = %obstacle.message);
+                    return failure.map_or(unchanged, Err);
+                }
+            }
+        }
+    }
+
+    /// Places the attempt at which a silent stream is to go on; `None` if it may not go on elsewhere,
+    /// or nothing can take it now.
+    fn place_successor(&mut self) -> Option<Destination<D, C>> {
+        if !self.is_build_known() {
+            return None;
+        }
+        let silent = match &self.peer {
+            Some(peer) => Target::Host(peer.clone()),
+            None => Target::Upstream(self.upstream.clone()),
+        };
+        self.job.arrived_at = self.host.clock.now();
+        place_another(
+            &self.host,
+            &self.inbound,
+            &mut self.job,
+            &self.tries,
+            &silent,
+        )
+    }
+
+    /// Goes on with the answer of another attempt.
+    fn adopt(&mut self, opened: Result<Opened<D, C>, Failure>) -> Result<(), Failure> {
+        let opened = opened?;
+        if !opened.head.status.is_success() {
+            return Err(upstream_failed("the stream could not be taken up"));
+        }
+        tracing::info!(event = "resumed", request = self.inbound.id(), after = self.last_event_id,
+            from = %self.upstream, from_build = self.build.as_ref().map(name::Build::as_str),
+            upstream = %opened.upstream, build = opened.build.as_ref().map(name::Build::as_str), "stream resumed at another upstream");
+        self.give_up_source();
+        self.relay = Relay::Events(Splitter::new());
+        self.waited = Duration::ZERO;
+        self.heard_at = self.host.clock.now();
+        self.first = opened.first;
+        self.source = opened.source;
+        self.upstream = opened.upstream;
+        self.peer = opened.peer;
+        self.build = opened.build;
+        self.framing = opened.framing;
+        Ok(())
+    }
+
+    /// Closes the source as one that has failed.
+    fn give_up_source(&mut self) {
+        if let Some(Source::Upstream(_, reservation)) = &mut self.source {
+            reservation.outcome = Outcome::Broken;
+        }
+        self.source = None;
+    }
+
     /// Returns the bytes to pass on: all of them, or for a resumable stream the complete events
     /// that the caller has not received yet.
     fn undelivered(&mut self, bytes: Bytes) -> Result<Bytes, Failure> {
@@ -367,17 +485,14 @@
     /// Resumes a broken stream at another upstream, or returns `failure` and what stands in the way
     /// of that.
     async fn resume(&mut self, failure: Failure) -> Result<(), (Failure, String)> {
-        if let Some(Source::Upstream(_, reservation)) = &mut self.source {
-            reservation.outcome = Outcome::Broken;
-            let failed = reservation.grant.upstream.clone();
-            self.job.tried.push(failed);
+        if let Some(Source::Upstream(..)) = &self.source {
+            Target::Upstream(self.upstream.clone()).exclude_from(&mut self.job);
         }
-        self.source = None;
+        self.give_up_source();
         let now = self.host.clock.now();
         if let Some(obstacle) = self.resume_obstacle(now) {
             return Err((failure, obstacle.to_owned()));
         }
-        self.relay = Relay::Events(Splitter::new());
         self.job.arrived_at = now;
         let time_left = self.job.deadline.saturating_sub(self.job.arrived_at);
         let attempts = run_attempts(
@@ -387,36 +502,24 @@
             &mut self.tries,
             self.last_event_id,
         );
-        let opened = match timeout(time_left, attempts).await {
-            Ok(Ok(opened)) => opened,
-            Ok(Err(obstacle)) => return Err((failure, obstacle.to_string())),
-            Err(_) => return Err((failure, "the deadline".to_owned())),
-        };
-        if !opened.head.status.is_success() {
-            let failure = upstream_failed("the stream could not be taken up");
-            return Err((failure, format!("status {}", opened.head.status)));
-        }
-        tracing::info!(event = "resumed", request = self.inbound.id(), after = self.last_event_id,
-            from = %self.upstream, from_build = self.build.as_ref().map(name::Build::as_str),
-            upstream = %opened.upstream, build = opened.build.as_ref().map(name::Build::as_str), "stream resumed at another upstream");
-        self.waited = Duration::ZERO;
-        self.heard_at = self.host.clock.now();
-        self.first = opened.first;
-        self.source = opened.source;
-        self.upstream = opened.upstream;
-        self.build = opened.build;
-        self.framing = opened.framing;
-        Ok(())
+        let opened = timeout(time_left, attempts).await;
+        let opened = opened.unwrap_or_else(|_| Err(stalled()));
+        let adopted = self.adopt(opened);
+        adopted.map_err(|obstacle| (failure, obstacle.to_string()))
+    }
+
+    /// Whether it is known which build must go on with the answer: once an event was delivered, only
+    /// the one that made it.
+    fn is_build_known(&self) -> bool {
+        self.byte_count == 0 || self.job.build.is_some()
     }
 
     /// Why another upstream may not go on with the answer; `None` if one may. Takes a retry out of
     /// the budget in that case.
     fn resume_obstacle(&self, now: Duration) -> Option<&'static str> {
-        // Once an event was delivered, only the build that made it may go on.
-        let is_build_known = self.byte_count == 0 || self.job.build.is_some();
         if !self.is_resumable() {
             Some("the kind of route")
-        } else if !is_build_known {
+        } else if !self.is_build_known() {
             Some("the build is not known")
         } else if self.tries.runs >= self.job.max_attempts {
             Some("no attempt is left")
--- a/src/proxy/core/mod.rs
+++ b/src/proxy/core/mod.rs
@@ -448,6 +448,19 @@
         }
     }
 
+    /// Places another attempt at a request whose last one is late, and takes it out of the retry
+    /// budget. `None` if nothing can take the request now or it must not be sent once more.
+    pub fn place_another(&mut self, now: Duration, job: &Job) -> Option<Placement> {
+        let is_clear = self.judge_prompt(now, job) == Verdict::Clear
+            && !self.quarantine.is_suspect(&job.prefixes);
+        if !is_clear || !self.retry_budget(now, &job.pool).has_retry(now) {
+            return None;
+        }
+        let placement = self.place(now, job);
+        let is_placed = matches!(placement, Placement::Local(_) | Placement::Remote(_));
+        (is_placed && self.withdraw_retry(now, &job.pool)).then_some(placement)
+    }
+
     fn choose_local(&self, now: Duration, job: &Job) -> Option<Choice> {
         if !job.matched.allows(&self.setup.identity.region) {
             return None;
--- a/src/proxy/core/region.rs
+++ b/src/proxy/core/region.rs
@@ -96,10 +96,11 @@
         let time_limit_ms = millis(job.deadline.saturating_sub(job.arrived_at));
         // A host with an older configuration would refuse the request without running it.
         let is_behind = |peer: &Peer| peer.version < job.matched.version;
+        let is_avoided = |peer: &Peer| job.avoided_hosts.contains(&peer.identity.host);
         let mut best: Option<(f64, name::Region)> = None;
         for peer in self.relays(now) {
             let region = &peer.identity.region;
-            if !job.matched.allows(region) || is_behind(peer) {
+            if !job.matched.allows(region) || is_behind(peer) || is_avoided(peer) {
                 continue;
             }
             let Some(spare) = peer.spare.get(&job.pool) else {
@@ -134,7 +135,7 @@
         let key = session.unwrap_or_else(|| self.rng.random());
         let relays = self.fleet.relays(now, &region).into_iter();
         let chosen = relays
-            .filter(|peer| !is_behind(peer))
+            .filter(|peer| !is_behind(peer) && !is_avoided(peer))
             .max_by_key(|peer| affinity::weight(key, peer.point))?;
         let (host, last_heard_at) = (chosen.identity.clone(), chosen.last_heard_at);
         self.deduct_spare(&region, job);
--- a/src/proxy/host.rs
+++ b/src/proxy/host.rs
@@ -43,7 +43,7 @@
         net::SocketAddr,
         sync::{
             Arc, Mutex, MutexGuard, OnceLock, PoisonError,
-            atomic::{AtomicU64, AtomicUsize, Ordering},
+            atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
         },
         time::Duration,
     },
@@ -434,6 +434,7 @@
             host: self.clone(),
             grant,
             outcome: Outcome::Unknown,
+            is_late: Arc::default(),
         }
     }
 
@@ -615,9 +616,17 @@
     host: Host<D, C>,
     pub(super) grant: Grant,
     pub(super) outcome: Outcome,
+    /// Whether the attempt is late, which makes the upstream fail if it is cancelled.
+    is_late: Arc<AtomicBool>,
 }
 
 impl<D: Dialect, C: Clock> Reservation<D, C> {
+    /// Sets what tells whether the attempt is late.
+    pub(super) fn with_lateness(mut self, is_late: Arc<AtomicBool>) -> Self {
+        self.is_late = is_late;
+        self
+    }
+
     /// Records that another piece of the answer arrived.
     pub(super) fn record_progress(&self) {
         let now = self.host.clock.now();
@@ -648,12 +657,13 @@
 impl<D: Dialect, C: Clock> Drop for Reservation<D, C> {
     fn drop(&mut self) {
         let now = self.host.clock.now();
-        let change = self
-            .host
-            .core()
-            .release(now, self.grant.ticket, self.outcome);
+        let outcome = match self.outcome {
+            Outcome::Unknown if self.is_late.load(Ordering::Relaxed) => Outcome::Broken,
+            outcome => outcome,
+        };
+        let change = self.host.core().release(now, self.grant.ticket, outcome);
         self.host.log_changes(change);
-        if matches!(self.outcome, Outcome::Broken | Outcome::Unreachable) {
+        if matches!(outcome, Outcome::Broken | Outcome::Unreachable) {
             self.host.detect_end(&self.grant);
         }
         self.host.place_waiting();
--- a/src/proxy/intake.rs
+++ b/src/proxy/intake.rs
@@ -254,6 +254,7 @@
         arrived_at,
         deadline,
         tried: Vec::new(),
+        avoided_hosts: Vec::new(),
         build: None,
     })
 }
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -19,6 +19,7 @@
 pub mod origin;
 pub mod place;
 pub mod quarantine;
+mod race;
 pub mod rate;
 pub mod reader;
 pub mod replica;
--- a/src/proxy/send.rs
+++ b/src/proxy/send.rs
@@ -1,21 +1,21 @@
-//! Attempts at a request: sends it to upstreams of this region or forwards it to hosts of other
-//! regions, until one returns a usable answer or the limits on attempts, retries or time are
-//! reached.
+//! One attempt at a request: sends it to an upstream of this region or forwards it to a host of
+//! another region, and waits until its answer begins. [`super::race`] decides which attempts are made.
 
 use {
     super::{
         answer::Inbound,
-        cache,
-        core::{Grant, Placement, Remote},
+        core::Remote,
         dialect::{Dialect, Instructions},
         headers,
         host::{Head, Host, Reservation},
         place::Job,
         quarantine::Withheld,
+        race::Patience,
         replica::Outcome,
         table::Kind,
     },
     crate::{
+        attempt::sse::Splitter,
         clock::Clock,
         failure::{Code, Failure, Ran},
         link::exchange,
@@ -24,32 +24,24 @@
     bytes::{Bytes, BytesMut},
     http::{Request, StatusCode, header},
     http_body_util::Full,
-    std::{future::Future, sync::Arc, time::Duration},
+    std::{future::Future, time::Duration},
     tokio::time::timeout,
 };
 
 /// Upper bound on an answer that is collected in memory before it is passed on.
 const MAX_COLLECTED_BYTES: usize = 256 * 1024;
-/// Time to wait for the first byte before a repeatable request is sent elsewhere, as a multiple of
-/// the predicted time.
-const FIRST_BYTE_TIMEOUT_FACTOR: f64 = 4.0;
-/// Time that is added to [`FIRST_BYTE_TIMEOUT_FACTOR`] times the predicted time, in milliseconds.
-const FIRST_BYTE_TIMEOUT_BASE_MS: f64 = 400.0;
+/// Time after which an attempt without a first byte is late, as a multiple of the predicted time.
+const LATE_FACTOR: f64 = 4.0;
+/// Time that is added to [`LATE_FACTOR`] times the predicted time, in milliseconds.
+const LATE_BASE_MS: f64 = 400.0;
 /// Most bytes of a refusal that are read so that its connection can be used again.
 const MAX_DRAINED_BYTES: usize = 16 * 1024;
 /// Longest time for which a refusal is read.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(100);
-/// Share of the time left in which a repeatable request's answer must be whole, so that another
-/// upstream can be tried.
+/// Share of the time left after which a collected answer that is not complete is late.
 const COLLECT_SHARE: f64 = 0.5;
-/// Upper bound on the sends of one request that were refused or could not be made.
-const MAX_REFUSED_SENDS: u32 = 3;
-/// Upper bound on the failed forwards of one request.
-const MAX_FORWARDS: u32 = 2;
 /// Shortest delay before a retry that the caller of a withheld request is told.
 const MIN_WITHHELD_RETRY: Duration = Duration::from_secs(1);
-/// Time that must be left until the deadline for another send to be worthwhile.
-pub(super) const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 
 /// The connection from which the rest of an answer is read.
 #[derive(Debug)]
@@ -68,152 +60,70 @@
     pub(super) first: Option<Bytes>,
     pub(super) source: Option<Source<D, C>>,
     pub(super) upstream: name::Upstream,
+    /// The host that forwards the answer; `None` if the upstream is one of this region.
+    pub(super) peer: Option<name::Host>,
     /// Build of that upstream; `None` if a peer doesn't tell it.
     pub(super) build: Option<name::Build>,
     /// How the upstream marked the end of the body; `None` if a peer forwards the answer.
     pub(super) framing: Option<upstream::Framing>,
 }
 
-/// Counts and measurements over all attempts at one request.
-#[derive(Debug, Default)]
-pub(super) struct Tries {
-    /// Upstreams at which the request may have run. Counted before a send, since the send may be
-    /// cancelled.
-    pub(super) runs: u32,
-    /// Sends that were refused or could not be made.
-    pub(super) refused: u32,
-    /// Forwards to other regions that failed.
-    pub(super) forwards: u32,
-    /// Time to the first byte predicted by the last placement, in milliseconds.
-    pub(super) predicted_ms: f64,
-    /// Time from the request's arrival to its last placement.
-    pub(super) placed_after: Duration,
-}
-
-impl Tries {
-    /// Adjusts a failure for the caller: it may say that the request has not run only if no attempt
-    /// can have run it.
-    pub(super) fn account_for_runs(&self, failure: Failure) -> Failure {
-        if failure.ran != Ran::No || self.runs == 0 {
-            return failure;
-        }
-        let code = match failure.code {
-            Code::Deadline => Code::Deadline,
-            _ => Code::UpstreamFailed,
-        };
-        Failure::new(code, Ran::Unknown, failure.message)
-    }
+/// The beginning of an upstream's answer.
+struct Received {
+    head: Head,
+    /// The first piece of the body, or all of it if there is no rest.
+    first: Option<Bytes>,
+    rest: Option<upstream::Body>,
+    framing: upstream::Framing,
 }
 
-/// Makes attempts until one returns a usable answer, within the limits of the route, its kind and
-/// the retry budget.
-pub(super) async fn run_attempts<D: Dialect, C: Clock>(
+/// Sends a request to an upstream of this region.
+pub(super) async fn send<D: Dialect, C: Clock>(
     host: &Host<D, C>,
-    inbound: &Arc<Inbound>,
-    job: &mut Job,
-    tries: &mut Tries,
+    inbound: &Inbound,
+    job: &Job,
+    mut reservation: Reservation<D, C>,
     resume: Option<u64>,
+    patience: &Patience,
 ) -> Result<Opened<D, C>, Failure> {
-    let is_repeatable = job.matched.route.kind.is_repeatable();
-    loop {
-        let placement = host.place(inbound.id(), job).await?;
-        tries.placed_after = host.clock.now().saturating_sub(job.arrived_at);
-        let (result, upstream) = match placement {
-            Placement::Local(grant) => {
-                tries.predicted_ms = grant.predicted_ms;
-                if host.should_log(inbound.id()) {
-                    tracing::info!(event = "placed", request = inbound.id(), upstream = %grant.upstream,
-                        build = %grant.build,
-                        predicted_ms = grant.predicted_ms as u64, uncached = grant.uncached_tokens,
-                        version = job.matched.version, resume_after = resume, resumes = inbound.metadata.resumes.as_deref(),
-                        waited_ms = tries.placed_after.as_millis() as u64);
-                }
-                let upstream = grant.upstream.clone();
-                tries.runs += 1;
-                (
-                    send(host, inbound, job, grant, resume).await,
-                    Some(upstream),
-                )
-            }
-            Placement::Remote(remote) => {
-                tries.predicted_ms = remote.predicted_ms;
-                tries.runs += 1;
-                (forward(host, inbound, job, &remote, resume).await, None)
-            }
-            Placement::Withheld(withheld) => {
-                return Err(withheld_failure(inbound.id(), &withheld));
-            }
-            Placement::Wait => {
-                return Err(Failure::not_run(Code::NoCapacity, "no upstream is free"));
-            }
-        };
-        let mut is_retry_granted = false;
-        let failure = match result {
-            Err(failure) => failure,
-            Ok(opened) => {
-                let may_pass = !opened.head.status.is_server_error()
-                    || !is_repeatable
-                    || tries.runs >= job.max_attempts;
-                is_retry_granted =
-                    !may_pass && host.core().withdraw_retry(host.clock.now(), &job.pool);
-                if !is_retry_granted {
-                    return Ok(opened);
-                }
-                let reason = "the upstream failed by itself";
-                Failure::new(Code::UpstreamFailed, Ran::Yes, reason)
-            }
-        };
-        match &upstream {
-            Some(upstream) => job.tried.push(upstream.clone()),
-            None => {
-                tries.forwards += 1;
-                job.may_forward &= tries.forwards < MAX_FORWARDS;
-            }
-        }
-        if failure.ran == Ran::No {
-            tries.runs -= 1;
-        }
-        tracing::info!(event = "attempt failed", request = inbound.id(), route = %job.matched.route.name,
-            upstream = upstream.as_ref().map(name::Upstream::as_str), parts = cache::format_parts(&job.prefixes),
-            runs = tries.runs, refused = tries.refused, ran = %failure.ran, reason = %failure.message);
-        let now = host.clock.now();
-        if failure.code == Code::PromptWithheld || job.deadline <= now + MIN_TIME_LEFT {
-            return Err(failure);
-        }
-        if failure.ran == Ran::No {
-            tries.refused += 1;
-            if tries.refused > MAX_REFUSED_SENDS {
-                return Err(failure);
-            }
-            if failure.code == Code::NoCapacity && !host.core().withdraw_retry(now, &job.pool) {
-                return Err(failure);
-            }
-            continue;
-        }
-        let is_suspect = host.core().quarantine.is_suspect(&job.prefixes);
-        let may_repeat = is_repeatable && !is_suspect && tries.runs < job.max_attempts;
-        if !may_repeat || !(is_retry_granted || host.core().withdraw_retry(now, &job.pool)) {
-            return Err(failure);
-        }
-        job.allow_tried_upstreams_if_none_is_left(&host.core().catalog);
+    let received = receive(host, inbound, job, &mut reservation, resume, patience).await;
+    if received.is_err() && reservation.outcome == Outcome::Unknown {
+        reservation.outcome = Outcome::Broken;
     }
+    let received = received?;
+    patience.end();
+    let upstream = reservation.grant.upstream.clone();
+    let build = Some(reservation.grant.build.clone());
+    let source = received
+        .rest
+        .map(|body| Source::Upstream(Box::new(body), reservation));
+    Ok(Opened {
+        head: received.head,
+        first: received.first,
+        source,
+        upstream,
+        peer: None,
+        build,
+        framing: Some(received.framing),
+    })
 }
 
-/// Sends a request to an upstream of this region.
-async fn send<D: Dialect, C: Clock>(
+/// Sends a request and receives its answer up to the first piece of a stream, or all of another
+/// answer. Sets the outcome of the reservation, except for a stream that has begun and for failures
+/// that the upstream is to blame for.
+async fn receive<D: Dialect, C: Clock>(
     host: &Host<D, C>,
-    inbound: &Arc<Inbound>,
+    inbound: &Inbound,
     job: &Job,
-    grant: Grant,
+    reservation: &mut Reservation<D, C>,
     resume: Option<u64>,
-) -> Result<Opened<D, C>, Failure> {
+    patience: &Patience,
+) -> Result<Received, Failure> {
     let is_repeatable = job.matched.route.kind.is_repeatable();
     let now = host.clock.now();
     let remaining = job.deadline.saturating_sub(now);
-    let (address, upstream) = (grant.address, grant.upstream.clone());
-    let build = Some(grant.build.clone());
-    let predicted = grant.predicted_ms;
-    let mut reservation = host.reservation(grant);
+    let upstream = reservation.grant.upstream.clone();
+    let predicted = reservation.grant.predicted_ms;
     let mut headers = inbound.headers.clone();
     let instructions = Instructions {
         upstream: &upstream,
@@ -226,20 +136,23 @@
     host.dialect.apply_instructions(&mut headers, &instructions);
     let mut request = Request::new(Full::new(inbound.body.clone()));
     *request.method_mut() = inbound.method.clone();
-    *request.uri_mut() = inbound
-        .target
-        .parse()
-        .map_err(|_| Failure::not_run(Code::BadRequest, "the target is not valid"))?;
+    *request.uri_mut() = inbound.target.parse().map_err(|_| {
+        reservation.outcome = Outcome::NotRun;
+        Failure::not_run(Code::BadRequest, "the target is not valid")
+    })?;
     *request.headers_mut() = headers;
     tracing::debug!(event = "sent", request = inbound.id(), %upstream, predicted);
-    let limit = first_byte_timeout(is_repeatable, predicted, remaining);
-    reservation.outcome = Outcome::Broken;
+    let limit = late_after(predicted);
+    let address = reservation.grant.address;
     let sending = host.upstreams.send(address, request, is_repeatable);
-    let response = with_timeout(limit, sending).await.inspect_err(|failure| {
-        if failure.code == Code::Unreachable {
-            reservation.outcome = Outcome::Unreachable;
-        }
-    })?;
+    let response = patience
+        .watch(limit, sending)
+        .await
+        .inspect_err(|failure| {
+            if failure.code == Code::Unreachable {
+                reservation.outcome = Outcome::Unreachable;
+            }
+        })?;
     let (head, mut body) = response.into_parts();
     let reply = host
         .dialect
@@ -272,44 +185,39 @@
     if job.matched.route.kind == Kind::Resumable {
         headers.remove(header::CONTENT_LENGTH);
     }
-    let framing = Some(body.framing());
-    let first = with_timeout(limit, body.next()).await?;
+    let framing = body.framing();
+    let first = patience.watch(limit, body.next()).await?;
     reservation.record_first_byte();
     let head = Head {
         status: head.status,
         headers,
     };
     if is_stream {
-        if first.is_none() && framing == Some(upstream::Framing::Close) {
+        if first.is_none() && framing == upstream::Framing::Close {
             return Err(upstream_failed("the stream ended before its first event"));
         }
-        reservation.outcome = Outcome::Unknown;
-        let source = first
-            .is_some()
-            .then(|| Source::Upstream(Box::new(body), reservation));
-        return Ok(Opened {
+        let first = match job.matched.route.kind {
+            Kind::Resumable => complete_event(first, &mut body, limit, patience).await?,
+            Kind::Stream | Kind::Idempotent | Kind::NonIdempotent => first,
+        };
+        let rest = first.is_some().then_some(body);
+        return Ok(Received {
             head,
             first,
-            source,
-            upstream,
-            build,
+            rest,
             framing,
         });
     }
-    let collecting = collect(first, &mut body, limit);
-    let collected =
-        with_timeout(collect_timeout(is_repeatable, limit, remaining), collecting).await?;
+    let collected = collect(first, &mut body, limit, remaining, patience).await?;
     reservation.outcome = if head.status.is_server_error() {
         Outcome::Error
     } else {
         Outcome::Success
     };
-    Ok(Opened {
+    Ok(Received {
         head,
         first: Some(collected),
-        source: None,
-        upstream,
-        build,
+        rest: None,
         framing,
     })
 }
@@ -346,32 +254,68 @@
     }
 }
 
-/// Collects the rest of an answer that is passed on only when complete.
+/// Reads on until the first event of a stream is complete, so that no other attempt is cancelled for
+/// one that has passed nothing on yet.
+async fn complete_event(
+    first: Option<Bytes>,
+    body: &mut impl Pieces,
+    limit: Duration,
+    patience: &Patience,
+) -> Result<Option<Bytes>, Failure> {
+    let Some(first) = first else {
+        return Ok(None);
+    };
+    let mut splitter = Splitter::new();
+    let mut pieces = BytesMut::new();
+    let mut next = Some(first);
+    while let Some(bytes) = next {
+        pieces.extend_from_slice(&bytes);
+        let events = splitter.push(&bytes);
+        if !events
+            .map_err(|error| upstream_failed(&error.to_string()))?
+            .is_empty()
+        {
+            return Ok(Some(pieces.freeze()));
+        }
+        next = patience.watch(limit, body.next()).await?;
+    }
+    Err(upstream_failed("the stream ended within an event"))
+}
+
+/// Collects the rest of an answer that is passed on only when complete. It is late if a piece takes
+/// longer than `limit`, or all of it longer than a share of the time that remains.
 async fn collect(
     first: Option<Bytes>,
     body: &mut impl Pieces,
     limit: Duration,
+    remaining: Duration,
+    patience: &Patience,
 ) -> Result<Bytes, Failure> {
     let Some(first) = first else {
         return Ok(Bytes::new());
     };
-    let mut collected = BytesMut::from(first);
-    while let Some(bytes) = with_timeout(limit, body.next()).await? {
-        collected.extend_from_slice(&bytes);
-        if collected.len() > MAX_COLLECTED_BYTES {
-            return Err(upstream_failed("the answer is larger than can be held"));
+    let collecting = async {
+        let mut collected = BytesMut::from(first);
+        while let Some(bytes) = patience.watch(limit, body.next()).await? {
+            collected.extend_from_slice(&bytes);
+            if collected.len() > MAX_COLLECTED_BYTES {
+                return Err(upstream_failed("the answer is larger than can be held"));
+            }
         }
-    }
-    Ok(collected.freeze())
+        Ok(collected.freeze())
+    };
+    let whole_limit = remaining.mul_f64(COLLECT_SHARE).max(limit);
+    patience.watch(whole_limit, collecting).await
 }
 
 /// Forwards a request to a host of another region, which makes one attempt at it.
-async fn forward<D: Dialect, C: Clock>(
+pub(super) async fn forward<D: Dialect, C: Clock>(
     host: &Host<D, C>,
-    inbound: &Arc<Inbound>,
+    inbound: &Inbound,
     job: &Job,
     remote: &Remote,
     resume: Option<u64>,
+    patience: &Patience,
 ) -> Result<Opened<D, C>, Failure> {
     let now = host.clock.now();
     let mut headers = inbound.headers.clone();
@@ -402,13 +346,9 @@
         version = job.matched.version);
     let is_repeatable = job.matched.route.kind.is_repeatable();
     let remaining = job.deadline.saturating_sub(now);
-    let limit = first_byte_timeout(is_repeatable, remote.predicted_ms, remaining);
-    let opened = with_timeout(
-        limit,
-        host.exchanges.open(remote.peers, call, is_repeatable),
-    )
-    .await;
-    let (head, mut body) = opened?;
+    let limit = late_after(remote.predicted_ms);
+    let opening = host.exchanges.open(remote.peers, call, is_repeatable);
+    let (head, mut body) = patience.watch(limit, opening).await?;
     if job.build.is_some() && head.build != job.build {
         return Err(upstream_failed("the peer's answer is of another build"));
     }
@@ -416,54 +356,34 @@
         .ok_or_else(|| upstream_failed("the peer's headers are not valid"))?;
     let status = StatusCode::from_u16(head.status)
         .map_err(|_| upstream_failed("the peer's status is not valid"))?;
-    let first = with_timeout(limit, body.next()).await?;
+    let first = patience.watch(limit, body.next()).await?;
     let is_stream = status.is_success() && job.matched.route.kind.is_stream();
     let (first, source) = if is_stream {
+        let first = match job.matched.route.kind {
+            Kind::Resumable => complete_event(first, &mut body, limit, patience).await?,
+            Kind::Stream | Kind::Idempotent | Kind::NonIdempotent => first,
+        };
         let source = first.is_some().then(|| Source::Peer(Box::new(body)));
         (first, source)
     } else {
-        let collecting = collect(first, &mut body, limit);
-        let whole_limit = collect_timeout(is_repeatable, limit, remaining);
-        (Some(with_timeout(whole_limit, collecting).await?), None)
+        let collected = collect(first, &mut body, limit, remaining, patience).await?;
+        (Some(collected), None)
     };
     Ok(Opened {
         head: Head { status, headers },
         first,
         source,
         upstream: head.upstream,
+        peer: Some(remote.host.clone()),
         build: head.build,
         framing: None,
     })
 }
 
-/// How long to wait for the first byte, and for each further piece of a collected answer, before an
-/// attempt is abandoned. A request that must not be repeated is not abandoned before its deadline.
-fn first_byte_timeout(is_repeatable: bool, predicted_ms: f64, remaining: Duration) -> Duration {
-    if !is_repeatable {
-        return remaining;
-    }
-    Duration::from_secs_f64(
-        (FIRST_BYTE_TIMEOUT_FACTOR * predicted_ms + FIRST_BYTE_TIMEOUT_BASE_MS) / 1_000.0,
-    )
-}
-
-/// How long a collected answer may take after its first byte.
-fn collect_timeout(is_repeatable: bool, limit: Duration, remaining: Duration) -> Duration {
-    if is_repeatable {
-        remaining.mul_f64(COLLECT_SHARE).max(limit)
-    } else {
-        remaining
-    }
-}
-
-/// Awaits `operation`. If it takes longer than `limit`, this counts as a failure of the upstream.
-async fn with_timeout<T>(
-    limit: Duration,
-    operation: impl Future<Output = Result<T, Failure>>,
-) -> Result<T, Failure> {
-    timeout(limit, operation)
-        .await
-        .unwrap_or_else(|_| Err(upstream_failed("nothing came in time")))
+/// Time after which an attempt is late that has no first byte, or no further piece of a collected
+/// answer.
+fn late_after(predicted_ms: f64) -> Duration {
+    Duration::from_secs_f64((LATE_FACTOR * predicted_ms + LATE_BASE_MS) / 1_000.0)
 }
 
 /// A failure of an upstream after which the request may have run.
--- a/tests/proxy/common.rs
+++ b/tests/proxy/common.rs
@@ -191,6 +191,7 @@
         may_forward: false,
         max_attempts: 2,
         tried: Vec::new(),
+        avoided_hosts: Vec::new(),
         build: None,
     }
 }
@@ -206,6 +207,7 @@
         may_forward: false,
         max_attempts: 1,
         tried: Vec::new(),
+        avoided_hosts: Vec::new(),
         build: None,
     }
 }
