Log which requests are the same where an attempt fails or an answer breaks off

The logs named the parts of a prompt, but not whether the request that broke off at one upstream was the one that had broken off at another. `fingerprint` hashes method, authority, path, customer and body; the host that takes a forwarded request computes the same.

--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -248,7 +248,7 @@
                 self.source = None;
                 self.finish("broken");
                 tracing::warn!(event = "broken", request = self.inbound.id(), upstream = %self.upstream,
-                    parts = cache::format_parts(&self.job.prefixes),
+                    parts = cache::format_parts(&self.job.prefixes), fingerprint = %self.job.fingerprint,
                     bytes = self.byte_count, silent_ms = silent_for.as_millis() as u64, reason = %failure,
                     obstacle, "answer ended early");
                 super::host::count_failure(&self.host.metrics, &failure);
--- a/src/proxy/intake.rs
+++ b/src/proxy/intake.rs
@@ -8,6 +8,7 @@
         answer::{Answer, Inbound},
         cache,
         dialect::{Dialect, Metadata},
+        fingerprint::Fingerprint,
         headers,
         host::{Host, count_failure},
         place::Job,
@@ -175,9 +176,6 @@
     )
     .await?;
     host.dialect.remove_key(&mut headers);
-    let job = build_job(host, &metadata, matched, arrived_at, deadline)?;
-    refuse_when_leaving(host, &job)?;
-    host.check_prompt(metadata.id.as_deref().unwrap_or("-"), &job)?;
     let inbound = Inbound {
         metadata,
         method,
@@ -185,6 +183,9 @@
         headers,
         body,
     };
+    let job = build_job(host, &inbound, matched, arrived_at, deadline)?;
+    refuse_when_leaving(host, &job)?;
+    host.check_prompt(inbound.id(), &job)?;
     let units = job.matched.cost(inbound.metadata.tokens);
     let customer = job.matched.customer.clone();
     if let Some(customer) = &customer {
@@ -236,11 +237,20 @@
 /// Builds the job of a request and draws its pool.
 fn build_job<D: Dialect, C: Clock>(
     host: &Host<D, C>,
-    metadata: &Metadata,
+    inbound: &Inbound,
     matched: Match,
     arrived_at: Duration,
     deadline: Duration,
 ) -> Result<Job, Failure> {
+    let metadata = &inbound.metadata;
+    let customer = matched.customer.as_ref().map(|customer| &customer.name);
+    let fingerprint = Fingerprint::of(
+        &inbound.method,
+        &inbound.target,
+        &inbound.headers,
+        customer,
+        &inbound.body,
+    );
     let prefixes = cache::prefixes(&metadata.prompt_parts);
     let session = cache::session_prefix(&prefixes).map(|prefix| prefix.hash);
     let pool = host.core().draw_pool(&matched, session);
@@ -251,6 +261,7 @@
         matched,
         tokens: metadata.tokens.unwrap_or_default(),
         prefixes,
+        fingerprint,
         arrived_at,
         deadline,
         tried: Vec::new(),
@@ -309,7 +320,14 @@
         ));
     }
     let arrived_at = now.saturating_sub(call.elapsed);
-    let mut job = build_job(host, &metadata, matched, arrived_at, now + call.remaining)?;
+    let inbound = Inbound {
+        metadata,
+        method,
+        target: call.target,
+        headers: head.headers,
+        body: call.body,
+    };
+    let mut job = build_job(host, &inbound, matched, arrived_at, now + call.remaining)?;
     // The sender counts this as one attempt and makes further attempts itself.
     job.max_attempts = 1;
     job.may_forward = false;
@@ -318,13 +336,6 @@
         tracing::info!(event = "taken", request = call.request, from = %from, route = %call.route,
             version = call.version, elapsed_ms = call.elapsed.as_millis() as u64);
     }
-    let inbound = Inbound {
-        metadata,
-        method,
-        target: call.target,
-        headers: head.headers,
-        body: call.body,
-    };
     Ok((inbound, job))
 }
 
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -11,6 +11,7 @@
 pub mod core;
 pub mod dialect;
 pub mod entry;
+pub mod fingerprint;
 pub mod fleet;
 pub mod follow;
 mod headers;
--- a/src/proxy/place.rs
+++ b/src/proxy/place.rs
@@ -13,6 +13,7 @@
     super::{
         cache::{self, Prefix},
         catalog::{Catalog, INITIAL_SERVICE_MS},
+        fingerprint::Fingerprint,
         replica::{Replica, millis},
         speed::Speed,
         table::{Engine, Match, Pool},
@@ -51,6 +52,8 @@
     pub tokens: (u32, u32),
     /// Prefixes of the prompt, from the shortest; empty for plain services.
     pub prefixes: Vec<Prefix>,
+    /// Identifies the request among repeats of it.
+    pub fingerprint: Fingerprint,
     /// When the head of the request arrived.
     pub arrived_at: Duration,
     /// When the caller gives up or the route's timeout is over.
--- a/src/proxy/race.rs
+++ b/src/proxy/race.rs
@@ -389,6 +389,7 @@
         }
         tracing::info!(event = "attempt failed", request = self.inbound.id(), route = %self.job.matched.route.name,
             upstream = target.as_ref().and_then(Target::upstream), parts = cache::format_parts(&self.job.prefixes),
+            fingerprint = %self.job.fingerprint,
             runs = self.tries.runs, refused = self.tries.refused, ran = %failure.ran, reason = %failure.message);
         if are_others_running {
             return ControlFlow::Continue(());
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -6,6 +6,8 @@
 mod common;
 #[path = "proxy/core.rs"]
 mod core;
+#[path = "proxy/fingerprint.rs"]
+mod fingerprint;
 #[path = "proxy/fleet.rs"]
 mod fleet;
 #[path = "proxy/origin.rs"]
--- a/tests/proxy/common.rs
+++ b/tests/proxy/common.rs
@@ -9,6 +9,7 @@
             core::{Core, Retries, Setup},
             dialect::Part,
             entry::Entry,
+            fingerprint::Fingerprint,
             fleet::{Builds, Identity, Report},
             place::Job,
             table::{Customer, Engine, Kind, Limits, Match, Pool, Route, Rows, Table},
@@ -192,6 +193,7 @@
         max_attempts: 2,
         tried: Vec::new(),
         avoided_hosts: Vec::new(),
+        fingerprint: Fingerprint::default(),
         build: None,
     }
 }
@@ -208,6 +210,7 @@
         max_attempts: 1,
         tried: Vec::new(),
         avoided_hosts: Vec::new(),
+        fingerprint: Fingerprint::default(),
         build: None,
     }
 }
