--- a/src/failure.rs
+++ b/src/failure.rs
@@ -67,6 +67,9 @@
     /// The prompt has a part that crashes upstreams.
     #[display("prompt_withheld")]
     PromptWithheld,
+    /// The request itself crashes upstreams.
+    #[display("request_withheld")]
+    RequestWithheld,
     /// The deadline can't be met, or has passed.
     #[display("deadline")]
     Deadline,
@@ -98,7 +101,7 @@
             Self::OverBurst => 422,
             Self::RateLimited => 429,
             Self::UpstreamFailed | Self::Unreachable => 502,
-            Self::NoCapacity | Self::NotReady | Self::PromptWithheld => 503,
+            Self::NoCapacity | Self::NotReady | Self::PromptWithheld | Self::RequestWithheld => 503,
             Self::Deadline => 504,
             Self::LoopRefused => 508,
         }
--- a/src/proxy/core/mod.rs
+++ b/src/proxy/core/mod.rs
@@ -16,7 +16,7 @@
         follow::Section,
         origin::Ledger,
         place::{self, Choice, Job},
-        quarantine::{self, Process, Quarantine, SETTLING_TIME, Verdict, Withheld},
+        quarantine::{self, Process, Quarantine, SETTLING_TIME, Suspect, Verdict, Withheld},
         rate::Limiter,
         reader::{self, Listing, Reading, Role},
         replica::{Outcome, Replica, millis},
@@ -106,7 +106,7 @@
     Remote(Remote),
     /// Nothing can take the request now. It may wait in the queue.
     Wait,
-    /// The request must not be sent, for a part of its prompt.
+    /// The request must not be sent, as it or a part of its prompt crashes upstreams.
     Withheld(Withheld),
 }
 
@@ -138,9 +138,9 @@
     sent_at: Duration,
     is_engine: bool,
     process: Process,
-    parts: Arc<[u64]>,
+    suspects: Arc<[Suspect]>,
     first_byte_at: Option<Duration>,
-    /// Whether the answer has lasted long enough to clear the parts of its prompt.
+    /// Whether the answer has lasted long enough to clear the suspects of its request.
     is_sound: bool,
 }
 
@@ -165,7 +165,7 @@
     pub reader_role: Role,
     /// The builds that began the streams which callers may resume.
     pub origins: Ledger,
-    /// The parts of prompts that crash upstreams.
+    /// The requests and parts of prompts that crash upstreams.
     pub quarantine: Quarantine,
     setup: Setup,
     table: Option<Arc<Table>>,
@@ -419,16 +419,16 @@
     /// Places a request. An upstream of this region that answers on time is preferred, then another
     /// region if the request may be forwarded, then an upstream of this region that answers late.
     pub fn place(&mut self, now: Duration, job: &Job) -> Placement {
-        let trial = match self.judge_prompt(now, job) {
+        let trial = match self.judge_request(now, job) {
             Verdict::Clear => None,
-            Verdict::Trial(part) => Some(part),
+            Verdict::Trial(suspect) => Some(suspect),
             Verdict::Withheld(withheld) => return Placement::Withheld(withheld),
         };
         let local = self.choose_local(now, job);
-        if let Some(part) = trial {
+        if let Some(suspect) = trial {
             // Only this host makes the trial, so the request must not leave its region.
             return local.map_or(Placement::Wait, |choice| {
-                self.quarantine.start_trial(now, part);
+                self.quarantine.start_trial(now, suspect);
                 Placement::Local(self.reserve(now, job, choice))
             });
         }
@@ -451,8 +451,8 @@
     /// Places another attempt at a request whose last one is late, and takes it out of the retry
     /// budget. `None` if nothing can take the request now or it must not be sent once more.
     pub fn place_another(&mut self, now: Duration, job: &Job) -> Option<Placement> {
-        let is_clear = self.judge_prompt(now, job) == Verdict::Clear
-            && !self.quarantine.is_suspect(&job.prefixes);
+        let is_clear = self.judge_request(now, job) == Verdict::Clear
+            && !self.quarantine.is_suspect(&job.suspects);
         if !is_clear || !self.retry_budget(now, &job.pool).has_retry(now) {
             return None;
         }
@@ -560,8 +560,7 @@
         }
         let (address, build) = (replica.entry.address, replica.entry.build.clone());
         let process = replica.process();
-        let parts = quarantine::parts(&job.prefixes);
-        self.quarantine.record_sent(now, &parts);
+        self.quarantine.record_sent(now, &job.suspects);
         let reservation = Reservation {
             upstream: choice.upstream.clone(),
             pool: job.pool.clone(),
@@ -573,7 +572,7 @@
             sent_at: now,
             is_engine: engine.is_some(),
             process,
-            parts,
+            suspects: job.suspects.clone(),
             first_byte_at: None,
             is_sound: false,
         };
@@ -645,7 +644,7 @@
         };
         if reservation.has_settled(now) && !reservation.is_sound {
             reservation.is_sound = true;
-            self.quarantine.record_sound(now, &reservation.parts);
+            self.quarantine.record_sound(now, &reservation.suspects);
         }
         self.quarantine.retract_end(reservation.process);
         if let Some(replica) = self.catalog.get_mut(&reservation.upstream) {
@@ -692,7 +691,7 @@
                 *prefill_tokens = prefill_tokens.saturating_sub(reservation.uncached_tokens);
             }
         }
-        self.record_prompt_outcome(now, &reservation, outcome);
+        self.record_suspects_outcome(now, &reservation, outcome);
         if outcome == Outcome::Success && !reservation.is_engine {
             let took_ms = millis(now.saturating_sub(reservation.sent_at));
             self.catalog
--- a/src/proxy/core/prompt.rs
+++ b/src/proxy/core/prompt.rs
@@ -1,5 +1,5 @@
-//! Requests whose prompts have a part that crashes upstreams: what the fate of requests and
-//! upstreams tells of the parts, and which requests are withheld.
+//! Requests that crash upstreams, or whose prompts have a part that does: what the fate of requests
+//! and upstreams tells of them, and which requests are withheld.
 
 use {
     super::{Core, Reservation},
@@ -7,7 +7,7 @@
         name,
         proxy::{
             place::Job,
-            quarantine::{Certainty, Change, End, Verdict, Withheld},
+            quarantine::{Certainty, Change, End, Suspect, Verdict, Withheld},
             replica::Outcome,
         },
         route::affinity,
@@ -19,29 +19,30 @@
 const ENDED_AFTER_SILENCE: Duration = Duration::from_secs(1);
 
 impl Core {
-    /// Decides whether a request is withheld for a part of its prompt.
-    pub(super) fn judge_prompt(&self, now: Duration, job: &Job) -> Verdict {
+    /// Decides whether a request is withheld.
+    pub(super) fn judge_request(&self, now: Duration, job: &Job) -> Verdict {
         self.quarantine
-            .check(now, &job.prefixes, |part| self.makes_trial(now, part))
+            .check(now, &job.suspects, |suspect| self.makes_trial(now, suspect))
     }
 
-    /// Why a request is withheld for a part of its prompt; `None` if it may be sent.
+    /// Why a request is withheld; `None` if it may be sent.
     pub fn withheld(&self, now: Duration, job: &Job) -> Option<Withheld> {
-        match self.judge_prompt(now, job) {
+        match self.judge_request(now, job) {
             Verdict::Withheld(withheld) => Some(withheld),
             Verdict::Clear | Verdict::Trial(_) => None,
         }
     }
 
-    /// Whether this host is the one of the fleet that tries a held part, by rendezvous hashing.
-    fn makes_trial(&self, now: Duration, part: u64) -> bool {
-        let own = affinity::weight(part, self.fleet.point);
+    /// Whether this host is the one of the fleet that tries a held suspect, by rendezvous hashing.
+    fn makes_trial(&self, now: Duration, suspect: Suspect) -> bool {
+        let point = suspect.point();
+        let own = affinity::weight(point, self.fleet.point);
         let mut others = self.fleet.available(now);
-        others.all(|peer| affinity::weight(part, peer.point) < own)
+        others.all(|peer| affinity::weight(point, peer.point) < own)
     }
 
-    /// Records what the outcome of an attempt tells of the parts of its prompt.
-    pub(super) fn record_prompt_outcome(
+    /// Records what the outcome of an attempt tells of the suspects of its request.
+    pub(super) fn record_suspects_outcome(
         &mut self,
         now: Duration,
         reservation: &Reservation,
@@ -49,14 +50,14 @@
     ) {
         match outcome {
             Outcome::Success | Outcome::Error => {
-                self.quarantine.record_sound(now, &reservation.parts);
+                self.quarantine.record_sound(now, &reservation.suspects);
                 self.quarantine.retract_end(reservation.process);
             }
             Outcome::Broken | Outcome::Unknown if !reservation.has_settled(now) => {
                 let process = reservation.process;
                 let sent_at = reservation.sent_at;
                 self.quarantine
-                    .record_failed(now, sent_at, process, &reservation.parts);
+                    .record_failed(now, sent_at, process, &reservation.suspects);
             }
             Outcome::Broken
             | Outcome::Unknown
@@ -85,17 +86,16 @@
         let waits_ms = all.clone().map(|reservation| reservation.predicted_ms);
         let wait = Duration::from_secs_f64(waits_ms.fold(0.0, f64::max) / 1_000.0);
         let at = (end.at + wait).min(now);
-        let open = all
-            .filter(|reservation| !reservation.parts.is_empty() && !reservation.has_settled(now));
+        let open = all.filter(|reservation| !reservation.has_settled(now));
         let open: Vec<_> = open
-            .map(|reservation| (reservation.sent_at, reservation.parts.clone()))
+            .map(|reservation| (reservation.sent_at, reservation.suspects.clone()))
             .collect();
         self.quarantine.record_end(now, End { at, ..end }, &open);
     }
 
     /// Records upstreams that have ended since the last call, and returns what has changed in the
-    /// belief of parts of prompts.
-    pub fn judge_parts(&mut self, now: Duration) -> Vec<Change> {
+    /// belief of suspects.
+    pub fn judge_suspects(&mut self, now: Duration) -> Vec<Change> {
         let silent = self.catalog.all().filter(|replica| {
             replica.is_silent() && replica.silent_for(now) >= ENDED_AFTER_SILENCE
         });
--- a/src/proxy/host.rs
+++ b/src/proxy/host.rs
@@ -96,6 +96,10 @@
     part_changes: Family<prompt::Labels, Counter>,
     /// Parts of prompts that are held.
     held_parts: Gauge,
+    /// Changes in the belief of requests, by the new state.
+    request_changes: Family<prompt::Labels, Counter>,
+    /// Requests that are held.
+    held_requests: Gauge,
     /// Upstreams that are being asked whether they have ended.
     probed: Mutex<BTreeSet<Process>>,
     phase: watch::Receiver<Phase>,
@@ -154,6 +158,8 @@
         let resumed = Family::default();
         let part_changes = Family::default();
         let held_parts = Gauge::default();
+        let request_changes = Family::default();
+        let held_requests = Gauge::default();
         let store_calls = Counter::default();
         let store_failures = Counter::default();
         dependencies.metrics.register(|registry| {
@@ -187,6 +193,16 @@
                 "Parts of prompts with which requests are withheld",
                 held_parts.clone(),
             );
+            registry.register(
+                "repeated_requests",
+                "Changes in the belief of requests that crash upstreams, by the new state",
+                request_changes.clone(),
+            );
+            registry.register(
+                "repeated_requests_held",
+                "Requests that are withheld when they come again",
+                held_requests.clone(),
+            );
             registry.register(
                 "log_lines_sampled_out",
                 "Lines of successful requests that were not logged",
@@ -208,6 +224,8 @@
             resumed,
             part_changes,
             held_parts,
+            request_changes,
+            held_requests,
             probed: Mutex::default(),
             phase: dependencies.phase,
             running: AtomicUsize::new(0),
@@ -537,7 +555,7 @@
             changes
         };
         self.log_changes(changes);
-        self.judge_parts();
+        self.judge_suspects();
         if self.core().queue_len() > 0 {
             self.place_waiting();
         }
--- a/src/proxy/host/prompt.rs
+++ b/src/proxy/host/prompt.rs
@@ -1,11 +1,13 @@
-//! Finds out which upstreams have ended, and tells of parts of prompts that crash them.
+//! Finds out which upstreams have ended, and tells of requests and parts of prompts that crash them.
 
 use {
     super::Host,
     crate::{
         clock::Clock,
         failure::Failure,
-        proxy::{core::Grant, dialect::Dialect, place::Job, send::withheld_failure},
+        proxy::{
+            core::Grant, dialect::Dialect, place::Job, quarantine::Suspect, send::withheld_failure,
+        },
     },
     prometheus_client::encoding::EncodeLabelSet,
     std::{sync::PoisonError, time::Duration},
@@ -16,15 +18,15 @@
 /// may close a little after its connections.
 const END_PROBE_DELAYS: [Duration; 2] = [Duration::from_millis(30), Duration::from_millis(300)];
 
-/// Label of a change in the belief of a part of a prompt.
+/// Label of a change in the belief of a part of a prompt or a request.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(super) struct Labels {
     state: &'static str,
 }
 
 impl<D: Dialect, C: Clock> Host<D, C> {
-    /// Fails if a request is withheld for a part of its prompt.
-    pub(in crate::proxy) fn check_prompt(&self, request: &str, job: &Job) -> Result<(), Failure> {
+    /// Fails if a request is withheld.
+    pub(in crate::proxy) fn check_withheld(&self, request: &str, job: &Job) -> Result<(), Failure> {
         let withheld = self.core().withheld(self.clock.now(), job);
         withheld.map_or(Ok(()), |withheld| Err(withheld_failure(request, &withheld)))
     }
@@ -57,27 +59,35 @@
         });
     }
 
-    /// Judges the parts of prompts that were blamed for ends, and logs what has changed.
-    pub(super) fn judge_parts(&self) {
+    /// Judges what was blamed for ends, and logs what has changed.
+    pub(super) fn judge_suspects(&self) {
         let now = self.clock.now();
-        let (changes, held) = {
+        let changes = {
             let mut core = self.core();
-            (core.judge_parts(now), core.quarantine.held())
+            let changes = core.judge_suspects(now);
+            self.held_parts.set(core.quarantine.held_parts() as i64);
+            let requests = core.quarantine.held_requests();
+            self.held_requests.set(requests as i64);
+            changes
         };
-        self.held_parts.set(held as i64);
         for change in changes {
             let state = change.state.name();
-            self.part_changes.get_or_create(&Labels { state }).inc();
-            tracing::warn!(
-                event = "part",
-                part = format!("{:x}", change.part),
-                state,
-                ends = change.ends,
-                required = change.required_ends,
-                first_end_ms = change.first_end_age.as_millis() as u64,
-                last_end_ms = change.last_end_age.as_millis() as u64,
-                "belief of a part of prompts changed"
-            );
+            let (ends, required) = (change.ends, change.required_ends);
+            let first_end_ms = change.first_end_age.as_millis() as u64;
+            let last_end_ms = change.last_end_age.as_millis() as u64;
+            let suspect = change.suspect;
+            match suspect {
+                Suspect::Part(_) => {
+                    self.part_changes.get_or_create(&Labels { state }).inc();
+                    tracing::warn!(event = "part", part = %suspect, state, ends, required, first_end_ms, last_end_ms,
+                        "belief of a part of prompts changed");
+                }
+                Suspect::Request(_) => {
+                    self.request_changes.get_or_create(&Labels { state }).inc();
+                    tracing::warn!(event = "repeat", fingerprint = %suspect, state, ends, required, first_end_ms,
+                        last_end_ms, "belief of a request changed");
+                }
+            }
         }
     }
 }
--- a/src/proxy/intake.rs
+++ b/src/proxy/intake.rs
@@ -12,6 +12,7 @@
         headers,
         host::{Host, count_failure},
         place::Job,
+        quarantine,
         table::{Denial, Match},
     },
     crate::{
@@ -185,7 +186,7 @@
     };
     let job = build_job(host, &inbound, matched, arrived_at, deadline)?;
     refuse_when_leaving(host, &job)?;
-    host.check_prompt(inbound.id(), &job)?;
+    host.check_withheld(inbound.id(), &job)?;
     let units = job.matched.cost(inbound.metadata.tokens);
     let customer = job.matched.customer.clone();
     if let Some(customer) = &customer {
@@ -260,6 +261,7 @@
         max_attempts: matched.route.max_attempts,
         matched,
         tokens: metadata.tokens.unwrap_or_default(),
+        suspects: quarantine::suspects(fingerprint, &prefixes),
         prefixes,
         fingerprint,
         arrived_at,
--- a/src/proxy/place.rs
+++ b/src/proxy/place.rs
@@ -14,12 +14,13 @@
         cache::{self, Prefix},
         catalog::{Catalog, INITIAL_SERVICE_MS},
         fingerprint::Fingerprint,
+        quarantine::Suspect,
         replica::{Replica, millis},
         speed::Speed,
         table::{Engine, Match, Pool},
     },
     crate::{name, route::affinity},
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
 };
 
 /// Share of the objective that the predicted time to the first byte may take for an answer to count
@@ -54,6 +55,8 @@
     pub prefixes: Vec<Prefix>,
     /// Identifies the request among repeats of it.
     pub fingerprint: Fingerprint,
+    /// What may be blamed if the request ends an upstream.
+    pub suspects: Arc<[Suspect]>,
     /// When the head of the request arrived.
     pub arrived_at: Duration,
     /// When the caller gives up or the route's timeout is over.
--- a/src/proxy/quarantine.rs
+++ b/src/proxy/quarantine.rs
@@ -1,8 +1,9 @@
-//! Parts of prompts that crash upstreams, and the decision to withhold requests that hold one.
+//! Requests and parts of prompts that crash upstreams, and the decision to withhold such a request
+//! when it comes again, and all requests that hold such a part.
 //!
-//! An upstream that ends takes all its requests along, so one end blames many parts. A part that
+//! An upstream that ends takes all its requests along, so one end blames many suspects. One that
 //! crashes upstreams stands out because none of its answers lasts: each sound answer clears the
-//! parts of its prompt of all earlier ends. What remains is weighed against how often any request
+//! suspects of its request of all earlier ends. What remains is weighed against how often any request
 //! meets the end of an upstream, so that a wave of ends with another cause needs more of them.
 //!
 //! Hosts share ends and sound answers in their reports, since each sees its own requests only.
@@ -10,8 +11,12 @@
 //! places a request.
 
 use {
-    super::cache::{self, Prefix},
+    super::{
+        cache::{self, Prefix},
+        fingerprint::Fingerprint,
+    },
     crate::route::affinity,
+    derive_more::Display,
     serde::{Deserialize, Serialize},
     std::{
         cmp::Reverse,
@@ -37,12 +42,17 @@
 const END_TOLERANCE: Duration = Duration::from_millis(300);
 /// Ends closer together than this have one cause.
 const END_SPACING: Duration = Duration::from_millis(100);
-/// Fewest ends for which a part is held.
+/// Fewest ends for which a suspect is held.
 const MIN_REQUIRED_ENDS: usize = 3;
 /// Most ends that it takes until a part is held.
 const MAX_REQUIRED_ENDS: usize = 8;
+/// Most ends that it takes until a request is held. Only its own repeats are lost if that is wrong.
+const MAX_REQUIRED_ENDS_OF_REQUEST: usize = 5;
 /// Ends that a part with a remembered sound answer needs on top.
 const ENDS_AFTER_SOUND: usize = 2;
+/// Ends for which a request with a remembered sound answer is held. Many callers may send it alike, so
+/// that it is under way wherever an upstream ends.
+const REQUIRED_ENDS_OF_SOUND_REQUEST: usize = 10;
 /// Probability below which ends that a sound part meets by chance are ruled out.
 const CHANCE: f64 = 1e-6;
 /// Share of requests that meet the end of an upstream from which no part is blamed.
@@ -55,7 +65,9 @@
 const RATE_TIME: Duration = Duration::from_secs(10);
 /// Time from the last end until one request with a held part is let through. It doubles with each.
 const TRIAL_DELAY: Duration = Duration::from_secs(60);
-/// Most doublings of [`TRIAL_DELAY`].
+/// The same time for a held request, whose trials serve nobody else.
+const REQUEST_TRIAL_DELAY: Duration = Duration::from_secs(5 * 60);
+/// Most doublings of [`TRIAL_DELAY`] and [`REQUEST_TRIAL_DELAY`].
 const MAX_TRIAL_DOUBLINGS: u32 = 6;
 /// How long a part stays held after its last end.
 const HOLD_TTL: Duration = Duration::from_secs(2 * 60 * 60);
@@ -65,15 +77,69 @@
 const MAX_BLAMED: usize = 4_096;
 /// Most parts that are held.
 const MAX_HELD: usize = 256;
-/// Most parts with a remembered sound answer.
+/// Most parts, and most requests, with a remembered sound answer.
 const MAX_SOUND: usize = 16_384;
 /// Most upstreams that are known to have ended.
 const MAX_ENDED: usize = 1_024;
-/// Most parts in a report.
-const MAX_REPORTED_PARTS: usize = 32;
-/// Most ends of a part in a report.
+/// Most parts, and most requests, in a report.
+const MAX_REPORTED_SUSPECTS: usize = 32;
+/// Most ends of a suspect in a report.
 const MAX_REPORTED_ENDS: usize = 4;
 
+/// What may crash the upstreams that run a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize)]
+#[serde(from = "Key", into = "Key")]
+pub enum Suspect {
+    /// A part of the prompt.
+    #[display("{_0:x}")]
+    Part(u64),
+    /// The request itself.
+    #[display("{_0}")]
+    Request(Fingerprint),
+}
+
+impl Suspect {
+    fn is_part(self) -> bool {
+        matches!(self, Self::Part(_))
+    }
+
+    /// A number for rendezvous hashing.
+    pub fn point(self) -> u64 {
+        match self {
+            Self::Part(part) => part,
+            Self::Request(Fingerprint(hash)) => hash,
+        }
+    }
+}
+
+/// A suspect in a report. Hosts that know no requests read the number as a part, which no prompt has.
+#[derive(Debug, Serialize, Deserialize)]
+struct Key {
+    #[serde(rename = "p")]
+    number: u64,
+    #[serde(rename = "r", default, skip_serializing_if = "std::ops::Not::not")]
+    is_request: bool,
+}
+
+impl From<Key> for Suspect {
+    fn from(Key { number, is_request }: Key) -> Self {
+        if is_request {
+            Self::Request(Fingerprint(number))
+        } else {
+            Self::Part(number)
+        }
+    }
+}
+
+impl From<Suspect> for Key {
+    fn from(suspect: Suspect) -> Self {
+        Self {
+            number: suspect.point(),
+            is_request: !suspect.is_part(),
+        }
+    }
+}
+
 /// Identifies one process of an upstream: another one under its name has another key.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -86,28 +152,28 @@
     }
 }
 
-/// What a host reports of one part.
+/// What a host reports of one suspect.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Evidence {
-    /// The part.
-    #[serde(rename = "p")]
-    pub part: u64,
-    /// Upstreams that ended under requests with the part since its last sound answer, each with
+    /// The suspect.
+    #[serde(flatten)]
+    pub suspect: Suspect,
+    /// Upstreams that ended under requests with the suspect since its last sound answer, each with
     /// the time since.
     #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
     pub ends: Vec<(Process, Duration)>,
-    /// Time since the last sound answer to a prompt with the part.
+    /// Time since the last sound answer to a request with the suspect.
     #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
     pub sound_age: Option<Duration>,
-    /// Set while the sender holds the part.
+    /// Set while the sender holds the suspect.
     #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
     pub hold: Option<Hold>,
 }
 
-/// How long a part has been held, as hosts report it.
+/// How long a suspect has been held, as hosts report it.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Hold {
-    /// Time since the part was first held.
+    /// Time since the suspect was first held.
     #[serde(rename = "a")]
     pub age: Duration,
     /// Requests that were let through since.
@@ -115,36 +181,36 @@
     pub trials: u32,
 }
 
-/// Decision on a request by the parts of its prompt.
+/// Decision on a request by its suspects.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Verdict {
-    /// No part is held.
+    /// None is held.
     Clear,
-    /// A part is held, and this request may be the one that tries it.
-    Trial(u64),
-    /// A part is held.
+    /// One is held, and this request may be the one that tries it.
+    Trial(Suspect),
+    /// One is held.
     Withheld(Withheld),
 }
 
 /// Why a request is withheld.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Withheld {
-    /// The part that is held.
-    pub part: u64,
+    /// The suspect that is held.
+    pub suspect: Suspect,
     /// Time since it was first held.
     pub age: Duration,
-    /// Time until the next request with the part is let through.
+    /// Time until the next request with the suspect is let through.
     pub retry_after: Duration,
 }
 
-/// A change in what is believed of a part, to be logged.
+/// A change in what is believed of a suspect, to be logged.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Change {
-    /// The part that the belief is of.
-    pub part: u64,
+    /// The suspect that the belief is of.
+    pub suspect: Suspect,
     /// What has changed.
     pub state: State,
-    /// Number of ends that blame the part.
+    /// Number of ends that blame the suspect.
     pub ends: usize,
     /// Number of ends for which it is held; zero if it is not held for these.
     pub required_ends: usize,
@@ -154,7 +220,7 @@
     pub last_end_age: Duration,
 }
 
-/// What has become of a part.
+/// What has become of a suspect.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum State {
     /// It is held for ends that this host knows.
@@ -165,7 +231,7 @@
     Trial,
     /// It is no longer held, after a sound answer.
     Released,
-    /// It is no longer held, since another held part explains its ends.
+    /// It is no longer held, since another held suspect explains its ends.
     Explained,
     /// It is no longer held, as its last end is long ago.
     Expired,
@@ -192,7 +258,7 @@
     /// When the request was sent to its upstream.
     sent_at: Duration,
     process: Process,
-    parts: Arc<[u64]>,
+    suspects: Arc<[Suspect]>,
 }
 
 /// The end of an upstream's process without a notice.
@@ -215,14 +281,16 @@
     Certain,
 }
 
-/// What is known of a part that ends blame.
+/// What is known of a suspect that ends blame.
 #[derive(Debug, Default)]
 struct Blame {
     /// Ends since the last sound answer, with their time.
     ends: BTreeMap<Process, Duration>,
     sound_at: Option<Duration>,
-    /// This host's requests with the part that met an end.
+    /// This host's requests with the suspect that met an end.
     own: Count,
+    /// Whether the prompts of these requests have no parts.
+    is_bare: bool,
     /// When this host last saw something new, which all others are told.
     seen_at: Option<Duration>,
     /// When a host of another region last told something new, which the own region is told.
@@ -244,6 +312,11 @@
     fn last_end_at(&self) -> Option<Duration> {
         self.ends.values().max().copied()
     }
+
+    fn has_met_all_of(&self, other: &Blame) -> bool {
+        let mut ends = other.ends.keys();
+        ends.all(|process| self.ends.contains_key(process))
+    }
 }
 
 /// Where a piece of news comes from.
@@ -257,7 +330,7 @@
     Remote,
 }
 
-/// A part with which requests are withheld.
+/// A suspect with which requests are withheld.
 #[derive(Debug)]
 struct Held {
     since: Duration,
@@ -266,9 +339,13 @@
 }
 
 impl Held {
-    /// When the next request with the part may be let through.
-    fn trial_at(&self) -> Duration {
-        self.last_end_at + TRIAL_DELAY * 2_u32.pow(self.trials.min(MAX_TRIAL_DOUBLINGS))
+    /// When the next request with the suspect may be let through.
+    fn trial_at(&self, suspect: Suspect) -> Duration {
+        let delay = match suspect {
+            Suspect::Part(_) => TRIAL_DELAY,
+            Suspect::Request(_) => REQUEST_TRIAL_DELAY,
+        };
+        self.last_end_at + delay * 2_u32.pow(self.trials.min(MAX_TRIAL_DOUBLINGS))
     }
 }
 
@@ -291,54 +368,119 @@
     }
 }
 
-/// The parts that ends of upstreams blame, and those that are held.
+/// Requests of this host, and those of them that met the end of an upstream.
+#[derive(Debug, Default)]
+struct Rate {
+    requests: Count,
+    met_ends: Count,
+    /// The latter by upstream.
+    met_by_process: BTreeMap<Process, Count>,
+}
+
+impl Rate {
+    fn record_met_end(&mut self, now: Duration, process: Process) {
+        self.met_ends.add(now);
+        self.met_by_process.entry(process).or_default().add(now);
+    }
+
+    /// Requests that met one of these ends.
+    fn met<'a>(&self, now: Duration, ends: impl Iterator<Item = &'a Process>) -> f64 {
+        let met = ends.filter_map(|process| self.met_by_process.get(process));
+        met.map(|count| count.get(now)).sum()
+    }
+}
+
+/// When suspects last had a sound answer; the oldest are forgotten.
+#[derive(Debug, Default)]
+struct Memory {
+    answers: BTreeMap<Suspect, Duration>,
+    /// The same by time.
+    order: BTreeSet<(Duration, Suspect)>,
+}
+
+impl Memory {
+    fn record(&mut self, now: Duration, suspect: Suspect) {
+        if let Some(before) = self.answers.insert(suspect, now) {
+            self.order.remove(&(before, suspect));
+        }
+        self.order.insert((now, suspect));
+        if self.answers.len() > MAX_SOUND {
+            self.forget_oldest();
+        }
+    }
+
+    fn forget_oldest(&mut self) {
+        if let Some((_, suspect)) = self.order.pop_first() {
+            self.answers.remove(&suspect);
+        }
+    }
+
+    fn expire(&mut self, now: Duration) {
+        while let Some((at, _)) = self.order.first()
+            && now.saturating_sub(*at) >= SOUND_TTL
+        {
+            self.forget_oldest();
+        }
+    }
+}
+
+/// What ends of upstreams blame, and what of it is held.
 #[derive(Debug, Default)]
 pub struct Quarantine {
     failures: Vec<Failed>,
     ended: BTreeMap<Process, End>,
-    blamed: BTreeMap<u64, Blame>,
-    held: BTreeMap<u64, Held>,
-    sound: BTreeMap<u64, Duration>,
-    /// The parts of `sound` by time.
-    sound_order: BTreeSet<(Duration, u64)>,
-    /// This host's requests, and those of them that met an end.
-    requests: Count,
-    met_ends: Count,
+    blamed: BTreeMap<Suspect, Blame>,
+    held: BTreeMap<Suspect, Held>,
+    sound_parts: Memory,
+    sound_requests: Memory,
+    /// Requests whose prompts have parts.
+    prompts: Rate,
+    /// Other requests, which go to other upstreams.
+    bare: Rate,
     changes: Vec<Change>,
 }
 
-/// The parts of a prompt that may be blamed.
-pub fn parts(prompt: &[Prefix]) -> Arc<[u64]> {
-    cache::shared_parts(prompt).collect()
+/// What may be blamed for the end of an upstream that runs a request: the request itself and the
+/// parts of its prompt.
+pub fn suspects(fingerprint: Fingerprint, prompt: &[Prefix]) -> Arc<[Suspect]> {
+    let parts = cache::shared_parts(prompt).map(Suspect::Part);
+    parts.chain([Suspect::Request(fingerprint)]).collect()
+}
+
+/// Whether the prompt of a request with these suspects has no parts.
+fn is_bare(suspects: &[Suspect]) -> bool {
+    !suspects.iter().copied().any(Suspect::is_part)
 }
 
 impl Quarantine {
-    /// Records that a request was sent to an upstream.
-    pub fn record_sent(&mut self, now: Duration, parts: &[u64]) {
-        if !parts.is_empty() {
-            self.requests.add(now);
+    fn rate_mut(&mut self, is_bare: bool) -> &mut Rate {
+        if is_bare {
+            &mut self.bare
+        } else {
+            &mut self.prompts
         }
     }
 
-    /// Records that an answer to a prompt with these parts is complete or has lasted.
-    pub fn record_sound(&mut self, now: Duration, parts: &[u64]) {
-        for part in parts {
-            if let Some(before) = self.sound.insert(*part, now) {
-                self.sound_order.remove(&(before, *part));
-            }
-            self.sound_order.insert((now, *part));
-            self.clear(now, *part, now, Source::Own);
-        }
-        while self.sound.len() > MAX_SOUND
-            && let Some((_, part)) = self.sound_order.pop_first()
-        {
-            self.sound.remove(&part);
+    /// Records that a request was sent to an upstream.
+    pub fn record_sent(&mut self, now: Duration, suspects: &[Suspect]) {
+        self.rate_mut(is_bare(suspects)).requests.add(now);
+    }
+
+    /// Records that an answer to a request with these suspects is complete or has lasted.
+    pub fn record_sound(&mut self, now: Duration, suspects: &[Suspect]) {
+        for suspect in suspects {
+            let memory = match suspect {
+                Suspect::Part(_) => &mut self.sound_parts,
+                Suspect::Request(_) => &mut self.sound_requests,
+            };
+            memory.record(now, *suspect);
+            self.clear(now, *suspect, now, Source::Own);
         }
     }
 
-    /// Removes the ends of a part up to its sound answer at `sound_at`, and lets it go.
-    fn clear(&mut self, now: Duration, part: u64, sound_at: Duration, source: Source) {
-        let Some(blame) = self.blamed.get_mut(&part) else {
+    /// Removes the ends of a suspect up to its sound answer at `sound_at`, and lets it go.
+    fn clear(&mut self, now: Duration, suspect: Suspect, sound_at: Duration, source: Source) {
+        let Some(blame) = self.blamed.get_mut(&suspect) else {
             return;
         };
         if blame.sound_at.is_some_and(|known| known >= sound_at) {
@@ -346,12 +488,12 @@
         }
         blame.sound_at = Some(sound_at);
         blame.record_news(now, source);
-        let is_held = self.held.get(&part);
+        let is_held = self.held.get(&suspect);
         if is_held.is_some_and(|held| held.last_end_at.max(held.since) < sound_at) {
-            self.held.remove(&part);
-            self.push_change(now, part, State::Released, 0);
+            self.held.remove(&suspect);
+            self.push_change(now, suspect, State::Released, 0);
         }
-        if let Some(blame) = self.blamed.get_mut(&part) {
+        if let Some(blame) = self.blamed.get_mut(&suspect) {
             blame.ends.retain(|_, at| *at > sound_at);
         }
     }
@@ -363,13 +505,10 @@
         now: Duration,
         sent_at: Duration,
         process: Process,
-        parts: &Arc<[u64]>,
+        suspects: &Arc<[Suspect]>,
     ) {
-        if parts.is_empty() {
-            return;
-        }
         if let Some(end) = self.ended.get(&process).copied() {
-            self.blame(now, sent_at, end, parts);
+            self.blame(now, sent_at, end, suspects);
             return;
         }
         if self.failures.len() >= MAX_FAILURES {
@@ -379,7 +518,7 @@
             at: now,
             sent_at,
             process,
-            parts: parts.clone(),
+            suspects: suspects.clone(),
         });
     }
 
@@ -391,7 +530,7 @@
 
     /// Records that an upstream has ended, with the requests there whose answers had not lasted and
     /// the time at which each was sent.
-    pub fn record_end(&mut self, now: Duration, end: End, open: &[(Duration, Arc<[u64]>)]) {
+    pub fn record_end(&mut self, now: Duration, end: End, open: &[(Duration, Arc<[Suspect]>)]) {
         if let Some(known) = self.ended.get_mut(&end.process) {
             known.certainty = end.certainty.max(known.certainty);
             return;
@@ -408,10 +547,10 @@
             .partition(|failed| failed.process == end.process);
         self.failures = others;
         for failed in failed {
-            self.blame(now, failed.sent_at, end, &failed.parts);
+            self.blame(now, failed.sent_at, end, &failed.suspects);
         }
-        for (sent_at, parts) in open {
-            self.blame(now, *sent_at, end, parts);
+        for (sent_at, suspects) in open {
+            self.blame(now, *sent_at, end, suspects);
         }
     }
 
@@ -426,67 +565,78 @@
         }
     }
 
-    /// Blames the parts of a request for an end, unless it was sent when the upstream had ended.
-    fn blame(&mut self, now: Duration, sent_at: Duration, end: End, parts: &[u64]) {
+    /// Blames the suspects of a request for an end, unless it was sent when the upstream had ended.
+    fn blame(&mut self, now: Duration, sent_at: Duration, end: End, suspects: &[Suspect]) {
         let End { process, at, .. } = end;
         if sent_at > at + END_TOLERANCE {
             return;
         }
-        self.met_ends.add(now);
-        for part in parts {
-            let blame = self.entry(now, *part);
+        let is_bare = is_bare(suspects);
+        self.rate_mut(is_bare).record_met_end(now, process);
+        for suspect in suspects {
+            let blame = self.entry(now, *suspect);
             blame.own.add(now);
+            blame.is_bare = is_bare;
             if blame.ends.insert(process, at).is_none() {
                 blame.record_news(now, Source::Own);
             }
-            if let Some(held) = self.held.get_mut(part) {
+            if let Some(held) = self.held.get_mut(suspect) {
                 held.last_end_at = held.last_end_at.max(at);
             }
         }
     }
 
-    fn entry(&mut self, now: Duration, part: u64) -> &mut Blame {
-        if self.blamed.len() >= MAX_BLAMED && !self.blamed.contains_key(&part) {
+    fn entry(&mut self, now: Duration, suspect: Suspect) -> &mut Blame {
+        if self.blamed.len() >= MAX_BLAMED && !self.blamed.contains_key(&suspect) {
             self.drop_weakest();
         }
-        let sound_at = self.sound.get(&part).copied();
-        self.blamed.entry(part).or_insert_with(|| Blame {
+        let sound_at = self.remembered_sound(suspect);
+        self.blamed.entry(suspect).or_insert_with(|| Blame {
             sound_at,
             learned_at: now,
             ..Blame::default()
         })
     }
 
-    /// Drops a quarter of the blamed parts: those with the fewest ends, the oldest first.
+    /// When a suspect last had a sound answer at this host, if that is remembered.
+    fn remembered_sound(&self, suspect: Suspect) -> Option<Duration> {
+        let memory = match suspect {
+            Suspect::Part(_) => &self.sound_parts,
+            Suspect::Request(_) => &self.sound_requests,
+        };
+        memory.answers.get(&suspect).copied()
+    }
+
+    /// Drops a quarter of the blamed suspects: those with the fewest ends, the oldest first.
     fn drop_weakest(&mut self) {
         let candidates = self.blamed.iter();
-        let candidates = candidates.filter(|(part, _)| !self.held.contains_key(part));
+        let candidates = candidates.filter(|(suspect, _)| !self.held.contains_key(suspect));
         let mut order: Vec<_> = candidates
-            .map(|(part, blame)| (blame.ends.len(), blame.learned_at, *part))
+            .map(|(suspect, blame)| (blame.ends.len(), blame.learned_at, *suspect))
             .collect();
         order.sort_unstable();
-        for (_, _, part) in order.into_iter().take(MAX_BLAMED / 4) {
-            self.blamed.remove(&part);
+        for (_, _, suspect) in order.into_iter().take(MAX_BLAMED / 4) {
+            self.blamed.remove(&suspect);
         }
     }
 
     /// Takes over what another host reports.
     pub fn record_evidence(&mut self, now: Duration, source: Source, evidence: &[Evidence]) {
         for Evidence {
-            part,
+            suspect,
             ends,
             sound_age,
             hold,
         } in evidence
         {
             if !ends.is_empty() || hold.is_some() {
-                self.record_reported_ends(now, source, *part, ends);
+                self.record_reported_ends(now, source, *suspect, ends);
             }
             if let Some(age) = sound_age {
-                self.clear(now, *part, now.saturating_sub(*age), source);
+                self.clear(now, *suspect, now.saturating_sub(*age), source);
             }
             if let Some(hold) = hold {
-                self.adopt(now, *part, *hold);
+                self.adopt(now, *suspect, *hold);
             }
         }
     }
@@ -495,10 +645,10 @@
         &mut self,
         now: Duration,
         source: Source,
-        part: u64,
+        suspect: Suspect,
         ends: &[(Process, Duration)],
     ) {
-        let blame = self.entry(now, part);
+        let blame = self.entry(now, suspect);
         for (process, age) in ends {
             let at = now.saturating_sub(*age);
             if blame.sound_at.is_some_and(|sound_at| at <= sound_at) {
@@ -515,61 +665,68 @@
         }
     }
 
-    /// Holds a part that another host holds, unless this host knows better.
-    fn adopt(&mut self, now: Duration, part: u64, hold: Hold) {
+    /// Holds a suspect that another host holds, unless this host knows better.
+    fn adopt(&mut self, now: Duration, suspect: Suspect, hold: Hold) {
         let since = now.saturating_sub(hold.age);
-        let blame = self.blamed.get(&part);
+        let blame = self.blamed.get(&suspect);
         let sound_at = blame.and_then(|blame| blame.sound_at);
         let last_end_at = blame.and_then(Blame::last_end_at).unwrap_or(since);
         if sound_at.is_some_and(|sound_at| sound_at >= since.max(last_end_at)) {
             return;
         }
-        if let Some(held) = self.held.get_mut(&part) {
+        if let Some(held) = self.held.get_mut(&suspect) {
             held.trials = held.trials.max(hold.trials);
             held.last_end_at = held.last_end_at.max(last_end_at);
             return;
         }
-        if last_end_at + HOLD_TTL <= now || self.held.len() >= MAX_HELD || self.is_explained(part) {
+        // What this host knows of a request that was sound weighs more than what the other one does.
+        let is_judged_here = !suspect.is_part() && sound_at.is_some();
+        let is_old = last_end_at + HOLD_TTL <= now;
+        if is_judged_here || is_old || self.held.len() >= MAX_HELD || self.is_explained(suspect) {
             return;
         }
         let trials = hold.trials;
         self.held.insert(
-            part,
+            suspect,
             Held {
                 since,
                 last_end_at,
                 trials,
             },
         );
-        self.push_change(now, part, State::Adopted, 0);
+        self.push_change(now, suspect, State::Adopted, 0);
     }
 
     /// What this host reports to another one: what it has seen since `since`, to a host of its
-    /// region also what others told it since, and the parts that it holds.
+    /// region also what others told it since, and the suspects that it holds.
     pub fn evidence(&self, now: Duration, since: Duration, to_region: bool) -> Vec<Evidence> {
         let is_news = |at: Option<Duration>| at.is_some_and(|at| at >= since);
-        let told = self.blamed.iter().filter(|(part, blame)| {
+        let told = self.blamed.iter().filter(|(suspect, blame)| {
             is_news(blame.seen_at)
                 || (to_region && is_news(blame.told_at))
-                || self.held.contains_key(part)
-        });
-        let mut told: Vec<_> = told.collect();
-        told.sort_by_key(|(part, blame)| {
-            let is_held = self.held.contains_key(part);
-            Reverse((is_held, blame.ends.len(), blame.learned_at))
+                || self.held.contains_key(suspect)
         });
-        told.truncate(MAX_REPORTED_PARTS);
-        let evidence = told.into_iter().map(|(part, blame)| {
+        let (mut parts, mut requests): (Vec<_>, Vec<_>) =
+            told.partition(|(suspect, _)| suspect.is_part());
+        for told in [&mut parts, &mut requests] {
+            told.sort_by_key(|(suspect, blame)| {
+                let is_held = self.held.contains_key(suspect);
+                Reverse((is_held, blame.ends.len(), blame.learned_at))
+            });
+            told.truncate(MAX_REPORTED_SUSPECTS);
+        }
+        let told = parts.into_iter().chain(requests);
+        let evidence = told.map(|(suspect, blame)| {
             let mut ends: Vec<_> = blame.ends.iter().collect();
             ends.sort_by_key(|(_, at)| Reverse(**at));
             ends.truncate(MAX_REPORTED_ENDS);
             let ends = ends.into_iter();
             let age = |at: Duration| now.saturating_sub(at);
             Evidence {
-                part: *part,
+                suspect: *suspect,
                 ends: ends.map(|(process, at)| (*process, age(*at))).collect(),
                 sound_age: blame.sound_at.map(age),
-                hold: self.held.get(part).map(|held| Hold {
+                hold: self.held.get(suspect).map(|held| Hold {
                     age: age(held.since),
                     trials: held.trials,
                 }),
@@ -578,13 +735,13 @@
         evidence.collect()
     }
 
-    /// Holds parts that ends blame beyond chance, forgets what is old, and returns the changes.
+    /// Holds suspects that ends blame beyond chance, forgets what is old, and returns the changes.
     pub fn judge(&mut self, now: Duration) -> Vec<Change> {
         self.expire(now);
-        while let Some((part, required)) = self.find_culprit(now) {
+        while let Some((suspect, required)) = self.find_culprit(now) {
             let held = Held {
                 since: now,
-                last_end_at: self.blamed[&part].last_end_at().unwrap_or(now),
+                last_end_at: self.blamed[&suspect].last_end_at().unwrap_or(now),
                 trials: 0,
             };
             if self.held.len() >= MAX_HELD
@@ -594,65 +751,75 @@
                 self.held.remove(&oldest);
                 self.push_change(now, oldest, State::Expired, 0);
             }
-            self.held.insert(part, held);
-            self.push_change(now, part, State::Held, required);
-            self.release_explained(now, part);
+            self.held.insert(suspect, held);
+            self.push_change(now, suspect, State::Held, required);
+            self.release_explained(now, suspect);
         }
         std::mem::take(&mut self.changes)
     }
 
-    /// The part with the most ends that no held part explains, if these are beyond chance, and how
-    /// many it takes.
-    fn find_culprit(&self, now: Duration) -> Option<(u64, usize)> {
+    /// The suspect with the most ends that no held one explains, if these are beyond chance, and how
+    /// many it takes. Requests go first: what is sound of their prompts then goes on.
+    fn find_culprit(&self, now: Duration) -> Option<(Suspect, usize)> {
         let candidates = self
             .blamed
             .iter()
-            .filter(|(part, blame)| {
-                blame.ends.len() >= MIN_REQUIRED_ENDS && !self.held.contains_key(part)
+            .filter(|(suspect, blame)| {
+                blame.ends.len() >= MIN_REQUIRED_ENDS && !self.held.contains_key(suspect)
             })
-            .filter_map(|(part, blame)| {
-                let required = self.required_ends(now, *part, blame)?;
-                let ends = independent_ends(now, self.unexplained_ends(blame));
-                (ends >= required).then_some((*part, ends, required))
+            .filter_map(|(suspect, blame)| {
+                let required = self.required_ends(now, *suspect, blame)?;
+                let ends = independent_ends(now, self.unexplained_ends(*suspect, blame));
+                (ends >= required).then_some((*suspect, ends, required))
             });
-        // Of two parts with the same ends, one without a sound answer is the likelier cause.
-        let culprit =
-            candidates.max_by_key(|(part, ends, required)| (*ends, Reverse(*required), *part));
-        culprit.map(|(part, _, required)| (part, required))
-    }
-
-    /// The ends of a part that no held part explains. A held part all of whose ends the part has
-    /// met too, and more, explains nothing.
-    fn unexplained_ends(&self, blame: &Blame) -> impl Iterator<Item = Duration> {
-        let held = self.held.keys().filter_map(|part| self.blamed.get(part));
-        let explaining = held.filter(|held| !explains_more(blame, held));
-        let explained: BTreeSet<_> = explaining.flat_map(|held| held.ends.keys()).collect();
+        // Of two suspects with the same ends, one without a sound answer is the likelier cause.
+        let culprit = candidates.max_by_key(|(suspect, ends, required)| {
+            (!suspect.is_part(), *ends, Reverse(*required), *suspect)
+        });
+        culprit.map(|(suspect, _, required)| (suspect, required))
+    }
+
+    /// The held suspects with what is known of them.
+    fn held_blames(&self) -> impl Iterator<Item = (Suspect, &Blame)> {
+        let held = self.held.keys();
+        held.filter_map(|suspect| Some((*suspect, self.blamed.get(suspect)?)))
+    }
+
+    /// The ends of a suspect that no held one explains.
+    fn unexplained_ends(&self, suspect: Suspect, blame: &Blame) -> impl Iterator<Item = Duration> {
+        let explaining = self.held_blames().filter(|(other, held)| {
+            match (*other, suspect) {
+                // Other requests with the part may be sound.
+                (Suspect::Request(_), Suspect::Part(_)) => true,
+                (Suspect::Part(_), Suspect::Request(_)) => !blame.has_met_all_of(held),
+                _ => !explains_more(blame, held),
+            }
+        });
+        let explained: BTreeSet<_> = explaining.flat_map(|(_, held)| held.ends.keys()).collect();
         let ends = blame.ends.iter();
         ends.filter(move |(process, _)| !explained.contains(process))
             .map(|(_, at)| *at)
     }
 
-    /// Whether a held part explains the ends of a part, and more. A host that learned it let the
-    /// part go, while others may still report that they hold it.
-    fn is_explained(&self, part: u64) -> bool {
-        let Some(blame) = self.blamed.get(&part) else {
+    /// Whether a held suspect explains the ends of another one. A host that learned it let the other
+    /// one go, while others may still report that they hold it.
+    fn is_explained(&self, suspect: Suspect) -> bool {
+        let Some(blame) = self.blamed.get(&suspect) else {
             return false;
         };
-        let mut held = self.held.keys().filter_map(|held| self.blamed.get(held));
-        held.any(|held| explains_more(held, blame))
+        let mut held = self.held_blames();
+        held.any(|(other, held)| accounts_for((other, held), (suspect, blame)))
     }
 
-    /// Lets parts go whose ends the part that was just held explains, and more.
-    fn release_explained(&mut self, now: Duration, part: u64) {
-        let Some(blame) = self.blamed.get(&part) else {
+    /// Lets suspects go whose ends the one that was just held accounts for.
+    fn release_explained(&mut self, now: Duration, suspect: Suspect) {
+        let Some(blame) = self.blamed.get(&suspect) else {
             return;
         };
-        let others = self.held.keys().copied();
+        let others = self.held_blames();
         let explained: Vec<_> = others
-            .filter(|other| {
-                let other = self.blamed.get(other);
-                other.is_some_and(|other| explains_more(blame, other))
-            })
+            .filter(|(other, held)| accounts_for((suspect, blame), (*other, held)))
+            .map(|(other, _)| other)
             .collect();
         for other in explained {
             self.held.remove(&other);
@@ -660,18 +827,34 @@
         }
     }
 
-    /// Ends that blame a part beyond chance; `None` while too many requests meet one.
-    fn required_ends(&self, now: Duration, part: u64, blame: &Blame) -> Option<usize> {
+    /// Ends that blame a suspect beyond chance; `None` while too many requests meet one.
+    fn required_ends(&self, now: Duration, suspect: Suspect, blame: &Blame) -> Option<usize> {
+        let rate = if blame.is_bare {
+            &self.bare
+        } else {
+            &self.prompts
+        };
+        let was_sound = blame.sound_at.is_some() || self.remembered_sound(suspect).is_some();
+        if was_sound && !suspect.is_part() {
+            return Some(REQUIRED_ENDS_OF_SOUND_REQUEST);
+        }
         let own = blame.own.get(now);
-        let requests = PRIOR_REQUESTS + (self.requests.get(now) - own).max(0.0);
-        let met = PRIOR_MET_ENDS + (self.met_ends.get(now) - own).max(0.0);
+        let (caused, most) = match suspect {
+            Suspect::Part(_) => (own, MAX_REQUIRED_ENDS),
+            // A request that crashes upstreams takes many others along each time.
+            Suspect::Request(_) => (
+                rate.met(now, blame.ends.keys()),
+                MAX_REQUIRED_ENDS_OF_REQUEST,
+            ),
+        };
+        let requests = PRIOR_REQUESTS + (rate.requests.get(now) - own).max(0.0);
+        let met = PRIOR_MET_ENDS + (rate.met_ends.get(now) - caused).max(0.0);
         let share = met / requests;
         if share >= MAX_END_SHARE {
-            return None;
+            return (!suspect.is_part()).then_some(most);
         }
         let required = (CHANCE.ln() / share.ln()).ceil() as usize;
-        let required = required.clamp(MIN_REQUIRED_ENDS, MAX_REQUIRED_ENDS);
-        let was_sound = blame.sound_at.is_some() || self.sound.contains_key(&part);
+        let required = required.clamp(MIN_REQUIRED_ENDS, most);
         Some(required + if was_sound { ENDS_AFTER_SOUND } else { 0 })
     }
 
@@ -680,40 +863,41 @@
         self.failures
             .retain(|failed| is_kept(failed.at, FAILURE_TTL));
         self.ended.retain(|_, end| is_kept(end.at, END_TTL));
-        while let Some((at, part)) = self.sound_order.first().copied()
-            && !is_kept(at, SOUND_TTL)
-        {
-            self.sound_order.remove(&(at, part));
-            self.sound.remove(&part);
+        for rate in [&mut self.prompts, &mut self.bare] {
+            let ended = &self.ended;
+            let met = &mut rate.met_by_process;
+            met.retain(|process, _| ended.contains_key(process));
         }
+        self.sound_parts.expire(now);
+        self.sound_requests.expire(now);
         let held = &self.held;
-        self.blamed.retain(|part, blame| {
-            if !held.contains_key(part) {
+        self.blamed.retain(|suspect, blame| {
+            if !held.contains_key(suspect) {
                 blame.ends.retain(|_, at| is_kept(*at, END_TTL));
             }
             !blame.ends.is_empty()
-                || held.contains_key(part)
+                || held.contains_key(suspect)
                 || is_kept(blame.learned_at, CLEARED_TTL)
         });
         let expired: Vec<_> = self
             .held
             .iter()
             .filter(|(_, held)| !is_kept(held.last_end_at.max(held.since), HOLD_TTL))
-            .map(|(part, _)| *part)
+            .map(|(suspect, _)| *suspect)
             .collect();
-        for part in expired {
-            self.held.remove(&part);
-            self.push_change(now, part, State::Expired, 0);
-            self.blamed.remove(&part);
+        for suspect in expired {
+            self.held.remove(&suspect);
+            self.push_change(now, suspect, State::Expired, 0);
+            self.blamed.remove(&suspect);
         }
     }
 
-    fn push_change(&mut self, now: Duration, part: u64, state: State, required_ends: usize) {
-        let ends = self.blamed.get(&part).map(|blame| &blame.ends);
+    fn push_change(&mut self, now: Duration, suspect: Suspect, state: State, required_ends: usize) {
+        let ends = self.blamed.get(&suspect).map(|blame| &blame.ends);
         let ends: Vec<_> = ends.into_iter().flatten().map(|(_, at)| *at).collect();
         let age = |at: Option<Duration>| now.saturating_sub(at.unwrap_or(now));
         self.changes.push(Change {
-            part,
+            suspect,
             state,
             ends: ends.len(),
             required_ends,
@@ -722,66 +906,86 @@
         });
     }
 
-    /// Decides on a request with this prompt. Where a trial is due, `tries` tells whether this host
+    /// Decides on a request with these suspects. Where a trial is due, `tries` tells whether this host
     /// makes it.
-    pub fn check(&self, now: Duration, prompt: &[Prefix], tries: impl Fn(u64) -> bool) -> Verdict {
+    pub fn check(
+        &self,
+        now: Duration,
+        suspects: &[Suspect],
+        tries: impl Fn(Suspect) -> bool,
+    ) -> Verdict {
         if self.held.is_empty() {
             return Verdict::Clear;
         }
         let mut trial = None;
-        for part in cache::shared_parts(prompt) {
-            let Some(held) = self.held.get(&part) else {
+        for suspect in suspects.iter().copied() {
+            let Some(held) = self.held.get(&suspect) else {
                 continue;
             };
-            let trial_at = held.trial_at();
-            if now < trial_at || trial.is_some() || !tries(part) {
+            let trial_at = held.trial_at(suspect);
+            if now < trial_at || trial.is_some() || !tries(suspect) {
                 return Verdict::Withheld(Withheld {
-                    part,
+                    suspect,
                     age: now.saturating_sub(held.since),
                     retry_after: trial_at.saturating_sub(now),
                 });
             }
-            trial = Some(part);
+            trial = Some(suspect);
         }
         trial.map_or(Verdict::Clear, Verdict::Trial)
     }
 
-    /// Records that a request with a held part is let through.
-    pub fn start_trial(&mut self, now: Duration, part: u64) {
-        if let Some(held) = self.held.get_mut(&part) {
+    /// Records that a request with a held suspect is let through.
+    pub fn start_trial(&mut self, now: Duration, suspect: Suspect) {
+        if let Some(held) = self.held.get_mut(&suspect) {
             held.trials += 1;
             held.last_end_at = now;
-            self.push_change(now, part, State::Trial, 0);
+            self.push_change(now, suspect, State::Trial, 0);
         }
     }
 
-    /// Whether a part of this prompt met the ends of two upstreams and had no sound answer since.
-    pub fn is_suspect(&self, prompt: &[Prefix]) -> bool {
-        let parts = cache::shared_parts(prompt);
-        let mut blamed = parts.filter_map(|part| self.blamed.get(&part));
+    /// Whether one of these suspects met the ends of two upstreams and had no sound answer since.
+    pub fn is_suspect(&self, suspects: &[Suspect]) -> bool {
+        let mut blamed = suspects
+            .iter()
+            .filter_map(|suspect| self.blamed.get(suspect));
         blamed.any(|blame| blame.ends.len() >= 2)
     }
 
     /// Number of parts that are held.
-    pub fn held(&self) -> usize {
-        self.held.len()
+    pub fn held_parts(&self) -> usize {
+        let held = self.held.keys();
+        held.filter(|suspect| suspect.is_part()).count()
     }
 
-    /// Number of parts that are blamed.
+    /// Number of requests that are held.
+    pub fn held_requests(&self) -> usize {
+        self.held.len() - self.held_parts()
+    }
+
+    /// Number of suspects that are blamed.
     pub fn blamed(&self) -> usize {
         self.blamed.len()
     }
 
-    /// Number of parts with a remembered sound answer.
+    /// Number of parts and of requests with a remembered sound answer.
     pub fn sound(&self) -> usize {
-        self.sound.len()
+        self.sound_parts.answers.len() + self.sound_requests.answers.len()
     }
 }
 
-/// Whether a part has met all ends of another one, and more.
+/// Whether a suspect has met all ends of another one, and more.
 fn explains_more(blame: &Blame, other: &Blame) -> bool {
-    let is_met = |process: &Process| blame.ends.contains_key(process);
-    blame.ends.len() > other.ends.len() && other.ends.keys().all(is_met)
+    blame.ends.len() > other.ends.len() && blame.has_met_all_of(other)
+}
+
+/// Whether a held suspect takes the place of another one. A request does so for a part of its prompt
+/// that has met no other ends, as what else holds the part may be sound.
+fn accounts_for((suspect, blame): (Suspect, &Blame), (other, held): (Suspect, &Blame)) -> bool {
+    match (suspect, other) {
+        (Suspect::Request(_), Suspect::Part(_)) => blame.has_met_all_of(held),
+        _ => explains_more(blame, held),
+    }
 }
 
 /// Number of ends that are old enough to count and don't come together.
--- a/src/proxy/race.rs
+++ b/src/proxy/race.rs
@@ -395,7 +395,8 @@
             return ControlFlow::Continue(());
         }
         let now = host.clock.now();
-        if failure.code == Code::PromptWithheld || self.job.deadline <= now + MIN_TIME_LEFT {
+        let is_withheld = matches!(failure.code, Code::PromptWithheld | Code::RequestWithheld);
+        if is_withheld || self.job.deadline <= now + MIN_TIME_LEFT {
             return ControlFlow::Break(Err(failure));
         }
         if failure.ran == Ran::No {
@@ -408,7 +409,7 @@
             }
             return ControlFlow::Continue(());
         }
-        let is_suspect = host.core().quarantine.is_suspect(&self.job.prefixes);
+        let is_suspect = host.core().quarantine.is_suspect(&self.job.suspects);
         let may_repeat = is_repeatable && !is_suspect && self.tries.runs < self.job.max_attempts;
         if !may_repeat || !(is_retry_granted || host.core().withdraw_retry(now, &pool)) {
             return ControlFlow::Break(Err(failure));
--- a/src/proxy/send.rs
+++ b/src/proxy/send.rs
@@ -9,7 +9,7 @@
         headers,
         host::{Head, Host, Reservation},
         place::Job,
-        quarantine::Withheld,
+        quarantine::{Suspect, Withheld},
         race::Patience,
         replica::Outcome,
         table::Kind,
@@ -393,16 +393,23 @@
 
 /// Logs why a request is withheld and returns the failure with a retry time.
 pub(super) fn withheld_failure(request: &str, withheld: &Withheld) -> Failure {
-    let part = format!("{:x}", withheld.part);
-    tracing::info!(
-        event = "withheld",
-        request,
-        part,
-        age_ms = withheld.age.as_millis() as u64
-    );
-    let reason = format!("upstreams have ended under requests with part {part} of the prompt");
+    let suspect = withheld.suspect;
+    let age_ms = withheld.age.as_millis() as u64;
+    let (code, reason) = match suspect {
+        Suspect::Part(_) => {
+            tracing::info!(event = "withheld", request, part = %suspect, age_ms);
+            let reason =
+                format!("upstreams have ended under requests with part {suspect} of the prompt");
+            (Code::PromptWithheld, reason)
+        }
+        Suspect::Request(_) => {
+            tracing::info!(event = "withheld", request, fingerprint = %suspect, age_ms);
+            let reason = "upstreams have ended under this request";
+            (Code::RequestWithheld, reason.to_owned())
+        }
+    };
     let wait = withheld.retry_after.max(MIN_WITHHELD_RETRY);
-    Failure::not_run(Code::PromptWithheld, reason).retry_after(wait)
+    Failure::not_run(code, reason).retry_after(wait)
 }
 
 /// A refusal by an upstream; the request has not run.
