Let a stream go on through a host at which it was silent before

Callers of a stream that had been silent once and broke off later saw the connection close, where the upstreams of its region are reached through a single host: no host was left to resume it through.

A host at which an attempt is late was avoided for the rest of the request, and never allowed again; it is to be avoided only beside that attempt. Upstreams are allowed again if none is left, hosts were not.

Evidence: the test failed before ("unexpected EOF"): two upstreams in one region behind one host, a pause of 1.4 s between events, then a reset. Now the avoided hosts are forgotten once no attempt is under way, as before there were any; the test passes.

The user-visible effect of a takeover is unchanged: the late host is still avoided while its attempt runs.

--- a/src/proxy/place.rs
+++ b/src/proxy/place.rs
@@ -62,7 +62,7 @@
     pub max_attempts: u32,
     /// Upstreams that the request has failed at; they are not chosen again.
     pub tried: Vec<name::Upstream>,
-    /// Hosts of other regions at which an attempt is late; they are not chosen again.
+    /// Hosts of other regions at which an attempt is late; they are not chosen beside it.
     pub avoided_hosts: Vec<name::Host>,
     /// The only build that may serve the request, as it began the stream that is resumed.
     pub build: Option<name::Build>,
--- a/src/proxy/race.rs
+++ b/src/proxy/race.rs
@@ -293,6 +293,7 @@
         let mut running = FuturesUnordered::new();
         loop {
             if running.is_empty() {
+                self.job.avoided_hosts.clear();
                 let destination = self.place().await?;
                 running.push(self.start(destination));
             }
