Pass an upstream's own failure on if the attempt beside it misses the deadline

Callers of repeatable requests got the host's 504 although an upstream had answered with its own 500.

The answer of an upstream that failed by itself is kept while another attempt is under way, but the deadline was awaited around all attempts together with what they kept, so it was dropped with them.

Evidence: the test failed before (504 instead of 500): of two upstreams one is silent and one fails by itself. Now the deadline is awaited within run_attempts, which returns the kept answer in that case; the search for the build of a resumed stream has the same limit of its own. The test passes.

--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -13,7 +13,8 @@
         origin::{self, Key, Record},
         place::Job,
         race::{
-            Destination, MIN_TIME_LEFT, Patience, Target, Tries, place_another, run_attempts, start,
+            Destination, MIN_TIME_LEFT, Patience, Target, Tries, missed_deadline, place_another,
+            run_attempts, start,
         },
         replica::{Outcome, millis},
         send::{Opened, Source, upstream_failed},
@@ -133,22 +134,17 @@
         let mut tries = Tries::default();
         let now = host.clock.now();
         host.core().record_request(now, &job.pool);
-        let time_left = job.deadline.saturating_sub(now);
         let resume = inbound.metadata.resume_after;
         let is_entry = job.may_forward;
         let lifetime = inbound.metadata.timeout.unwrap_or(origin::MAX_TTL);
         let resumable_until = job.arrived_at.saturating_add(lifetime);
-        let opening = async {
-            if resume.is_some() && job.matched.route.kind == Kind::Resumable {
-                job.build = Some(required_build(&host, &inbound, &job).await?);
-            }
-            run_attempts(&host, &inbound, &mut job, &mut tries, resume).await
-        };
-        let opened = timeout(time_left, opening).await;
-        let timed_out = Failure::not_run(Code::Deadline, "no answer within the deadline");
-        let opened = opened
-            .unwrap_or(Err(timed_out))
-            .map_err(|failure| tries.account_for_runs(failure))?;
+        if resume.is_some() && job.matched.route.kind == Kind::Resumable {
+            let time_left = job.deadline.saturating_sub(now);
+            let build = timeout(time_left, required_build(&host, &inbound, &job)).await;
+            job.build = Some(build.unwrap_or_else(|_| Err(missed_deadline()))?);
+        }
+        let opened = run_attempts(&host, &inbound, &mut job, &mut tries, resume).await;
+        let opened = opened.map_err(|failure| tries.account_for_runs(failure))?;
         let relay = match job.matched.route.kind {
             _ if !opened.head.status.is_success() => Relay::Pieces,
             Kind::Resumable => Relay::Events(Splitter::new()),
@@ -494,16 +490,14 @@
             return Err((failure, obstacle.to_owned()));
         }
         self.job.arrived_at = now;
-        let time_left = self.job.deadline.saturating_sub(self.job.arrived_at);
-        let attempts = run_attempts(
+        let opened = run_attempts(
             &self.host,
             &self.inbound,
             &mut self.job,
             &mut self.tries,
             self.last_event_id,
-        );
-        let opened = timeout(time_left, attempts).await;
-        let opened = opened.unwrap_or_else(|_| Err(stalled()));
+        )
+        .await;
         let adopted = self.adopt(opened);
         adopted.map_err(|obstacle| (failure, obstacle.to_string()))
     }
--- a/src/proxy/race.rs
+++ b/src/proxy/race.rs
@@ -260,8 +260,8 @@
     fallback: Option<Opened<D, C>>,
 }
 
-/// Makes attempts until one returns a usable answer, within the limits of the route, its kind and
-/// the retry budget.
+/// Makes attempts until one returns a usable answer, within the deadline and the limits of the route,
+/// its kind and the retry budget.
 pub(super) async fn run_attempts<D: Dialect, C: Clock>(
     host: &Host<D, C>,
     inbound: &Arc<Inbound>,
@@ -270,6 +270,7 @@
     resume: Option<u64>,
 ) -> Result<Opened<D, C>, Failure> {
     let (late, late_numbers) = mpsc::unbounded_channel();
+    let time_left = job.deadline.saturating_sub(host.clock.now());
     let mut race = Race {
         host,
         inbound,
@@ -281,10 +282,16 @@
         late,
         fallback: None,
     };
-    let result = race.run(late_numbers).await;
+    let result = timeout(time_left, race.run(late_numbers)).await;
+    let result = result.unwrap_or_else(|_| Err(missed_deadline()));
     result.or_else(|failure| race.fallback.take().ok_or(failure))
 }
 
+/// The failure of a request whose deadline passed, unless something was sent: see [`Tries::account_for_runs`].
+pub(super) fn missed_deadline() -> Failure {
+    Failure::not_run(Code::Deadline, "no answer within the deadline")
+}
+
 impl<D: Dialect, C: Clock> Race<'_, D, C> {
     async fn run(
         &mut self,
