Keep connections of a peer open that are kept ready with pings

A forwarded request that may run once could get 502 though nothing was wrong: it was sent on a connection that the other host closed at that moment.

The accepting host closed each connection after 60 s without an exchange, although the sending host keeps those that it pings ready for as long as it runs. The limit was meant to be longer than a peer keeps a connection, and pings did not count. A call that crosses the close may have run, so it is not sent again.

Evidence: the test failed before: of the connections that are kept ready all were closed at once after 60 s, so that none was left. The test passes, over 150 s.

--- a/src/link/server.rs
+++ b/src/link/server.rs
@@ -19,7 +19,7 @@
     tokio::{sync::watch, time::timeout},
 };
 
-/// Longest time between exchanges on a connection; longer than a peer keeps it idle.
+/// Longest silence between exchanges on a connection; longer than a peer keeps a silent one.
 const MAX_IDLE: Duration = Duration::from_secs(60);
 /// Longest time to write one piece of an answer, when the peer or its caller reads nothing.
 const MAX_STALL: Duration = Duration::from_secs(60);
@@ -126,10 +126,10 @@
 ) {
     loop {
         let request = tokio::select! {
-            request = timeout(MAX_IDLE, socket.receive_without_ping::<wire::Request>()) => request,
+            request = socket.receive_within::<wire::Request>(MAX_IDLE) => request,
             _ = stop.changed() => return,
         };
-        let Ok(Ok(Some(wire::Request::Call { id, call }))) = request else {
+        let Ok(Some(wire::Request::Call { id, call })) = request else {
             return;
         };
         if serve_exchange(&mut socket, &from, handler, id, *call)
--- a/src/link/socket.rs
+++ b/src/link/socket.rs
@@ -209,8 +209,22 @@
     /// Like [`Self::receive`], but sends no pings and has no timeout. For a peer that may not be
     /// reading now and so can't answer a ping.
     pub(super) async fn receive_without_ping<M: DeserializeOwned>(&mut self) -> Result<Option<M>> {
+        self.receive_within(Duration::MAX).await
+    }
+
+    /// Like [`Self::receive`], but sends no pings. Times out if nothing arrives for `limit`, not even
+    /// a ping.
+    pub(super) async fn receive_within<M: DeserializeOwned>(
+        &mut self,
+        limit: Duration,
+    ) -> Result<Option<M>> {
         loop {
-            match self.stream.next().await {
+            let message = timeout(limit, self.stream.next()).await;
+            let message = message.map_err(|_| Error::Timeout {
+                step: "waiting for a peer",
+                peer: self.peer.clone(),
+            })?;
+            match message {
                 None | Some(Ok(Message::Close(_))) => return Ok(None),
                 Some(Ok(Message::Binary(bytes))) => {
                     return wire::decode(&bytes, &self.peer).map(Some);
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -151,6 +151,20 @@
     }
 }
 
+/// The peer closed a connection that was kept ready, perhaps as a call was sent on it.
+#[tokio::test(start_paused = true)]
+async fn connections_that_are_kept_ready_are_not_closed_by_the_peer() {
+    let network = Network::Memory(Memory::new());
+    let (address, _stop) = start_server(&network).await;
+    let client = Client::new(identity(&network, "asking", "secret"));
+    keep_warm_for(&client, address, Duration::from_secs(1)).await;
+    for _ in 0..300 {
+        sleep(Duration::from_millis(500)).await;
+        client.keep_warm([address].into());
+        assert!(client.ready_count(address) > 0);
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn connections_to_a_peer_that_is_no_longer_kept_warm_are_closed() {
     let network = Network::Memory(Memory::new());
