Refuse what may outlast the grace of a leaving host

Callers that sent a request late to a host that was leaving saw their connection close without an answer or a refusal.

With a grace of 8 s it took a request 5.6 s after the notice and cut it 2 s later, though a route may allow 4 s and an upstream may be silent for a second or so.

Evidence: the test failed before ("IncompleteMessage"): a request that runs once, sent 2 s after SIGTERM with a grace of 4 s, at an upstream that is silent. Now, once less than 0.7 of the grace is left, a request is taken only if its deadline lies within the rest, up to the time at which the host stops; others get 503 and have not run. The test passes, and a second one holds that shorter requests are still served.

--- a/src/proxy/intake.rs
+++ b/src/proxy/intake.rs
@@ -29,11 +29,9 @@
 
 /// Retry time given to callers while the host has no configuration yet.
 const RETRY_AFTER_AT_START: Duration = Duration::from_millis(300);
-/// A leaving host accepts streams only while more than this share of its grace is left, so that
-/// they can end in time.
-const STREAM_GRACE_SHARE: f64 = 0.7;
-/// The same share for other requests.
-const PLAIN_GRACE_SHARE: f64 = 0.3;
+/// A leaving host accepts any request while more than this share of its grace is left, and later only
+/// those that must end within the rest.
+const FREE_GRACE_SHARE: f64 = 0.7;
 
 /// Serves one HTTP request of a caller and returns its response.
 pub async fn handle<D: Dialect, C: Clock>(
@@ -264,12 +262,8 @@
     let Some((time_left, grace)) = host.grace_left() else {
         return Ok(());
     };
-    let share = if job.matched.route.kind.is_stream() {
-        STREAM_GRACE_SHARE
-    } else {
-        PLAIN_GRACE_SHARE
-    };
-    if time_left > grace.mul_f64(share) {
+    let ends_in_time = job.deadline <= host.clock.now() + time_left;
+    if time_left > grace.mul_f64(FREE_GRACE_SHARE) || ends_in_time {
         return Ok(());
     }
     Err(Failure::not_run(Code::NotReady, "the host is shutting down").retry_after(Duration::ZERO))
@@ -314,6 +308,7 @@
     job.max_attempts = 1;
     job.may_forward = false;
     job.build = call.build;
+    refuse_when_leaving(host, &job)?;
     if host.should_log(&call.request) {
         tracing::info!(event = "taken", request = call.request, from = %from, route = %call.route,
             version = call.version, elapsed_ms = call.elapsed.as_millis() as u64);
