End no answer of the gateway because its upstream is silent

Callers saw: a call ended although its upstream would have gone on and its deadline was far. An answer of a plain service was cut after 20 s without a byte; a resumable stream ended with an error event if the attempt that replaced it failed; a call whose head took longer than a third of its time got 504 where all upstreams paused, as each attempt was closed in turn.

Cause: a timeout that exists to try elsewhere closed the silent attempt first and asked afterwards whether another one may be made, can be placed and answers. The same on the last attempt, for work that runs once, and for answers whose head was relayed, where there is no elsewhere.

Fix: a silent attempt stays. Where the work, the number of attempts, the deadline and the budget allow, another one is made beside it, and the first to go on is the answer; the head of another one closes the silent one. So nothing is dropped before its replacement is sure, and what may not be sent again is never sent beside itself. The runner holds the attempts under way in one set, and the call keeps one place in a pool's queue for all of them: silent attempts would otherwise hold all places while those that are to replace them wait. Endless and dripping upstreams still end with the deadline. Code::UpstreamSilent is gone: no exchange ends with it.

`Mutant::SilenceIsEnd` is caught.

--- a/src/attempt/event.rs
+++ b/src/attempt/event.rs
@@ -44,7 +44,8 @@
         /// Time after which the upstream may accept the work.
         retry_after: Option<Duration>,
     },
-    /// A part of the answer arrived. Zero `tokens` reset the idle timeout and relay nothing.
+    /// A part of the answer arrived. Attempts made beside a silent one are cancelled. Zero `tokens`
+    /// reset the idle timeout and relay nothing.
     Chunk {
         /// Number of the attempt, as given by [`Action::Send`].
         attempt: u32,
@@ -74,7 +75,7 @@
 pub enum Reason {
     /// It carries the id of another exchange, or none.
     WrongId,
-    /// Its attempt was cancelled, timed out or already ended.
+    /// Its attempt was cancelled or already ended.
     Late,
 }
 
--- a/src/attempt/exchange.rs
+++ b/src/attempt/exchange.rs
@@ -3,8 +3,8 @@
 //! It takes [`Event`]s of the network, the caller and the clock, and returns the [`Action`]s that
 //! the gateway carries out. Work that runs once is sent at most once. Idempotent work is retried
 //! within the retry budget. A model call is retried until its first token is relayed, and resumed
-//! at the offset of the relayed tokens after that. The caller always gets the complete answer or
-//! one explicit error.
+//! at the offset of the relayed tokens after that. A silent attempt goes on until another one has
+//! the head of an answer. The caller always gets the complete answer or one explicit error.
 
 use {
     super::{
@@ -48,13 +48,19 @@
     /// A byte that could start the work was sent, and the upstream has not refused the work.
     request_sent: bool,
     /// Start of the timeout of the present stage.
-    last_progress_at: Duration,
+    timer_start: Duration,
+    /// The timeout has passed since the upstream last sent something.
+    is_silent: bool,
 }
 
 impl Attempt {
     fn is_live(&self) -> bool {
         self.stage != Stage::Closed
     }
+
+    fn is_responsive(&self) -> bool {
+        self.is_live() && !self.is_silent
+    }
 }
 
 /// The state machine of one exchange.
@@ -92,6 +98,18 @@
         self.has_ended
     }
 
+    /// Whether the answer of an attempt is being relayed.
+    pub fn is_receiving(&self, number: u32) -> bool {
+        let attempt = self.attempts.get(&number);
+        attempt.is_some_and(|attempt| attempt.stage == Stage::Receiving)
+    }
+
+    /// Number of live attempts that are silent.
+    pub fn silent_count(&self) -> usize {
+        let live = self.attempts.values().filter(|attempt| attempt.is_live());
+        live.filter(|attempt| attempt.is_silent).count()
+    }
+
     /// When the next [`Event::Tick`] is due.
     pub fn wake(&self) -> Duration {
         let timers = self
@@ -109,9 +127,9 @@
     fn attempt_timer(&self, attempt: &Attempt) -> Option<Duration> {
         match attempt.stage {
             Stage::Backoff { until } => Some(until),
-            Stage::Connecting => Some(attempt.last_progress_at + self.plan.connect_timeout),
-            Stage::AwaitingHead => Some(attempt.last_progress_at + self.plan.first_byte_timeout),
-            Stage::Receiving => Some(attempt.last_progress_at + self.plan.idle_timeout),
+            Stage::Connecting => Some(attempt.timer_start + self.plan.connect_timeout),
+            Stage::AwaitingHead => Some(attempt.timer_start + self.plan.first_byte_timeout),
+            Stage::Receiving => Some(attempt.timer_start + self.plan.idle_timeout),
             Stage::Closed => None,
         }
     }
@@ -127,7 +145,7 @@
             .values_mut()
             .filter(|attempt| attempt.is_live())
         {
-            attempt.last_progress_at = now;
+            attempt.timer_start = now;
         }
     }
 
@@ -150,7 +168,8 @@
             stage,
             offset,
             request_sent: false,
-            last_progress_at: now,
+            timer_start: now,
+            is_silent: false,
         };
         self.attempts.insert(number, attempt);
         number
@@ -183,13 +202,13 @@
             _ if may_retry => Some(retry_hint.unwrap_or(DEFAULT_RETRY_AFTER)),
             _ => None,
         };
-        let mut actions = vec![Action::Fail {
+        let mut actions = self.cancel_all();
+        actions.push(Action::Fail {
             code,
             ran,
             retry_after,
             head_relayed: self.head_relayed,
-        }];
-        actions.extend(self.cancel_all());
+        });
         self.has_ended = true;
         actions
     }
@@ -204,17 +223,21 @@
             if number == kept || !attempt.is_live() {
                 continue;
             }
-            if !matches!(attempt.stage, Stage::Backoff { .. }) {
-                actions.push(Action::Cancel { attempt: number });
+            match attempt.stage {
+                Stage::Backoff { .. } => {}
+                _ if attempt.is_silent => {
+                    actions.push(Action::CloseConnection { attempt: number });
+                }
+                _ => actions.push(Action::Cancel { attempt: number }),
             }
             attempt.stage = Stage::Closed;
         }
         actions
     }
 
-    /// Closes an attempt. If no other is live, schedules a retry where the work, the deadline and
-    /// the budget allow one, and fails the exchange otherwise. An attempt that never connected
-    /// costs no budget to retry.
+    /// Closes an attempt. Unless another one makes progress, schedules a retry if one is allowed.
+    /// Fails the exchange if no attempt is left. An attempt that never connected costs no budget to
+    /// retry.
     fn fail_attempt(
         &mut self,
         now: Duration,
@@ -226,28 +249,37 @@
             return Vec::new();
         };
         attempt.stage = Stage::Closed;
-        let request_sent = attempt.request_sent;
-        let was_reached = code != Code::UpstreamUnreachable;
-        if self.attempts.values().any(Attempt::is_live) {
+        if self.attempts.values().any(Attempt::is_responsive) {
             return Vec::new();
         }
-        let Some(offset) = self.next_offset(request_sent) else {
-            return self.fail_exchange(code, retry_hint);
+        let costs_budget = code != Code::UpstreamUnreachable;
+        if self.schedule_retry(now, costs_budget) || self.attempts.values().any(Attempt::is_live) {
+            return Vec::new();
+        }
+        self.fail_exchange(code, retry_hint)
+    }
+
+    /// Schedules another attempt where the work, the number of attempts, the deadline and the budget
+    /// allow one. Returns whether they do.
+    fn schedule_retry(&mut self, now: Duration, costs_budget: bool) -> bool {
+        let Some(offset) = self.next_offset() else {
+            return false;
         };
         let attempt_count = self.attempts.len() as u32;
         let until = now + backoff::delay(attempt_count - 1, &mut self.rng);
         if attempt_count >= self.plan.max_attempts || until >= self.plan.deadline {
-            return self.fail_exchange(code, retry_hint);
+            return false;
         }
-        if was_reached && !self.budget.withdraw(now) {
-            return self.fail_exchange(code, retry_hint);
+        if costs_budget && !self.budget.withdraw(now) {
+            return false;
         }
         self.add_attempt(Stage::Backoff { until }, offset, now);
-        Vec::new()
+        true
     }
 
     /// The offset of the next attempt, or `None` if the work may not be sent again.
-    fn next_offset(&self, request_sent: bool) -> Option<u64> {
+    fn next_offset(&self) -> Option<u64> {
+        let request_sent = self.attempts.values().any(|attempt| attempt.request_sent);
         match self.plan.work {
             Work::Once if self.plan.mutant == Mutant::RepeatOnce => Some(0),
             Work::Once => (!request_sent && !self.head_relayed).then_some(0),
@@ -315,7 +347,8 @@
     fn accept_answer(&mut self, now: Duration, number: u32) -> Vec<Action> {
         if let Some(attempt) = self.attempts.get_mut(&number) {
             attempt.stage = Stage::Receiving;
-            attempt.last_progress_at = now;
+            attempt.timer_start = now;
+            attempt.is_silent = false;
         }
         self.hedge_at = None;
         let mut actions = self.cancel_all_except(number);
@@ -341,11 +374,13 @@
         if attempt.stage != Stage::Receiving {
             return drop_late_answer(number);
         }
-        attempt.last_progress_at = now;
+        attempt.timer_start = now;
+        attempt.is_silent = false;
+        let mut actions = self.cancel_all_except(number);
         if tokens == 0 {
-            return Vec::new();
+            return actions;
         }
-        let mut actions = Vec::from_iter(self.relay_head(number));
+        actions.extend(self.relay_head(number));
         self.relayed_count += tokens;
         actions.push(Action::Relay {
             attempt: number,
@@ -359,7 +394,8 @@
         if stage != Some(Stage::Receiving) {
             return drop_late_answer(number);
         }
-        let mut actions = Vec::from_iter(self.relay_head(number));
+        let mut actions = self.cancel_all_except(number);
+        actions.extend(self.relay_head(number));
         actions.push(Action::Finish);
         self.budget.deposit(now);
         self.has_ended = true;
@@ -401,16 +437,33 @@
         if !due {
             return Vec::new();
         }
-        if let Stage::Backoff { .. } = attempt.stage {
-            return self.send_attempt(now, number);
+        match attempt.stage {
+            Stage::Backoff { .. } => self.send_attempt(now, number),
+            Stage::Connecting => {
+                let mut actions = vec![Action::CloseConnection { attempt: number }];
+                actions.extend(self.fail_attempt(now, number, Code::UpstreamUnreachable, None));
+                actions
+            }
+            Stage::AwaitingHead | Stage::Receiving => self.on_silence(now, number),
+            Stage::Closed => Vec::new(),
         }
-        let code = match attempt.stage {
-            Stage::Connecting if !attempt.request_sent => Code::UpstreamUnreachable,
-            _ => Code::UpstreamSilent,
-        };
-        let mut actions = vec![Action::CloseConnection { attempt: number }];
-        actions.extend(self.fail_attempt(now, number, code, None));
-        actions
+    }
+
+    /// Schedules another attempt beside a silent one, which may still go on.
+    fn on_silence(&mut self, now: Duration, number: u32) -> Vec<Action> {
+        if self.plan.mutant == Mutant::SilenceIsEnd {
+            let mut actions = vec![Action::CloseConnection { attempt: number }];
+            actions.extend(self.fail_attempt(now, number, Code::UpstreamBroken, None));
+            return actions;
+        }
+        if let Some(attempt) = self.attempts.get_mut(&number) {
+            attempt.is_silent = true;
+            attempt.timer_start = now;
+        }
+        if !self.attempts.values().any(Attempt::is_responsive) {
+            self.schedule_retry(now, true);
+        }
+        Vec::new()
     }
 
     fn send_attempt(&mut self, now: Duration, number: u32) -> Vec<Action> {
@@ -418,7 +471,7 @@
             return Vec::new();
         };
         attempt.stage = Stage::Connecting;
-        attempt.last_progress_at = now;
+        attempt.timer_start = now;
         vec![Action::Send {
             attempt: number,
             offset: attempt.offset,
@@ -450,7 +503,7 @@
         match self.attempts.get_mut(&number) {
             Some(attempt) if attempt.stage == Stage::Connecting => {
                 attempt.request_sent = true;
-                attempt.last_progress_at = now;
+                attempt.timer_start = now;
                 attempt.stage = Stage::AwaitingHead;
                 Vec::new()
             }
--- a/src/attempt/outcome.rs
+++ b/src/attempt/outcome.rs
@@ -14,8 +14,6 @@
     UpstreamUnreachable,
     /// The connection closed before the answer was complete.
     UpstreamBroken,
-    /// The upstream sent nothing for longer than the first-byte or idle timeout.
-    UpstreamSilent,
     /// The upstream answered with a retryable status and no retry was possible.
     UpstreamFailed,
     /// The upstream rejected the request without running it.
--- a/src/attempt/plan.rs
+++ b/src/attempt/plan.rs
@@ -56,6 +56,8 @@
     AnyId,
     /// Reports work as not run although it was sent.
     RanNo,
+    /// Closes an attempt once it is silent.
+    SilenceIsEnd,
 }
 
 /// The parameters of an exchange. Times are on the clock that drives its machine.
@@ -69,9 +71,11 @@
     pub deadline: Duration,
     /// Longest time to connect and to send the request.
     pub connect_timeout: Duration,
-    /// Longest time from sending the request to the head of the answer.
+    /// Time from sending the request to the head of the answer after which another attempt is made
+    /// beside the silent one.
     pub first_byte_timeout: Duration,
-    /// Longest time between two chunks of an answer.
+    /// Time between two chunks of an answer after which another attempt is made beside the silent
+    /// one.
     pub idle_timeout: Duration,
     /// Delay after which a second attempt is sent in parallel if the first has not answered. `None`
     /// disables hedging; work that runs once is never hedged.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -4,7 +4,7 @@
 use {
     super::{
         Call,
-        attempts::{Answer, Attempts},
+        attempts::{Answer, Attempts, Next},
         charge::Charge,
         events::{Decoder, Event as StreamEvent},
     },
@@ -93,7 +93,8 @@
 }
 
 impl<C: Clock> Relay<C> {
-    pub(super) fn new(attempts: Attempts<C>, answer: Answer<C>) -> Self {
+    pub(super) fn new(mut attempts: Attempts<C>, answer: Answer<C>) -> Self {
+        attempts.keep_slot(&answer.head.pool);
         Self {
             config: attempts.gateway.dependencies().config.clone(),
             mode: relay_mode(&attempts.call, &answer.head),
@@ -128,8 +129,8 @@
         Ok(self.answer.head.clone())
     }
 
-    /// Returns the next chunk, or `None` at the end of a whole body. Fails at the deadline, after
-    /// too long a gap, and when the key is withdrawn.
+    /// Returns the next chunk, or `None` at the end of a whole body. Fails at the deadline and when
+    /// the key is withdrawn.
     pub async fn next(&mut self) -> Result<Option<Bytes>, Failure> {
         self.fill().await?;
         let chunk = self.ready_chunks.pop_front();
@@ -169,9 +170,7 @@
             .for_each(InFlight::finish);
         self.attempts.settle_done(self.answer.head.status);
         let used = self.charge.take().and_then(Charge::finish);
-        if let (Some(slot), Some(used)) = (&mut self.answer.slot, used) {
-            slot.settle(used as u64);
-        }
+        self.attempts.settle_slot(&self.answer.head.pool, used);
     }
 
     /// Pulls until a chunk is ready or the body has ended.
@@ -199,28 +198,51 @@
             () = sleep(wait) => return self.tick().await.map(drop),
         };
         match chunk {
-            Ok(Some(bytes)) => self.receive(bytes).await,
-            Ok(None) => self.receive_end().await,
+            Ok(chunk) => self.receive_chunk(chunk).await,
             Err(failure) => self.retry_broken(failure).await,
         }
     }
 
+    async fn receive_chunk(&mut self, chunk: Option<Bytes>) -> Result<(), Failure> {
+        match chunk {
+            Some(bytes) => self.receive(bytes).await,
+            None => self.receive_end().await,
+        }
+    }
+
     /// Handles the timers of the exchange that are due. Returns whether there was anything to do.
     async fn tick(&mut self) -> Result<bool, Failure> {
         let actions = self.attempts.tick();
         if actions.is_empty() {
             return Ok(false);
         }
-        self.answer
-            .in_flight
-            .take()
-            .into_iter()
-            .for_each(InFlight::fail);
-        let answer = self.attempts.run(actions).await?;
-        self.continue_with(answer);
+        let attempt = self.answer.attempt;
+        let rest = self.answer.source.next();
+        match self.attempts.run(actions, Some(attempt), rest).await {
+            Ok(Next::Rest(chunk)) => {
+                self.attempts.keep_slot(&self.answer.head.pool);
+                self.receive_chunk(chunk).await?;
+            }
+            Ok(Next::Answer(answer)) => {
+                self.fail_in_flight();
+                self.continue_with(*answer);
+            }
+            Err(failure) => {
+                if failure.code != Code::KeyWithdrawn {
+                    self.fail_in_flight();
+                }
+                return Err(failure);
+            }
+        }
         Ok(true)
     }
 
+    /// Counts the present answer as a failure of its upstream.
+    fn fail_in_flight(&mut self) {
+        let in_flight = self.answer.in_flight.take();
+        in_flight.into_iter().for_each(InFlight::fail);
+    }
+
     async fn receive(&mut self, bytes: Bytes) -> Result<(), Failure> {
         let attempt = self.answer.attempt;
         if let Mode::Stream(boundary) = &mut self.mode {
@@ -308,12 +330,7 @@
     }
 
     async fn retry_broken(&mut self, failure: Failure) -> Result<(), Failure> {
-        self.answer
-            .in_flight
-            .take()
-            .into_iter()
-            .for_each(InFlight::fail);
-        self.answer.slot = None;
+        self.fail_in_flight();
         let answer = self
             .attempts
             .retry_broken(self.answer.attempt, failure)
@@ -324,6 +341,7 @@
 
     /// Continues with the answer of another attempt, which follows on what is already relayed.
     fn continue_with(&mut self, answer: Answer<C>) {
+        self.attempts.keep_slot(&answer.head.pool);
         self.mode = relay_mode(&self.attempts.call, &answer.head);
         self.answer = answer;
     }
--- a/tests/attempt/exchange.rs
+++ b/tests/attempt/exchange.rs
@@ -26,6 +26,9 @@
     if observed.actions_after_end > 0 {
         return Err("an action followed the end".into());
     }
+    if !observed.given_up.is_empty() {
+        return Err(format!("attempts {:?} were given up", observed.given_up));
+    }
     let relayed_error = is_complete && observed.tokens.is_empty();
     let expected = (0..observed.tokens.len() as u64).map(Some);
     if !expected.eq(observed.tokens.iter().copied()) {
@@ -67,6 +70,7 @@
         Mutant::BreakIsEnd,
         Mutant::AnyId,
         Mutant::RanNo,
+        Mutant::SilenceIsEnd,
     ];
     for mutant in mutants {
         let mut g = Gen::from_size_and_seed(6, 5);
@@ -149,3 +153,59 @@
         assert_eq!(run(&hedged, Mutant::None).sends, sends, "{work:?}");
     }
 }
+
+/// Attempts were closed at a silence although nothing could replace them.
+#[test]
+fn silence_ends_no_answer_that_nothing_replaces() {
+    let works = [
+        Work::Once,
+        Work::Idempotent,
+        Work::Model { resume: false },
+        Work::Model { resume: true },
+    ];
+    let pauses = (0..TOKENS).map(Script::PauseAfter);
+    let others = [
+        Script::Unreachable,
+        Script::NeverConnects,
+        Script::Refused,
+        Script::Failed,
+        Script::SilentBeforeHead,
+        Script::WrongId,
+    ];
+    for pause in pauses.chain([Script::PauseBeforeHead]) {
+        for (work, other) in works
+            .iter()
+            .flat_map(|work| others.iter().map(move |other| (work, other)))
+        {
+            let mut scripts = vec![other.clone(); 6];
+            scripts[0] = pause.clone();
+            let observed = run(&case(*work, &scripts), Mutant::None);
+            let seen = (observed.end, observed.tokens.len() as u64);
+            assert_eq!(
+                seen,
+                (Some(End::Complete), TOKENS),
+                "{work:?} {pause:?} {other:?}"
+            );
+        }
+    }
+}
+
+#[test]
+fn silent_attempt_is_replaced_by_one_that_answers() {
+    for work in [Work::Idempotent, Work::Model { resume: false }] {
+        assert_eq!(end_of(work, &[Script::SilentBeforeHead]), End::Complete);
+    }
+    let resumable = Work::Model { resume: true };
+    assert_eq!(end_of(resumable, &[Script::SilentAfter(3)]), End::Complete);
+}
+
+#[test]
+fn silent_attempt_that_nothing_may_replace_lasts_until_the_deadline() {
+    let expected = End::Failed {
+        code: Code::DeadlineExceeded,
+        ran: Ran::Unknown,
+    };
+    for work in [Work::Once, Work::Idempotent] {
+        assert_eq!(end_of(work, &[Script::SilentAfter(3)]), expected);
+    }
+}
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -5,6 +5,8 @@
 mod cut;
 #[path = "gateway/endless.rs"]
 mod endless;
+#[path = "gateway/silence.rs"]
+mod silence;
 
 use {
     common::{Bed, KOLLAM, THRISSUR, chat, customers, until},
--- a/tests/golden.rs
+++ b/tests/golden.rs
@@ -186,6 +186,83 @@
     insta::assert_snapshot!(bench.finish());
 }
 
+/// Answers that nothing could go on with were cut after 20 s of silence.
+#[tokio::test(start_paused = true)]
+async fn silence_within_an_answer_does_not_end_it() {
+    let bench = Bench::start().await;
+    let _south = bench.host("south-a", "south", 1).await;
+    let _north = bench.host("north-a", "north", 2).await;
+    let (start, rest) = ANSWER.split_at(ANSWER.len() - 6);
+    let script = vec![
+        vec![
+            Step::Send(start),
+            Step::Wait(Duration::from_secs(45)),
+            Step::Send(rest),
+        ];
+        4
+    ];
+    bench.upstream("records-1", RECORDS, script).await;
+    bench.settle().await;
+    for (place, host) in [("south", SOUTH), ("north", NORTH)] {
+        for call in ["lookup", "receipt"] {
+            let request = post(&format!("/{call}s/1"), KOLLAM, "{}");
+            let title = format!("{call} in the {place}");
+            let answer = bench.call(&title, host, &request).await;
+            assert!(answer.ends_with("{\"done\":true}"), "{title}: {answer}");
+        }
+    }
+    insta::assert_snapshot!(bench.finish());
+}
+
+/// A stream was dropped for an attempt that never began.
+#[tokio::test(start_paused = true)]
+async fn silent_stream_goes_on_beside_an_attempt_that_does_not_begin() {
+    let bench = Bench::start().await;
+    let _south = bench.host("south-a", "south", 1).await;
+    let script = vec![
+        vec![
+            Step::Send(STREAM_HEAD),
+            Step::Send(STREAM_FIRST),
+            Step::Wait(Duration::from_secs(15)),
+            Step::Send(STREAM_SECOND),
+            Step::Send(STREAM_END),
+        ],
+        vec![Step::Wait(Duration::from_secs(100)), Step::Cut],
+    ];
+    bench.upstream("engine-1", ENGINE, script).await;
+    bench.settle().await;
+    let answer = bench.call("stream", SOUTH, &chat(KOLLAM, true)).await;
+    assert!(answer.contains("two "), "{answer}");
+    assert!(answer.contains("[DONE]"), "{answer}");
+    insta::assert_snapshot!(bench.finish());
+}
+
+#[tokio::test(start_paused = true)]
+async fn silent_stream_is_resumed_elsewhere_when_it_breaks() {
+    let bench = Bench::start().await;
+    let _south = bench.host("south-a", "south", 1).await;
+    let script = vec![
+        vec![
+            Step::Send(STREAM_HEAD),
+            Step::Send(STREAM_FIRST),
+            Step::Wait(Duration::from_secs(12)),
+            Step::Cut,
+        ],
+        vec![
+            Step::Wait(Duration::from_secs(5)),
+            Step::Send(STREAM_HEAD),
+            Step::Send(STREAM_SECOND),
+            Step::Send(STREAM_END),
+        ],
+    ];
+    bench.upstream("engine-1", ENGINE, script).await;
+    bench.settle().await;
+    let answer = bench.call("stream", SOUTH, &chat(KOLLAM, true)).await;
+    assert!(answer.contains("two "), "{answer}");
+    assert!(answer.contains("[DONE]"), "{answer}");
+    insta::assert_snapshot!(bench.finish());
+}
+
 #[tokio::test(start_paused = true)]
 async fn bad_input_is_answered_or_closed() {
     let bench = Bench::start().await;
