Add up the tokens that callers claim without overflow

A request whose token counts add up to more than 32 bits ended its task in a debug build, and its connection closed without an answer; a release build counted wrapped sums.

The sums over parts of a prompt, of input and output, and of an upstream's tally were plain additions. They saturate now. The test of huge counts failed before ("attempt to add with overflow") and passes.

--- a/src/proxy/cache.rs
+++ b/src/proxy/cache.rs
@@ -57,6 +57,11 @@
     prompt.iter().rev().nth(1)
 }
 
+/// Tokens of these parts of a prompt, as far as a number holds what callers claim.
+pub fn total_tokens<'a>(prefixes: impl Iterator<Item = &'a Prefix>) -> u32 {
+    prefixes.fold(0, |total, prefix| total.saturating_add(prefix.tokens))
+}
+
 /// The prefixes that one engine is expected to have cached, evicted in least recently used order.
 #[derive(Debug, Clone, Default)]
 pub struct Cache {
@@ -76,11 +81,8 @@
 impl Cache {
     /// Tokens at the start of a prompt that the engine has cached and need no prefill.
     pub fn cached_tokens(&self, prompt: &[Prefix]) -> u32 {
-        prompt
-            .iter()
-            .take_while(|prefix| self.prefixes.contains_key(&prefix.hash))
-            .map(|prefix| prefix.tokens)
-            .sum()
+        let cached = prompt.iter();
+        total_tokens(cached.take_while(|prefix| self.prefixes.contains_key(&prefix.hash)))
     }
 
     /// Records that a prompt was sent to the engine, whose cache holds `capacity` tokens.
--- a/src/proxy/core/mod.rs
+++ b/src/proxy/core/mod.rs
@@ -536,7 +536,7 @@
         let ticket = self.last_ticket;
         let pool = self.table.as_ref().and_then(|table| table.pool(&job.pool));
         let engine = pool.and_then(|pool| pool.engine);
-        let memory_tokens = job.tokens.0 + job.tokens.1;
+        let memory_tokens = job.tokens.0.saturating_add(job.tokens.1);
         let priority = job.matched.priority.min(9);
         let share = self
             .catalog
@@ -549,9 +549,11 @@
         if let Some(share) = share {
             replica.throttle.record_send(now, &share);
         }
-        replica.own_tally.running += 1;
-        replica.own_tally.memory_tokens += memory_tokens;
-        replica.own_tally.prefill_tokens[usize::from(priority)] += choice.uncached_tokens;
+        let tally = &mut replica.own_tally;
+        tally.running += 1;
+        tally.memory_tokens = tally.memory_tokens.saturating_add(memory_tokens);
+        let prefill_tokens = &mut tally.prefill_tokens[usize::from(priority)];
+        *prefill_tokens = prefill_tokens.saturating_add(choice.uncached_tokens);
         replica.record_send(now);
         if let Some(engine) = engine {
             replica
--- a/src/proxy/place.rs
+++ b/src/proxy/place.rs
@@ -115,8 +115,7 @@
     }
 
     fn prompt_tokens(&self) -> u32 {
-        let parts: u32 = self.prefixes.iter().map(|prefix| prefix.tokens).sum();
-        parts.max(self.tokens.0)
+        cache::total_tokens(self.prefixes.iter()).max(self.tokens.0)
     }
 
     /// `Some(true)` if the answer is on time, `Some(false)` if it is late but the upstream may take
@@ -219,8 +218,7 @@
 
 /// Tokens of all parts of a prompt but the last, which other requests of the session share.
 fn shared_tokens(prefixes: &[Prefix]) -> u32 {
-    let shared = prefixes.iter().rev().skip(1);
-    shared.map(|prefix| prefix.tokens).sum()
+    cache::total_tokens(prefixes.iter().rev().skip(1))
 }
 
 /// The engine that all hosts of the region assume to hold a session's prefix, by rendezvous
