Try a further upstream beside a silent successor of a stream

Callers of a stream on a route with three attempts or more saw it cut at the deadline where its upstream had fallen silent for good and the one that was asked to take it over was silent too: no third one was asked, as nobody listened to how late the successor was.

The takeover of a stream now treats its successors like the attempts at a new request.

--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -30,9 +30,13 @@
         metric, name, upstream,
     },
     bytes::{Bytes, BytesMut},
+    futures::stream::{FuturesUnordered, StreamExt},
     http::{HeaderMap, Method, StatusCode, header},
     std::{pin::pin, sync::Arc, time::Duration},
-    tokio::{sync::mpsc, time::timeout},
+    tokio::{
+        sync::mpsc,
+        time::{sleep, timeout},
+    },
 };
 
 /// How long a resumable stream may bring no event before another upstream is asked to take it over.
@@ -334,18 +338,12 @@
         let Some(destination) = self.place_successor() else {
             return unchanged;
         };
-        let (late, _) = mpsc::unbounded_channel();
-        let attempt = start(
-            &self.host,
-            &self.inbound,
-            &self.job,
-            &mut self.tries,
-            self.last_event_id,
-            destination,
-            Patience::new(0, late),
-        );
+        let (late, mut late_numbers) = mpsc::unbounded_channel();
+        let mut newest = (0, destination.target());
+        let mut successors = FuturesUnordered::new();
+        successors.push(self.start_successor(destination, Patience::new(0, late.clone())));
         let time_left = self.job.deadline.saturating_sub(self.host.clock.now());
-        let mut attempt = pin!(timeout(time_left, attempt));
+        let mut deadline = pin!(sleep(time_left));
         let mut failure = None;
         loop {
             tokio::select! {
@@ -355,8 +353,7 @@
                     Err(broken) => failure = Some(broken),
                     delivery => return delivery,
                 },
-                opened = &mut attempt => {
-                    let opened = opened.unwrap_or_else(|_| Err(stalled()));
+                Some(opened) = successors.next() => {
                     let Err(obstacle) = self.adopt(opened) else {
                         return unchanged;
                     };
@@ -366,12 +363,42 @@
                     tracing::info!(event = "attempt failed", request = self.inbound.id(),
                         route = %self.job.matched.route.name, runs = self.tries.runs,
                         ran = %obstacle.ran, reason = %obstacle.message);
-                    return failure.map_or(unchanged, Err);
+                    if successors.is_empty() {
+                        return failure.map_or(unchanged, Err);
+                    }
                 }
+                Some(number) = late_numbers.recv() => if number == newest.0 {
+                    let another = place_another(
+                        &self.host, &self.inbound, &mut self.job, &self.tries, &newest.1,
+                    );
+                    if let Some(destination) = another {
+                        newest = (number + 1, destination.target());
+                        let patience = Patience::new(newest.0, late.clone());
+                        successors.push(self.start_successor(destination, patience));
+                    }
+                },
+                () = &mut deadline => return Err(failure.unwrap_or_else(stalled)),
             }
         }
     }
 
+    /// Starts an attempt at which the stream may go on.
+    fn start_successor(
+        &mut self,
+        destination: Destination<D, C>,
+        patience: Patience,
+    ) -> impl Future<Output = Result<Opened<D, C>, Failure>> + Send + use<D, C> {
+        start(
+            &self.host,
+            &self.inbound,
+            &self.job,
+            &mut self.tries,
+            self.last_event_id,
+            destination,
+            patience,
+        )
+    }
+
     /// Places the attempt at which a silent stream is to go on; `None` if it may not go on elsewhere,
     /// or nothing can take it now.
     fn place_successor(&mut self) -> Option<Destination<D, C>> {
--- a/src/proxy/race.rs
+++ b/src/proxy/race.rs
@@ -135,7 +135,8 @@
         }
     }
 
-    fn target(&self) -> Target {
+    /// Where it is.
+    pub(super) fn target(&self) -> Target {
         match self {
             Self::Upstream(reservation) => Target::Upstream(reservation.grant.upstream.clone()),
             Self::Host(remote) => Target::Host(remote.host.clone()),
