Answer a request behind another on a host that stops

Callers saw a connection end after a whole answer, without a word for the request that they had sent behind it. The head of that answer had gone out before SIGTERM, so it did not say `connection: close`.

Cause: at the change of phase every connection that had served a request got hyper's graceful shutdown, which turns keep-alive off at once. hyper then closes after the answer that is under way, though the next request is already in its buffer. An idle connection was closed even if part of the next head had been read.

A connection of a leaving host is now shut down only while it is idle: no answer is under way, no bytes of one wait for the caller, and nothing has been read for 25 ms. The next request is served as any other at a leaving host, and its answer carries `connection: close`, which ends the connection. A stream that never ends keeps its connection no longer than before, since the process ends at its grace. Connections that have served nothing stay open until the host has closed, as before, and are now closed then also if the process goes on. What is on the wire when an idle connection is closed can't be told; it hasn't been read and callers may send it again.

--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -1,5 +1,9 @@
 //! The HTTP/1 server for callers: calls one service function for every request of a listener, and
 //! closes connections gracefully when the host leaves.
+//!
+//! Answers of a leaving host say that they are the last on their connection. One whose head went out
+//! before does not, so a connection is closed only while it is idle: the next request may already have
+//! arrived.
 
 use {
     crate::{
@@ -9,20 +13,28 @@
     bytes::Bytes,
     http::{Request, Response},
     http_body::Body,
+    http_body_util::BodyExt,
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     std::{
+        convert::Infallible,
         error::Error,
         future::Future,
+        io,
         net::SocketAddr,
-        pin::pin,
+        pin::{Pin, pin},
         sync::{
             Arc,
-            atomic::{AtomicBool, Ordering},
+            atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
         },
+        task::{Context, Poll},
         time::Duration,
     },
-    tokio::{sync::watch, time::sleep},
+    tokio::{
+        io::{AsyncRead, AsyncWrite, ReadBuf},
+        sync::watch,
+        time::sleep,
+    },
 };
 
 /// How long a kept-alive connection may stay idle: longer than any configuration asks callers to
@@ -34,6 +46,8 @@
 const MAX_HEADERS: usize = 96;
 /// Pause after accepting a connection failed.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// How long a connection to a leaving host must be idle before it is closed.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
 /// Accepts connections from a listener and serves their requests until the host has closed.
 pub async fn serve<S, F, B>(mut listener: Listener, service: S, mut phase: watch::Receiver<Phase>)
@@ -77,13 +91,21 @@
     B: Body<Data = Bytes> + Send + 'static,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
-    let has_served = Arc::new(AtomicBool::new(false));
-    let mark_served = has_served.clone();
+    let activity = Arc::new(Activity::default());
+    let counted = activity.clone();
     let service = service_fn(move |request| {
-        mark_served.store(true, Ordering::Relaxed);
+        let exchange = Exchange::start(&counted);
         let answer = service(request);
-        async move { Ok::<_, std::convert::Infallible>(answer.await) }
+        async move {
+            let response = answer.await;
+            let response = response.map(|body| count_until_end(body, exchange));
+            Ok::<_, Infallible>(response)
+        }
     });
+    let stream = CountedStream {
+        stream,
+        activity: activity.clone(),
+    };
     let serving = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(IDLE_TIMEOUT)
@@ -93,12 +115,8 @@
     let mut serving = pin!(serving);
     let result = tokio::select! {
         result = serving.as_mut() => result,
-        () = wait_for_phase(&mut phase, |phase| phase != Phase::Running) => {
-            // A connection that has served no request may have its first one in flight. The answer
-            // to that request closes the connection.
-            if has_served.load(Ordering::Relaxed) {
-                serving.as_mut().graceful_shutdown();
-            }
+        () = wait_until_closable(&activity, &mut phase) => {
+            serving.as_mut().graceful_shutdown();
             serving.await
         }
     };
@@ -106,3 +124,130 @@
         tracing::trace!(peer = %from, %error, "a caller's connection failed");
     }
 }
+
+/// Waits until the host leaves and the connection is idle. One that has served no request may have its
+/// first one in flight, so it is kept until the host has closed.
+async fn wait_until_closable(activity: &Activity, phase: &mut watch::Receiver<Phase>) {
+    wait_for_phase(phase, |phase| phase != Phase::Running).await;
+    loop {
+        let bytes_before = activity.bytes_read.load(Ordering::Relaxed);
+        sleep(IDLE_CHECK_INTERVAL).await;
+        let is_used = activity.has_served.load(Ordering::Relaxed);
+        let has_read = activity.bytes_read.load(Ordering::Relaxed) != bytes_before;
+        let is_due = is_used || *phase.borrow() == Phase::Closed;
+        if is_due && !has_read && !activity.is_busy() {
+            return;
+        }
+    }
+}
+
+/// What happens on a connection.
+#[derive(Debug, Default)]
+struct Activity {
+    has_served: AtomicBool,
+    /// Requests whose answers have not been passed to the connection in full.
+    exchanges: AtomicUsize,
+    /// Whether bytes of an answer wait for the caller to read.
+    is_write_blocked: AtomicBool,
+    bytes_read: AtomicU64,
+}
+
+impl Activity {
+    fn is_busy(&self) -> bool {
+        self.exchanges.load(Ordering::Relaxed) > 0 || self.is_write_blocked.load(Ordering::Relaxed)
+    }
+}
+
+/// Counts a request until it is dropped.
+#[derive(Debug)]
+struct Exchange(Arc<Activity>);
+
+impl Exchange {
+    fn start(activity: &Arc<Activity>) -> Self {
+        activity.has_served.store(true, Ordering::Relaxed);
+        activity.exchanges.fetch_add(1, Ordering::Relaxed);
+        Self(activity.clone())
+    }
+}
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        self.0.exchanges.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Counts a request until the body of its answer is dropped.
+fn count_until_end<B: Body>(
+    body: B,
+    exchange: Exchange,
+) -> impl Body<Data = B::Data, Error = B::Error> {
+    // Other adapters lose the length of the body.
+    body.map_err(move |error| {
+        let _held = &exchange;
+        error
+    })
+}
+
+/// A connection whose reads and blocked writes are noted.
+#[derive(Debug)]
+struct CountedStream {
+    stream: Stream,
+    activity: Arc<Activity>,
+}
+
+impl CountedStream {
+    fn note_write(&self, result: &Poll<io::Result<usize>>) {
+        let is_blocked = result.is_pending();
+        let noted = &self.activity.is_write_blocked;
+        noted.store(is_blocked, Ordering::Relaxed);
+    }
+}
+
+impl AsyncRead for CountedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let filled = buffer.filled().len();
+        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let read = buffer.filled().len() - filled;
+        let bytes_read = &self.activity.bytes_read;
+        bytes_read.fetch_add(read as u64, Ordering::Relaxed);
+        result
+    }
+}
+
+impl AsyncWrite for CountedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.note_write(&result);
+        result
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write_vectored(context, parts);
+        self.note_write(&result);
+        result
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
