Wait for bodies that are being read before a host ends

A caller whose request's body was still arriving when the drain of its host ended got a closed connection instead of an answer or a refusal.

Cause: the drain ends once no request is counted as running, and a request is counted only after its body has been read and it has been admitted. A refusal, or the last bytes of an answer that hyper has not written yet, don't count either; the process ended at once.

Idle connections are closed within 50 ms and are not waited for; no new ones are accepted meanwhile.

--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -32,7 +32,7 @@
     },
     tokio::{
         io::{AsyncRead, AsyncWrite, ReadBuf},
-        sync::watch,
+        sync::{mpsc, watch},
         time::sleep,
     },
 };
@@ -49,7 +49,8 @@
 /// How long a connection to a leaving host must be idle before it is closed.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
-/// Accepts connections from a listener and serves their requests until the host has closed.
+/// Accepts connections from a listener and serves their requests until the host has closed and every
+/// connection has ended.
 pub async fn serve<S, F, B>(mut listener: Listener, service: S, mut phase: watch::Receiver<Phase>)
 where
     S: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
@@ -57,14 +58,20 @@
     B: Body<Data = Bytes> + Send + 'static,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
+    let (open, mut all_ended) = mpsc::channel::<Infallible>(1);
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = wait_for_phase(&mut phase, |phase| phase == Phase::Closed) => return,
+            () = wait_for_phase(&mut phase, |phase| phase == Phase::Closed) => break,
         };
         match accepted {
             Ok((stream, from)) => {
-                tokio::spawn(connection(stream, from, service.clone(), phase.clone()));
+                let serving = connection(stream, from, service.clone(), phase.clone());
+                let open = open.clone();
+                tokio::spawn(async move {
+                    serving.await;
+                    drop(open);
+                });
             }
             Err(error) => {
                 tracing::warn!(%error, "failed to accept a connection");
@@ -72,6 +79,8 @@
             }
         }
     }
+    drop((listener, open));
+    all_ended.recv().await;
 }
 
 /// Waits until the host's phase satisfies a condition, or the sender of phases is gone.
