Read the rest of a body before a refusal goes out

After a 404 (or 401, or 503 before a configuration is known) to a request with a long body callers saw the connection end without a word, and the next request that they had sent on it was lost.

Cause: such a refusal is decided from the head, and the body was dropped unread. hyper then reads once more and, if the body has not ended, closes the connection after the answer. The head of that answer had already gone out without `connection: close`.

The rest of the body is now read and dropped before the refusal goes out, so that the connection stays usable. This is preferred to closing: a socket that is closed with unread bytes is reset, and the reset can overtake the refusal. Reading is bounded by max_body_bytes, and by 300 ms or the caller's deadline if that is less. A body that declares more, doesn't end within these, waits for `100 Continue` or has already failed to arrive in time is left, and the refusal says `connection: close`.

--- a/src/proxy/intake.rs
+++ b/src/proxy/intake.rs
@@ -13,7 +13,7 @@
         host::{Host, count_failure},
         place::Job,
         quarantine,
-        table::{Denial, Match},
+        table::{Denial, Limits, Match},
     },
     crate::{
         clock::Clock,
@@ -25,7 +25,12 @@
     http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header},
     http_body::{Body, Frame},
     http_body_util::{BodyExt, Either, Full, Limited, StreamBody},
-    std::{error::Error, time::Duration},
+    std::{
+        error::Error,
+        fmt::Display,
+        pin::{Pin, pin},
+        time::Duration,
+    },
     tokio::time::timeout,
 };
 
@@ -34,14 +39,20 @@
 /// A leaving host accepts any request while more than this share of its grace is left, and later only
 /// those that must end within the rest.
 const FREE_GRACE_SHARE: f64 = 0.7;
+/// Longest time for which a refusal waits for the rest of a body.
+const MAX_DISCARD_TIME: Duration = Duration::from_millis(300);
 
 /// Serves one HTTP request of a caller and returns its response.
 pub async fn handle<D: Dialect, C: Clock>(
     host: Host<D, C>,
-    request: Request<impl Body<Data = Bytes, Error: std::fmt::Display> + Send>,
+    request: Request<impl Body<Data = Bytes, Error: Display> + Send>,
 ) -> Response<impl Body<Data = Bytes, Error = Box<dyn Error + Send + Sync>> + Send> {
     let (mut head, body) = request.into_parts();
+    let mut body = pin!(body);
+    let expects_continue = head.headers.contains_key(header::EXPECT);
     let metadata = host.dialect.parse_request(&head);
+    let caller_timeout = metadata.timeout.unwrap_or(Duration::MAX);
+    let discard_time = caller_timeout.min(MAX_DISCARD_TIME);
     let id = metadata.id.clone();
     let target = head
         .uri
@@ -56,7 +67,24 @@
         arrived_at: host.clock.now(),
         is_answered: false,
     };
-    let opened = admit(&host, metadata, head.method, target, head.headers, body).await;
+    let opened = admit(
+        &host,
+        metadata,
+        head.method,
+        target,
+        head.headers,
+        body.as_mut(),
+    )
+    .await;
+    // The server closes a connection on which a body was left unread.
+    let is_body_left = match &opened {
+        Err(failure) if !body.is_end_stream() => {
+            let may_read = failure.code != Code::BodyIncomplete && !expects_continue;
+            let limit = limits(&host).max_body_bytes;
+            !may_read || !discard(body, limit, discard_time).await
+        }
+        _ => false,
+    };
     unanswered.finish();
     let mut response = match opened {
         Ok(mut answer) => {
@@ -76,7 +104,7 @@
             error_response(&host, &failure, id.as_deref().unwrap_or("-")).map(Either::Left)
         }
     };
-    if leaving || host.is_leaving() {
+    if leaving || host.is_leaving() || is_body_left {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
@@ -160,12 +188,11 @@
     method: Method,
     target: String,
     mut headers: HeaderMap,
-    body: impl Body<Data = Bytes, Error: std::fmt::Display> + Send,
+    body: Pin<&mut (impl Body<Data = Bytes, Error: Display> + Send)>,
 ) -> Result<Answer<D, C>, Failure> {
     let arrived_at = host.clock.now();
     let matched = match_route(host, &metadata, &target, &headers)?;
-    let limits = host.core().table().map(|table| table.limits);
-    let limits = limits.unwrap_or_default();
+    let limits = limits(host);
     let caller_timeout = metadata.timeout.unwrap_or(Duration::MAX);
     let deadline = arrived_at + caller_timeout.min(matched.route.timeout);
     let body = read_body(
@@ -203,6 +230,12 @@
     served
 }
 
+/// The limits in force.
+fn limits<D: Dialect, C: Clock>(host: &Host<D, C>) -> Limits {
+    let limits = host.core().table().map(|table| table.limits);
+    limits.unwrap_or_default()
+}
+
 /// Looks up the route and customer of a request in the configuration in force.
 fn match_route<D: Dialect, C: Clock>(
     host: &Host<D, C>,
@@ -338,7 +371,7 @@
 
 /// Reads the complete body of a request, up to `limit` bytes and for at most `time_limit`.
 async fn read_body(
-    body: impl Body<Data = Bytes, Error: std::fmt::Display> + Send,
+    body: Pin<&mut (impl Body<Data = Bytes, Error: Display> + Send)>,
     limit: usize,
     time_limit: Duration,
 ) -> Result<Bytes, Failure> {
@@ -361,3 +394,29 @@
         )),
     }
 }
+
+/// Reads the rest of a refused request's body, up to `limit` bytes and for at most `time_limit`.
+/// Returns whether its end was reached.
+async fn discard(
+    mut body: Pin<&mut (impl Body<Data = Bytes, Error: Display> + Send)>,
+    limit: usize,
+    time_limit: Duration,
+) -> bool {
+    if body.size_hint().lower() > limit as u64 {
+        return false;
+    }
+    let reading = async {
+        let mut left = limit;
+        loop {
+            match body.frame().await {
+                None => return true,
+                Some(Err(_)) => return false,
+                Some(Ok(frame)) => match left.checked_sub(frame.data_ref().map_or(0, Bytes::len)) {
+                    Some(rest) => left = rest,
+                    None => return false,
+                },
+            }
+        }
+    };
+    timeout(time_limit, reading).await.unwrap_or(false)
+}
