Let a host's connections to upstreams pass a switch

Tests of partitions need hosts of one process whose connections to upstreams hang, are reset, or live on while new ones are refused. Network::Gated opens TCP connections that a switch cuts in these ways; the program goes on using TCP.

--- a/src/net.rs
+++ b/src/net.rs
@@ -1,7 +1,10 @@
-//! The network that hosts connect through: TCP in the daemon, or in-memory connections for golden
-//! sessions and for embedders that run a whole host under paused time.
+//! The network that hosts connect through: TCP in the daemon, in-memory connections for golden
+//! sessions and for embedders that run a whole host under paused time, or TCP that a switch cuts.
+
+pub mod gate;
 
 use {
+    self::gate::Gate,
     std::{
         collections::BTreeMap,
         io,
@@ -30,6 +33,8 @@
     Tcp,
     /// Connections inside this process.
     Memory(Memory),
+    /// TCP sockets whose connections pass a switch.
+    Gated(Gate),
 }
 
 /// An in-memory network inside the process. Clones are the same network.
@@ -59,6 +64,8 @@
     Tcp(TcpStream),
     /// An in-memory connection.
     Memory(DuplexStream),
+    /// A TCP connection that passes a switch.
+    Gated(gate::Connection),
 }
 
 impl Network {
@@ -71,13 +78,14 @@
                 Ok(Stream::Tcp(stream))
             }
             Self::Memory(memory) => memory.connect(address).map(Stream::Memory),
+            Self::Gated(gate) => gate.connect(address).await.map(Stream::Gated),
         }
     }
 
     /// Listens on an address; port 0 selects a free port.
     pub async fn bind(&self, address: SocketAddr) -> io::Result<Listener> {
         match self {
-            Self::Tcp => TcpListener::bind(address).await.map(Listener::Tcp),
+            Self::Tcp | Self::Gated(_) => TcpListener::bind(address).await.map(Listener::Tcp),
             Self::Memory(memory) => memory.bind(address),
         }
     }
@@ -150,6 +158,7 @@
         match self.get_mut() {
             Self::Tcp(stream) => Pin::new(stream).poll_read(context, buffer),
             Self::Memory(stream) => Pin::new(stream).poll_read(context, buffer),
+            Self::Gated(stream) => Pin::new(stream).poll_read(context, buffer),
         }
     }
 }
@@ -163,6 +172,7 @@
         match self.get_mut() {
             Self::Tcp(stream) => Pin::new(stream).poll_write(context, bytes),
             Self::Memory(stream) => Pin::new(stream).poll_write(context, bytes),
+            Self::Gated(stream) => Pin::new(stream).poll_write(context, bytes),
         }
     }
 
@@ -170,6 +180,7 @@
         match self.get_mut() {
             Self::Tcp(stream) => Pin::new(stream).poll_flush(context),
             Self::Memory(stream) => Pin::new(stream).poll_flush(context),
+            Self::Gated(stream) => Pin::new(stream).poll_flush(context),
         }
     }
 
@@ -177,6 +188,7 @@
         match self.get_mut() {
             Self::Tcp(stream) => Pin::new(stream).poll_shutdown(context),
             Self::Memory(stream) => Pin::new(stream).poll_shutdown(context),
+            Self::Gated(stream) => Pin::new(stream).poll_shutdown(context),
         }
     }
 
@@ -188,6 +200,7 @@
         match self.get_mut() {
             Self::Tcp(stream) => Pin::new(stream).poll_write_vectored(context, slices),
             Self::Memory(stream) => Pin::new(stream).poll_write_vectored(context, slices),
+            Self::Gated(stream) => Pin::new(stream).poll_write_vectored(context, slices),
         }
     }
 
@@ -195,6 +208,7 @@
         match self {
             Self::Tcp(stream) => stream.is_write_vectored(),
             Self::Memory(stream) => stream.is_write_vectored(),
+            Self::Gated(stream) => stream.is_write_vectored(),
         }
     }
 }
