Hand requests to a neighbour where a host reaches no upstream

Cause: a host knew upstreams only by the outcomes of its own requests. Nothing told a host that can't reach an upstream from an upstream that has failed, so each ejection ended with a caller's request as the probe, with all ejected all were used, the host told other regions of room that it could not use, and no request could go to another host of its region.

Now a connection that fails puts the way to that upstream in doubt, as does its silence; a second failure, mostly of a probe, makes it unreached until a probe succeeds. A host tells its region what it misses, and those that lately had a sign of it say so. A request that no reached upstream serves on time goes to such a neighbour, else to another region, else it is refused at once. A request whose connection is still being opened is placed anew without a retry. What was forwarded goes no further, so there is no circle. Hosts that miss nothing tell and probe nothing.

--- a/src/proxy/catalog.rs
+++ b/src/proxy/catalog.rs
@@ -12,9 +12,13 @@
         replica::{Outcome, Replica},
         speed::Speed,
     },
-    crate::{name, route::Options},
+    crate::{
+        name,
+        route::{Options, affinity},
+    },
     std::{
         collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
         time::Duration,
     },
 };
@@ -31,6 +35,14 @@
 const EJECTION_TIME: Duration = Duration::from_millis(800);
 /// Upper bound on the length of an ejection; engines recover within seconds.
 const MAX_EJECTION_TIME: Duration = Duration::from_secs(4);
+/// Time between two probes of upstreams that can't be reached, while others can.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// The same while none can be reached.
+const CUT_OFF_PROBE_INTERVAL: Duration = Duration::from_millis(250);
+/// Most upstreams that are probed at once after one was reached again.
+const MAX_PROBES: usize = 16;
+/// Further upstreams that are in doubt when one can't be reached.
+const DOUBTED_BESIDE_LOST: usize = 2;
 /// Weight of the newest answer in the moving averages of a pool.
 const POOL_EWMA_WEIGHT: f64 = 0.03;
 /// Assumed time of an answer from a plain service before one is observed, in milliseconds.
@@ -73,6 +85,10 @@
     Silent(name::Upstream),
     /// The upstream was ejected after failures, or its ejection ended.
     Standing(name::Upstream),
+    /// No connection to the upstream can be opened.
+    Lost(name::Upstream),
+    /// A connection to the upstream was opened again.
+    Reached(name::Upstream),
 }
 
 impl Change {
@@ -84,7 +100,9 @@
             | Self::Leaving(upstream)
             | Self::Gone(upstream)
             | Self::Silent(upstream)
-            | Self::Standing(upstream) => upstream,
+            | Self::Standing(upstream)
+            | Self::Lost(upstream)
+            | Self::Reached(upstream) => upstream,
         }
     }
 
@@ -97,6 +115,8 @@
             Self::Gone(_) => "gone",
             Self::Silent(_) => "silent",
             Self::Standing(_) => "standing changed",
+            Self::Lost(_) => "unreached",
+            Self::Reached(_) => "reached",
         }
     }
 }
@@ -124,6 +144,10 @@
     ended: Vec<End>,
     /// When and for how long failing upstreams are ejected.
     ejection: Options,
+    /// When an upstream that could not be reached is to be probed next.
+    next_probe_at: Duration,
+    /// Whether such an upstream was reached again, and none has failed since.
+    is_returning: bool,
 }
 
 impl Catalog {
@@ -147,6 +171,8 @@
                 max_ejection_time: MAX_EJECTION_TIME,
                 ..Options::default()
             },
+            next_probe_at: Duration::ZERO,
+            is_returning: false,
         }
     }
 
@@ -408,9 +434,90 @@
     /// Marks an upstream as silent. Returns a change unless it already was.
     pub fn mark_silent(&mut self, now: Duration, id: &name::Upstream) -> Option<Change> {
         let replica = self.replicas.get_mut(id)?;
-        replica
-            .mark_silent(now, &self.ejection)
-            .then(|| Change::Silent(id.clone()))
+        let is_new = replica.mark_silent(now, &self.ejection);
+        if is_new {
+            replica.reach.doubt(now);
+        }
+        is_new.then(|| Change::Silent(id.clone()))
+    }
+
+    /// Records that a connection to an upstream was opened. Upstreams that could not be reached are
+    /// probed at once then.
+    pub fn record_opened(&mut self, now: Duration, id: &name::Upstream) -> Option<Change> {
+        let was_lost = self.replicas.get_mut(id)?.record_opened(now);
+        if !was_lost {
+            return None;
+        }
+        self.next_probe_at = now;
+        self.is_returning = true;
+        Some(Change::Reached(id.clone()))
+    }
+
+    /// Records that no connection to an upstream could be opened. If that makes it unreached, some
+    /// others are in doubt too.
+    pub fn record_unopened(&mut self, now: Duration, id: &name::Upstream) -> Option<Change> {
+        self.is_returning = false;
+        let replica = self.replicas.get_mut(id)?;
+        if !replica.reach.record_failed(now) {
+            return None;
+        }
+        let doubted_at = replica.reach.doubted_at().unwrap_or(now);
+        let is_undoubted = |replica: &&mut Replica| !replica.reach.is_doubted();
+        let others = self.replicas.values_mut().filter(is_undoubted);
+        let (mut others, opened): (Vec<_>, Vec<_>) =
+            others.partition(|replica| replica.reach.opened_at() < Some(doubted_at));
+        if opened.is_empty() {
+            others
+                .sort_by_key(|replica| affinity::mix(replica.point ^ doubted_at.as_nanos() as u64));
+            for replica in others.into_iter().take(DOUBTED_BESIDE_LOST) {
+                replica.reach.doubt(now);
+            }
+        }
+        Some(Change::Lost(id.clone()))
+    }
+
+    /// The upstreams to which a connection is to be opened now, to find out whether that is possible.
+    /// Those that could not be reached are tried in turn, and all of them once one was reached.
+    pub fn due_probes(&mut self, now: Duration) -> Vec<(name::Upstream, SocketAddr)> {
+        let mut due = Vec::new();
+        let is_any_reached = self
+            .replicas
+            .values()
+            .any(|replica| !replica.reach.is_lost());
+        for replica in self.replicas.values_mut() {
+            if replica.reach.is_probe_due(now) {
+                replica.reach.start_probe(now);
+                due.push((replica.entry.id.clone(), replica.entry.address));
+            }
+        }
+        if now < self.next_probe_at {
+            return due;
+        }
+        let lost = self.replicas.values_mut();
+        let lost = lost.filter(|replica| replica.reach.is_lost() && !replica.reach.is_probing());
+        let mut lost: Vec<_> = lost.collect();
+        if lost.is_empty() {
+            return due;
+        }
+        lost.sort_by_key(|replica| replica.reach.probed_at());
+        lost.truncate(if self.is_returning { MAX_PROBES } else { 1 });
+        for replica in lost {
+            replica.reach.start_probe(now);
+            due.push((replica.entry.id.clone(), replica.entry.address));
+        }
+        let interval = if is_any_reached {
+            PROBE_INTERVAL
+        } else {
+            CUT_OFF_PROBE_INTERVAL
+        };
+        self.next_probe_at = now + interval;
+        due
+    }
+
+    /// Whether upstreams are known, and no connection to any of them can be opened.
+    pub fn is_cut_off(&self) -> bool {
+        let mut replicas = self.replicas.values().peekable();
+        replicas.peek().is_some() && replicas.all(|replica| replica.reach.is_lost())
     }
 
     /// Adds the time of a complete answer of a plain service to its pool's average.
--- a/src/proxy/core/mod.rs
+++ b/src/proxy/core/mod.rs
@@ -7,8 +7,11 @@
 mod origin;
 mod prompt;
 mod region;
+mod relay;
 mod wait;
 
+pub use self::relay::CutOff;
+
 use {
     super::{
         catalog::{Catalog, Change},
@@ -18,6 +21,7 @@
         place::{self, Choice, Job},
         quarantine::{self, Process, Quarantine, SETTLING_TIME, Suspect, Verdict, Withheld},
         rate::Limiter,
+        reach,
         reader::{self, Listing, Reading, Role},
         replica::{Outcome, Replica, millis},
         table::{Match, Pool, Table},
@@ -174,6 +178,10 @@
     queue: BTreeMap<(u8, u64), Job>,
     retry_budgets: BTreeMap<name::Pool, TokenBucket>,
     retry_hosts: usize,
+    /// What was last told of upstreams that this host or others can't reach.
+    last_reach: reach::Report,
+    /// Since when this host reaches no upstream.
+    cut_off_since: Option<Duration>,
     rng: StdRng,
     started_at: Duration,
 }
@@ -202,6 +210,8 @@
             queue: BTreeMap::new(),
             retry_budgets: BTreeMap::new(),
             retry_hosts: 0,
+            last_reach: reach::Report::default(),
+            cut_off_since: None,
             rng: StdRng::seed_from_u64(setup.rng_seed),
             started_at: now,
             setup,
@@ -264,6 +274,7 @@
         self.limiter
             .set_estimated_hosts(self.fleet.estimated_hosts(domains));
         if report.from.region == self.setup.identity.region {
+            self.receive_reach(now, host, &report.reach);
             for replica in self.catalog.all_mut() {
                 replica.forget_tally(host);
             }
@@ -291,6 +302,11 @@
         ready: bool,
         leaving: bool,
     ) -> Vec<(Recipient, Report)> {
+        let reach = self.reach_report(now);
+        if reach != self.last_reach {
+            self.fleet.make_region_due();
+            self.last_reach = reach.clone();
+        }
         let recipients = self.fleet.due_recipients(now);
         if recipients.is_empty() {
             return Vec::new();
@@ -344,6 +360,11 @@
                 } else {
                     spare.clone()
                 },
+                reach: if recipient.is_same_region {
+                    reach.clone()
+                } else {
+                    reach::Report::default()
+                },
                 builds: builds.clone(),
                 evidence: self.quarantine.evidence(
                     now,
@@ -416,8 +437,9 @@
         )
     }
 
-    /// Places a request. An upstream of this region that answers on time is preferred, then another
-    /// region if the request may be forwarded, then an upstream of this region that answers late.
+    /// Places a request. An upstream of this region that answers on time is preferred, then one that
+    /// only other hosts of the region reach, then another region if the request may be forwarded, then
+    /// an upstream of this region that answers late.
     pub fn place(&mut self, now: Duration, job: &Job) -> Placement {
         let trial = match self.judge_request(now, job) {
             Verdict::Clear => None,
@@ -437,14 +459,23 @@
         {
             return Placement::Local(self.reserve(now, job, local.expect("it was just seen")));
         }
+        let relayed = self.choose_relayed(now, job);
+        let relay = relayed.and_then(|choice| {
+            let remote = self.relay(now, job, &choice)?;
+            Some((remote, choice.is_on_time))
+        });
+        if let Some((remote, true)) = relay {
+            return Placement::Remote(remote);
+        }
         if job.may_forward
             && let Some(remote) = self.choose_remote(now, job)
         {
             return Placement::Remote(remote);
         }
-        match local {
-            Some(choice) => Placement::Local(self.reserve(now, job, choice)),
-            None => Placement::Wait,
+        match (local, relay) {
+            (Some(choice), _) => Placement::Local(self.reserve(now, job, choice)),
+            (None, Some((remote, _))) => Placement::Remote(remote),
+            (None, None) => Placement::Wait,
         }
     }
 
@@ -471,8 +502,12 @@
         })
     }
 
-    /// Whether an upstream that is cold or names a limit takes another request of this host.
+    /// Whether an upstream is reached and, if it is cold or names a limit, takes another request of
+    /// this host.
     fn may_send(&self, now: Duration, replica: &Replica, pool: &Pool) -> bool {
+        if replica.reach.is_lost() {
+            return false;
+        }
         let is_warm = pool.cold_per_s <= 0.0 || !replica.is_cold(now);
         (is_warm || replica.recent_sends(now) < self.cold_limit(now, replica, pool))
             && self.is_within_limit(now, replica)
--- a/src/proxy/core/region.rs
+++ b/src/proxy/core/region.rs
@@ -46,6 +46,7 @@
         };
         let replicas = self.catalog.eligible(&pool.name).filter(|replica| {
             replica.is_available(now)
+                && !replica.reach.is_lost()
                 && !(pool.cold_per_s > 0.0 && replica.is_cold(now))
                 && self.is_within_limit(now, replica)
         });
@@ -92,7 +93,8 @@
         let prompt_tokens = f64::from(job.tokens.0);
         let elapsed_ms = job.elapsed_ms(now);
         let is_build_here = job.build.is_none() || self.catalog.eligible_for(job).next().is_some();
-        let may_be_local = job.matched.allows(own) && is_build_here;
+        let may_be_local =
+            job.matched.allows(own) && is_build_here && !self.is_out_of_reach(now, job);
         let time_limit_ms = millis(job.deadline.saturating_sub(job.arrived_at));
         // A host with an older configuration would refuse the request without running it.
         let is_behind = |peer: &Peer| peer.version < job.matched.version;
@@ -134,8 +136,12 @@
         let session = cache::session_prefix(&job.prefixes).map(|prefix| prefix.hash);
         let key = session.unwrap_or_else(|| self.rng.random());
         let relays = self.fleet.relays(now, &region).into_iter();
+        let is_open = |peer: &Peer| {
+            let spare = peer.spare.get(&job.pool);
+            spare.is_some_and(|spare| spare.wait_ms < f32::MAX)
+        };
         let chosen = relays
-            .filter(|peer| !is_behind(peer) && !is_avoided(peer))
+            .filter(|peer| !is_behind(peer) && !is_avoided(peer) && is_open(peer))
             .max_by_key(|peer| affinity::weight(key, peer.point))?;
         let (host, last_heard_at) = (chosen.identity.clone(), chosen.last_heard_at);
         self.deduct_spare(&region, job);
@@ -165,7 +171,13 @@
 
     /// Peer addresses of the hosts that this host may forward requests to.
     pub fn relay_addresses(&self, now: Duration) -> BTreeSet<SocketAddr> {
-        let relays = self.relays(now);
+        let lost = self.catalog.all().filter(|replica| replica.reach.is_lost());
+        let witnesses: BTreeSet<_> = lost
+            .flat_map(|replica| replica.reach.witnesses(now))
+            .collect();
+        let neighbours = self.fleet.neighbours(now);
+        let neighbours = neighbours.filter(|peer| witnesses.contains(&peer.identity.host));
+        let relays = self.relays(now).chain(neighbours);
         relays.map(|peer| peer.identity.peers).collect()
     }
 
--- /dev/null
+++ b/src/proxy/core/relay.rs
@@ -0,0 +1,182 @@
+//! Upstreams that this host can't reach: what it tells and asks the other hosts of its region, and
+//! which of them takes a request for such an upstream.
+
+use {
+    super::{Core, Remote},
+    crate::{
+        name,
+        proxy::{
+            cache,
+            catalog::Change,
+            fleet::{Peer, SILENT_AFTER},
+            place::{self, Choice, Job},
+            reach::Report,
+            replica::Replica,
+        },
+        route::affinity,
+    },
+    std::{collections::BTreeSet, net::SocketAddr, time::Duration},
+};
+
+/// Time that the way over another host of the region adds to an answer, in milliseconds.
+const NEIGHBOUR_ROUND_TRIP_MS: f64 = 10.0;
+/// Most upstreams of each kind in a report.
+const MAX_REPORTED: usize = 64;
+
+/// A change in whether this host reaches any upstream.
+#[derive(Debug)]
+pub struct CutOff {
+    /// Whether it reaches none now.
+    pub is_cut_off: bool,
+    /// Number of upstreams.
+    pub upstreams: usize,
+    /// Number of other hosts that reach upstreams which this one doesn't.
+    pub witnesses: usize,
+    /// How long it reached none, once it does again.
+    pub lasted: Option<Duration>,
+}
+
+impl Core {
+    /// Records whether a connection to an upstream could be opened.
+    pub fn record_connection(
+        &mut self,
+        now: Duration,
+        upstream: &name::Upstream,
+        is_open: bool,
+    ) -> Option<Change> {
+        if is_open {
+            self.catalog.record_opened(now, upstream)
+        } else {
+            self.catalog.record_unopened(now, upstream)
+        }
+    }
+
+    /// The upstreams to which a connection is to be opened now, to find out whether that is possible.
+    pub fn due_probes(&mut self, now: Duration) -> Vec<(name::Upstream, SocketAddr)> {
+        self.catalog.due_probes(now)
+    }
+
+    /// Whether no connection to an upstream can be opened.
+    pub fn is_lost(&self, upstream: &name::Upstream) -> bool {
+        let replica = self.catalog.get(upstream);
+        replica.is_some_and(|replica| replica.reach.is_lost())
+    }
+
+    /// What this host tells those of its region of upstreams that it or they can't reach.
+    pub(super) fn reach_report(&self, now: Duration) -> Report {
+        let is_missing = |replica: &&Replica| replica.reach.is_lost();
+        let missing = self.catalog.all().filter(is_missing);
+        let is_fresh = |peer: &&Peer| now.saturating_sub(peer.last_heard_at) < SILENT_AFTER;
+        let asking = self.region_peers().filter(is_fresh);
+        let asked = asking.flat_map(|peer| &peer.reach.missing);
+        let is_found = |upstream: &&name::Upstream| {
+            let replica = self.catalog.get(upstream);
+            replica.is_some_and(|replica| replica.reach.is_proved(now))
+        };
+        Report {
+            missing: missing
+                .map(|replica| replica.entry.id.clone())
+                .take(MAX_REPORTED)
+                .collect(),
+            found: asked.filter(is_found).take(MAX_REPORTED).cloned().collect(),
+            is_cut_off: self.catalog.is_cut_off(),
+        }
+    }
+
+    /// Takes over what another host of the region tells of upstreams. Those that it misses and of
+    /// which this host has had no sign lately are put in doubt, which finds out.
+    pub(super) fn receive_reach(&mut self, now: Duration, host: &name::Host, report: &Report) {
+        for replica in self.catalog.all_mut() {
+            let upstream = &replica.entry.id;
+            if report.found.contains(upstream) {
+                replica.reach.record_witness(now, host);
+            } else {
+                replica.reach.forget_witness(host);
+            }
+            if report.missing.contains(upstream) && !replica.reach.is_proved(now) {
+                replica.reach.doubt(now);
+            }
+        }
+    }
+
+    /// Whether this host, or for a request that may be forwarded another one of the region, reaches
+    /// an upstream.
+    pub(super) fn is_open(&self, now: Duration, job: &Job, replica: &Replica) -> bool {
+        !replica.reach.is_lost() || (job.may_forward && replica.reach.is_relayed(now))
+    }
+
+    /// Whether there are upstreams for a request, and no host of the region that it may be sent by
+    /// reaches one.
+    pub(super) fn is_out_of_reach(&self, now: Duration, job: &Job) -> bool {
+        let mut upstreams = self.catalog.eligible_for(job).peekable();
+        upstreams.peek().is_some() && !upstreams.any(|replica| self.is_open(now, job, replica))
+    }
+
+    /// Whether this host has begun, or ceased, to reach no upstream since the last call.
+    pub fn take_cut_off_change(&mut self, now: Duration) -> Option<CutOff> {
+        let is_cut_off = self.catalog.is_cut_off();
+        if is_cut_off == self.cut_off_since.is_some() {
+            return None;
+        }
+        let lasted = self.cut_off_since.take();
+        self.cut_off_since = is_cut_off.then_some(now);
+        let lost = self.catalog.all().filter(|replica| replica.reach.is_lost());
+        let witnesses: BTreeSet<_> = lost
+            .flat_map(|replica| replica.reach.witnesses(now))
+            .collect();
+        Some(CutOff {
+            is_cut_off,
+            upstreams: self.catalog.all().count(),
+            witnesses: witnesses.len(),
+            lasted: lasted.map(|since| now.saturating_sub(since)),
+        })
+    }
+
+    /// Whether a host is another one of this region.
+    pub fn is_neighbour(&self, host: &name::Host) -> bool {
+        let mut peers = self.region_peers();
+        peers.any(|peer| peer.identity.host == *host)
+    }
+
+    /// Chooses, among the upstreams that only other hosts of the region reach, as if they were
+    /// reached.
+    pub(super) fn choose_relayed(&self, now: Duration, job: &Job) -> Option<Choice> {
+        if !job.may_forward || !job.matched.allows(&self.setup.identity.region) {
+            return None;
+        }
+        let pool = self.table.as_ref()?.pool(&job.pool)?;
+        let mut choice = place::choose(&self.catalog, pool, job, now, |replica, _| {
+            replica.reach.is_relayed(now) && self.choose_neighbour(now, job, replica).is_some()
+        })?;
+        choice.predicted_ms += NEIGHBOUR_ROUND_TRIP_MS;
+        Some(choice)
+    }
+
+    /// The host of this region that a request is forwarded to for an upstream that this host can't
+    /// reach.
+    pub(super) fn relay(&self, now: Duration, job: &Job, choice: &Choice) -> Option<Remote> {
+        let replica = self.catalog.get(&choice.upstream)?;
+        let peer = self.choose_neighbour(now, job, replica)?;
+        Some(Remote {
+            host: peer.identity.host.clone(),
+            peers: peer.identity.peers,
+            region: peer.identity.region.clone(),
+            predicted_ms: choice.predicted_ms,
+            report_age: now.saturating_sub(peer.last_heard_at),
+        })
+    }
+
+    /// Chooses among the hosts that reach an upstream by rendezvous hashing of the request's session,
+    /// so that those share the requests.
+    fn choose_neighbour(&self, now: Duration, job: &Job, replica: &Replica) -> Option<&Peer> {
+        let witnesses: Vec<_> = replica.reach.witnesses(now).collect();
+        let session = cache::session_prefix(&job.prefixes);
+        let key = session.map_or(job.arrived_at.as_nanos() as u64, |prefix| prefix.hash);
+        let neighbours = self.fleet.neighbours(now).filter(|peer| {
+            witnesses.contains(&&peer.identity.host)
+                && peer.version >= job.matched.version
+                && !job.avoided_hosts.contains(&peer.identity.host)
+        });
+        neighbours.max_by_key(|peer| affinity::weight(key, peer.point))
+    }
+}
--- a/src/proxy/core/wait.rs
+++ b/src/proxy/core/wait.rs
@@ -90,7 +90,8 @@
         let Some(pool) = pool.filter(|_| job.matched.allows(&self.setup.identity.region)) else {
             return true;
         };
-        if self.catalog.eligible_for(job).next().is_none() {
+        let mut upstreams = self.catalog.eligible_for(job);
+        if !upstreams.any(|replica| self.is_open(now, job, replica)) {
             return true;
         }
         let longest = job.objective_ms() * MAX_WAIT_SHARE - job.elapsed_ms(now);
@@ -107,7 +108,10 @@
         let (tokens_per_ms, base_ms) = place::learned_speed(&self.catalog, &job.pool);
         let replicas = self.catalog.eligible_for(job);
         let waits_ms: Vec<_> = replicas
-            .filter(|replica| replica.is_available(now))
+            .filter(|replica| {
+                let is_relayed = job.may_forward && replica.reach.is_relayed(now);
+                is_relayed || (replica.is_available(now) && !replica.reach.is_lost())
+            })
             .map(|replica| replica.prefill_ahead(now, rank, tokens_per_ms) / tokens_per_ms)
             .collect();
         let Some(shortest_ms) = waits_ms.iter().copied().min_by(f64::total_cmp) else {
--- a/src/proxy/fleet.rs
+++ b/src/proxy/fleet.rs
@@ -11,6 +11,7 @@
     super::{
         quarantine::{Evidence, Process},
         rate::Usage,
+        reach,
         replica::Tally,
         throttle,
     },
@@ -87,6 +88,9 @@
     /// Limits that upstreams of the sender's region name; only to hosts of the same region.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub limits: Vec<(name::Upstream, Process, throttle::Report)>,
+    /// Upstreams that the sender or others of its region can't reach; only to hosts of the same region.
+    #[serde(default, skip_serializing_if = "reach::Report::is_empty")]
+    pub reach: reach::Report,
     /// Spare capacity of the sender's region by pool; only to hosts of other regions.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub spare: Vec<(name::Pool, Spare)>,
@@ -148,6 +152,8 @@
     pub version: u64,
     /// Spare capacity of the host's region, less what was forwarded there since the report.
     pub spare: BTreeMap<name::Pool, Spare>,
+    /// Upstreams that the host can't reach; of hosts of the same region only.
+    pub reach: reach::Report,
     /// Builds that served in the host's region lately.
     pub builds: Builds,
     /// Hash of the host's name for rendezvous hashing.
@@ -254,6 +260,7 @@
             is_leaving: report.leaving,
             version: report.version,
             spare: report.spare.iter().cloned().collect(),
+            reach: report.reach.clone(),
             builds: report.builds.clone(),
             point: point(&report.from.host),
             sequence: report.sequence,
@@ -363,6 +370,15 @@
         }
     }
 
+    /// Makes the reports to the hosts of this region due now.
+    pub fn make_region_due(&mut self) {
+        let region = &self.identity.region;
+        let peers = self.peers.values_mut();
+        for peer in peers.filter(|peer| peer.identity.region == *region) {
+            peer.next_report_at = Duration::ZERO;
+        }
+    }
+
     /// Returns the sequence number of the next report.
     pub fn next_sequence(&mut self) -> u64 {
         self.sequence += 1;
--- a/src/proxy/host.rs
+++ b/src/proxy/host.rs
@@ -7,6 +7,7 @@
 
 mod origin;
 mod prompt;
+mod reach;
 
 use {
     super::{
@@ -100,6 +101,14 @@
     request_changes: Family<prompt::Labels, Counter>,
     /// Requests that are held.
     held_requests: Gauge,
+    /// Upstreams to which no connection can be opened.
+    lost_upstreams: Gauge,
+    /// 1 while this host reaches no upstream.
+    cut_off: Gauge,
+    /// Requests that were forwarded to a host of this region.
+    pub(super) relayed: Counter,
+    /// Changed when an upstream is reached no more, or again.
+    reach_changes: watch::Sender<u64>,
     /// Upstreams that are being asked whether they have ended.
     probed: Mutex<BTreeSet<Process>>,
     phase: watch::Receiver<Phase>,
@@ -160,6 +169,9 @@
         let held_parts = Gauge::default();
         let request_changes = Family::default();
         let held_requests = Gauge::default();
+        let lost_upstreams = Gauge::default();
+        let cut_off = Gauge::default();
+        let relayed = Counter::default();
         let store_calls = Counter::default();
         let store_failures = Counter::default();
         dependencies.metrics.register(|registry| {
@@ -203,6 +215,21 @@
                 "Requests that are withheld when they come again",
                 held_requests.clone(),
             );
+            registry.register(
+                "unreached_upstreams",
+                "Upstreams to which this host can open no connection",
+                lost_upstreams.clone(),
+            );
+            registry.register(
+                "cut_off",
+                "1 while this host reaches no upstream",
+                cut_off.clone(),
+            );
+            registry.register(
+                "relayed",
+                "Requests forwarded to another host of the region, for an upstream that this one can't reach",
+                relayed.clone(),
+            );
             registry.register(
                 "log_lines_sampled_out",
                 "Lines of successful requests that were not logged",
@@ -226,6 +253,10 @@
             held_parts,
             request_changes,
             held_requests,
+            lost_upstreams,
+            cut_off,
+            relayed,
+            reach_changes: watch::channel(0).0,
             probed: Mutex::default(),
             phase: dependencies.phase,
             running: AtomicUsize::new(0),
@@ -555,6 +586,7 @@
             changes
         };
         self.log_changes(changes);
+        self.probe_upstreams();
         self.judge_suspects();
         if self.core().queue_len() > 0 {
             self.place_waiting();
@@ -651,6 +683,12 @@
         self.host.core().record_progress(now, self.grant.ticket);
     }
 
+    /// Records that no connection to the upstream could be opened.
+    pub(super) fn record_unreachable(&mut self) {
+        self.outcome = Outcome::Unreachable;
+        self.host.record_connection(&self.grant.upstream, false);
+    }
+
     /// Records what the head of the answer says of the upstream's limit.
     pub(super) fn record_notice(&self, notice: Notice) {
         let now = self.host.clock.now();
@@ -728,7 +766,10 @@
     let wait = core.retry_after(now, &job.pool);
     let eligible = core.catalog.eligible_for(job);
     let (upstreams, open) = eligible.fold((0, 0), |(all, open), replica| {
-        (all + 1, open + usize::from(replica.is_available(now)))
+        (
+            all + 1,
+            open + usize::from(replica.is_available(now) && !replica.reach.is_lost()),
+        )
     });
     let (hosts, remote_hosts) = core.peer_counts(now);
     tracing::info!(event = "unplaced", request, pool = %job.pool, version = job.matched.version,
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -22,6 +22,7 @@
 pub mod quarantine;
 mod race;
 pub mod rate;
+pub mod reach;
 pub mod reader;
 pub mod replica;
 pub mod sample;
--- a/src/proxy/place.rs
+++ b/src/proxy/place.rs
@@ -108,7 +108,8 @@
 
     /// If every eligible upstream has failed the request, allows them again.
     pub fn allow_tried_upstreams_if_none_is_left(&mut self, catalog: &Catalog) {
-        let is_untried = |replica: &Replica| !self.tried.contains(&replica.entry.id);
+        let is_untried =
+            |replica: &Replica| !replica.reach.is_lost() && !self.tried.contains(&replica.entry.id);
         if !catalog.eligible_for(self).any(is_untried) {
             self.tried.clear();
         }
--- a/src/proxy/race.rs
+++ b/src/proxy/race.rs
@@ -253,6 +253,8 @@
     job: &'a mut Job,
     tries: &'a mut Tries,
     resume: Option<u64>,
+    /// Other hosts of the region that could not serve the request.
+    failed_neighbours: Vec<name::Host>,
     /// Targets of the attempts under way, by number.
     targets: BTreeMap<u32, Target>,
     last_number: u32,
@@ -278,6 +280,7 @@
         job,
         tries,
         resume,
+        failed_neighbours: Vec::new(),
         targets: BTreeMap::new(),
         last_number: 0,
         late,
@@ -301,7 +304,7 @@
         let mut running = FuturesUnordered::new();
         loop {
             if running.is_empty() {
-                self.job.avoided_hosts.clear();
+                self.job.avoided_hosts.clone_from(&self.failed_neighbours);
                 let destination = self.place().await?;
                 running.push(self.start(destination));
             }
@@ -387,7 +390,10 @@
             }
         };
         let target = self.targets.remove(&number);
-        if let Some(Target::Host(_)) = target {
+        if let Some(Target::Host(peer)) = &target {
+            if host.core().is_neighbour(peer) {
+                self.failed_neighbours.push(peer.clone());
+            }
             self.tries.forwards += 1;
             self.job.may_forward &= self.tries.forwards < MAX_FORWARDS;
         } else if let Some(upstream) = &target {
--- a/src/proxy/replica.rs
+++ b/src/proxy/replica.rs
@@ -6,6 +6,7 @@
         cache::Cache,
         entry::Entry,
         quarantine::{Certainty, End, Process},
+        reach::Reach,
         throttle::Throttle,
     },
     crate::{
@@ -92,6 +93,8 @@
     pub removal_at: Option<Duration>,
     /// The limit that the upstream names.
     pub throttle: Throttle,
+    /// Whether this host and others reach it.
+    pub reach: Reach,
     /// Requests that other hosts report to have at the upstream, with the time of the report.
     other_tallies: BTreeMap<name::Host, (Duration, Tally)>,
     /// Until when the upstream is cold according to its published state.
@@ -141,6 +144,7 @@
             cache: Cache::default(),
             removal_at: None,
             throttle: Throttle::default(),
+            reach: Reach::default(),
             other_tallies: BTreeMap::new(),
             cold_until: Duration::ZERO,
             assumed_cold_until: Duration::ZERO,
@@ -280,6 +284,19 @@
     pub fn record_progress(&mut self, now: Duration) {
         self.last_byte_at = now;
         self.is_silent = false;
+        self.reach.record_heard(now);
+    }
+
+    /// Records that a connection to the upstream was opened. If none could be before, its failures
+    /// until now say nothing about it. Returns whether that is so.
+    pub fn record_opened(&mut self, now: Duration) -> bool {
+        let was_lost = self.reach.record_opened(now);
+        if was_lost {
+            self.health = Health::default();
+            self.last_byte_at = now;
+            self.is_silent = false;
+        }
+        was_lost
     }
 
     /// The process of the upstream, as other hosts name it too.
--- a/src/proxy/send.rs
+++ b/src/proxy/send.rs
@@ -144,13 +144,16 @@
     tracing::debug!(event = "sent", request = inbound.id(), %upstream, predicted);
     let limit = late_after(predicted);
     let address = reservation.grant.address;
-    let sending = host.upstreams.send(address, request, is_repeatable);
+    let abandoned = host.until_lost(&upstream);
+    let sending = host
+        .upstreams
+        .send_unless(address, request, is_repeatable, abandoned);
     let response = patience
         .watch(limit, sending)
         .await
         .inspect_err(|failure| {
             if failure.code == Code::Unreachable {
-                reservation.outcome = Outcome::Unreachable;
+                reservation.record_unreachable();
             }
         })?;
     let (head, mut body) = response.into_parts();
@@ -340,6 +343,9 @@
         elapsed: now.saturating_sub(job.arrived_at),
         build: job.build.clone(),
     };
+    if remote.region == host.identity.region {
+        host.relayed.inc();
+    }
     host.metrics.forwarded.inc();
     tracing::info!(event = "forwarded", request = inbound.id(), host = %remote.host, region = %remote.region,
         predicted_ms = remote.predicted_ms as u64, report_age_ms = remote.report_age.as_millis() as u64,
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -22,6 +22,7 @@
     hyper_util::rt::TokioIo,
     std::{
         collections::BTreeMap,
+        future::{Future, pending},
         io,
         net::SocketAddr,
         sync::{Arc, Mutex, PoisonError},
@@ -130,6 +131,19 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         is_repeatable: bool,
+    ) -> Result<Response<Body>, Failure> {
+        self.send_unless(address, request, is_repeatable, pending())
+            .await
+    }
+
+    /// Like [`Self::send`], but gives up opening a connection once `abandoned` is ready. The call has
+    /// not run then.
+    pub async fn send_unless(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        is_repeatable: bool,
+        abandoned: impl Future<Output = ()>,
     ) -> Result<Response<Body>, Failure> {
         let limit = if is_repeatable {
             self.limits.max_idle
@@ -147,12 +161,30 @@
                 Err(SendError { failure, .. }) => return Err(failure),
             }
         }
-        let sender = connect(&self.network, address).await?;
+        let sender = tokio::select! {
+            sender = connect(&self.network, address) => sender?,
+            () = abandoned => {
+                let reason = "the upstream can't be reached";
+                return Err(Failure::not_run(Code::Unreachable, reason));
+            }
+        };
         self.send_on(address, sender, request)
             .await
             .map_err(|error| error.failure)
     }
 
+    /// Whether a connection to an address can be opened within a time. It is closed again.
+    pub async fn can_connect(&self, address: SocketAddr, limit: Duration) -> bool {
+        let connected = timeout(limit, self.network.connect(address)).await;
+        matches!(connected, Ok(Ok(_)))
+    }
+
+    /// Closes the idle connections to an address.
+    pub fn close_idle(&self, address: SocketAddr) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.remove(&address);
+    }
+
     /// Whether the address refuses a new connection, which means that nothing listens there.
     pub async fn is_refused(&self, address: SocketAddr) -> bool {
         let connected = timeout(CONNECT_TIMEOUT, self.network.connect(address)).await;
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -18,6 +18,8 @@
 mod quarantine;
 #[path = "proxy/rate.rs"]
 mod rate;
+#[path = "proxy/reach.rs"]
+mod reach;
 #[path = "proxy/reader.rs"]
 mod reader;
 #[path = "proxy/replay.rs"]
--- /dev/null
+++ b/tests/proxy/reach.rs
@@ -0,0 +1,307 @@
+//! Hosts that reach no upstream, or not all: what they find out, who takes their requests, and what
+//! the others believe.
+
+use {
+    crate::common::{self, POOL, address, core, entry, forwardable, identity, job, ms},
+    greengagecleat::{
+        name,
+        proxy::{
+            catalog::Change,
+            core::{Core, Placement},
+            fleet::{Report, Spare},
+            place::Job,
+            reach,
+            replica::Outcome,
+        },
+    },
+    std::{collections::BTreeSet, time::Duration},
+};
+
+fn upstreams(core: &Core) -> BTreeSet<name::Upstream> {
+    let all = core.catalog.all();
+    all.map(|replica| replica.entry.id.clone()).collect()
+}
+
+/// Lets connections to these upstreams fail twice.
+fn lose<'a>(core: &mut Core, now: Duration, lost: impl IntoIterator<Item = &'a name::Upstream>) {
+    for upstream in lost {
+        core.record_connection(now, upstream, false);
+        core.record_connection(now, upstream, false);
+        assert!(core.is_lost(upstream));
+    }
+}
+
+fn lose_all(core: &mut Core, now: Duration) {
+    let all = upstreams(core);
+    lose(core, now, &all);
+}
+
+/// Lets another host report.
+fn receive(core: &mut Core, now: Duration, host: &str, region: &str, told: reach::Report) {
+    let sequence = now.as_millis() as u64 + 1;
+    let report = Report {
+        reach: told,
+        ..common::report(identity(host, region, host.len() as u8), sequence)
+    };
+    core.receive_report(now, report);
+}
+
+fn found(upstreams: BTreeSet<name::Upstream>) -> reach::Report {
+    reach::Report {
+        found: upstreams,
+        ..reach::Report::default()
+    }
+}
+
+fn missing(upstreams: BTreeSet<name::Upstream>) -> reach::Report {
+    reach::Report {
+        missing: upstreams,
+        ..reach::Report::default()
+    }
+}
+
+/// What this host reports to another one of its region.
+fn told(core: &mut Core, now: Duration) -> reach::Report {
+    let reports = core.due_reports(now, true, false);
+    let to_region = reports
+        .into_iter()
+        .find(|(recipient, _)| recipient.is_same_region);
+    to_region.expect("a report is due").1.reach
+}
+
+fn host_of(placement: &Placement) -> Option<&str> {
+    match placement {
+        Placement::Remote(remote) => Some(remote.host.as_str()),
+        Placement::Local(_) | Placement::Wait | Placement::Withheld(_) => None,
+    }
+}
+
+fn next(core: &Core, now: Duration, number: u64) -> Job {
+    forwardable(&job(core, now, number, 10_000 + number))
+}
+
+#[test]
+fn one_failed_connection_is_a_doubt_and_an_opened_one_settles_it() {
+    let mut core = core(3);
+    let upstream = "e0".into();
+    assert_eq!(core.record_connection(ms(10), &upstream, false), None);
+    assert!(!core.is_lost(&upstream));
+    let due = core.due_probes(ms(10));
+    assert_eq!(due, [(upstream.clone(), address(1))]);
+    assert!(core.due_probes(ms(60)).is_empty(), "one at a time");
+    assert_eq!(core.record_connection(ms(20), &upstream, true), None);
+    assert!(core.due_probes(ms(5_000)).is_empty());
+}
+
+#[test]
+fn a_host_whose_connections_all_work_probes_and_tells_nothing() {
+    let mut core = core(4);
+    receive(&mut core, ms(0), "n2", "north", reach::Report::default());
+    for number in 0..200 {
+        let now = ms(20 * number);
+        let job = next(&core, now, number);
+        if let Placement::Local(grant) = core.place(now, &job) {
+            core.record_first_byte(now, grant.ticket);
+            core.release(now, grant.ticket, Outcome::Success);
+        }
+        assert!(core.due_probes(now).is_empty());
+    }
+    receive(
+        &mut core,
+        ms(4_000),
+        "n2",
+        "north",
+        reach::Report::default(),
+    );
+    assert!(told(&mut core, ms(4_000)).is_empty());
+}
+
+#[test]
+fn a_request_goes_to_the_neighbour_that_reaches_the_upstreams() {
+    let mut core = core(3);
+    receive(&mut core, ms(0), "n2", "north", reach::Report::default());
+    lose_all(&mut core, ms(0));
+    let all = upstreams(&core);
+    let unknown = core.place(ms(10), &next(&core, ms(10), 1));
+    assert_eq!(unknown, Placement::Wait, "nobody is known to reach them");
+    assert_eq!(core.wait_limit(ms(10), &next(&core, ms(10), 1)), ms(0));
+    let asked = told(&mut core, ms(20));
+    assert_eq!((asked.missing, asked.is_cut_off), (all.clone(), true));
+    receive(&mut core, ms(100), "n2", "north", found(all));
+    let placed = core.place(ms(110), &next(&core, ms(110), 1));
+    assert_eq!(host_of(&placed), Some("n2"));
+    // What was forwarded here goes no further.
+    let taken = job(&core, ms(110), 2, 2);
+    assert_eq!(core.place(ms(110), &taken), Placement::Wait);
+    // Nobody has confirmed it for long.
+    let late = core.place(ms(2_000), &next(&core, ms(2_000), 1));
+    assert_eq!(late, Placement::Wait);
+}
+
+#[test]
+fn requests_are_shared_by_the_neighbours_that_reach_the_upstreams() {
+    let mut core = core(3);
+    lose_all(&mut core, ms(0));
+    let all = upstreams(&core);
+    for host in ["n2", "n03", "n004"] {
+        receive(&mut core, ms(10), host, "north", found(all.clone()));
+    }
+    receive(&mut core, ms(10), "n0005", "north", missing(all));
+    let mut taken: std::collections::BTreeMap<String, u32> = Default::default();
+    for number in 0..300 {
+        let placed = core.place(ms(20), &next(&core, ms(20), number));
+        let host = host_of(&placed).expect("a neighbour takes it");
+        *taken.entry(host.to_owned()).or_default() += 1;
+    }
+    assert_eq!(taken.len(), 3, "{taken:?}");
+    assert!(taken.values().all(|count| *count > 60), "{taken:?}");
+}
+
+#[test]
+fn a_neighbour_that_failed_a_request_is_not_asked_again_for_it() {
+    let mut core = core(3);
+    lose_all(&mut core, ms(0));
+    let all = upstreams(&core);
+    receive(&mut core, ms(10), "n2", "north", found(all));
+    let mut job = next(&core, ms(20), 1);
+    job.avoided_hosts.push("n2".into());
+    assert_eq!(core.place(ms(20), &job), Placement::Wait);
+}
+
+#[test]
+fn a_host_that_misses_some_upstreams_uses_the_others_first() {
+    let mut core = core(4);
+    let lost: BTreeSet<name::Upstream> = ["e0", "e1", "e2"].map(Into::into).into();
+    lose(&mut core, ms(0), &lost);
+    receive(&mut core, ms(10), "n2", "north", found(lost));
+    let placed = core.place(ms(20), &next(&core, ms(20), 1));
+    let Placement::Local(grant) = placed else {
+        panic!("{placed:?}");
+    };
+    assert_eq!(grant.upstream, "e3".into());
+    // Where it would be late there, a neighbour serves it at one of the others.
+    let mut relayed = 0;
+    for number in 2..40 {
+        let placed = core.place(ms(20), &next(&core, ms(20), number));
+        relayed += u32::from(host_of(&placed) == Some("n2"));
+    }
+    assert!(relayed > 20, "{relayed}");
+}
+
+#[test]
+fn a_request_with_a_home_stays_in_its_region_and_one_without_leaves_it() {
+    let mut core = core(3);
+    lose_all(&mut core, ms(0));
+    let spare = Spare {
+        wait_ms: 50.0,
+        tokens: 0.0,
+        requests: 0.0,
+        rate: 80.0,
+        builds: BTreeSet::from(["b1".into()]),
+    };
+    let report = Report {
+        spare: vec![(POOL.into(), spare)],
+        ..common::report(identity("s1", "south", 3), 1)
+    };
+    core.receive_report(ms(10), report);
+    // No room on time is told, but late is better than never.
+    let placed = core.place(ms(20), &next(&core, ms(20), 1));
+    assert_eq!(host_of(&placed), Some("s1"));
+    let mut bound = next(&core, ms(20), 2);
+    bound.matched.home_regions = BTreeSet::from(["north".into()]);
+    assert_eq!(core.place(ms(20), &bound), Placement::Wait);
+}
+
+#[test]
+fn other_regions_hear_of_no_room_at_a_host_that_reaches_no_upstream() {
+    let mut core = core(3);
+    receive(&mut core, ms(0), "s1", "south", reach::Report::default());
+    lose_all(&mut core, ms(0));
+    let reports = core.due_reports(ms(10), true, false);
+    let (_, report) = reports
+        .iter()
+        .find(|(recipient, _)| recipient.host == "s1".into())
+        .expect("a report is due");
+    let spare = report.spare.iter().map(|(_, spare)| spare.wait_ms);
+    assert!(spare.clone().all(|wait_ms| wait_ms == f32::MAX));
+    assert!(spare.count() > 0);
+}
+
+#[test]
+fn a_host_is_told_of_upstreams_only_if_there_is_a_sign_of_them() {
+    let mut core = core(2);
+    let all = upstreams(&core);
+    receive(&mut core, ms(10), "n2", "north", missing(all.clone()));
+    assert!(told(&mut core, ms(20)).found.is_empty());
+    // Each is probed, as nothing was heard of it.
+    let due = core.due_probes(ms(20));
+    assert_eq!(due.len(), all.len());
+    for (upstream, _) in &due {
+        core.record_connection(ms(30), upstream, true);
+    }
+    assert_eq!(told(&mut core, ms(40)).found, all);
+}
+
+#[test]
+fn two_hosts_that_reach_nothing_ask_each_other_and_forward_nothing() {
+    let mut core = core(2);
+    lose_all(&mut core, ms(0));
+    let all = upstreams(&core);
+    receive(&mut core, ms(10), "n2", "north", missing(all));
+    let told = told(&mut core, ms(20));
+    assert!(told.found.is_empty());
+    let placed = core.place(ms(20), &next(&core, ms(20), 1));
+    assert_eq!(placed, Placement::Wait);
+}
+
+#[test]
+fn upstreams_are_probed_in_turn_and_at_once_when_one_is_reached_again() {
+    let mut core = core(8);
+    lose_all(&mut core, ms(0));
+    let mut probed = Vec::new();
+    for tick in 1..=40 {
+        let now = ms(50 * tick);
+        for (upstream, _) in core.due_probes(now) {
+            core.record_connection(now, &upstream, false);
+            probed.push(upstream);
+        }
+    }
+    assert!((6..=9).contains(&probed.len()), "{} in 2 s", probed.len());
+    let distinct: BTreeSet<_> = probed.iter().collect();
+    assert!(distinct.len() >= probed.len() - 1, "{probed:?}");
+    let change = core.record_connection(ms(2_100), &"e0".into(), true);
+    assert_eq!(change, Some(Change::Reached("e0".into())));
+    let due = core.due_probes(ms(2_100));
+    assert_eq!(due.len(), 8, "{due:?}");
+    for (upstream, _) in due {
+        core.record_connection(ms(2_110), &upstream, true);
+    }
+    let placed = core.place(ms(2_120), &next(&core, ms(2_120), 1));
+    assert!(matches!(placed, Placement::Local(_)), "{placed:?}");
+}
+
+#[test]
+fn one_upstream_that_ended_costs_few_connections() {
+    let mut core = core(16);
+    let mut opened = 0;
+    lose(&mut core, ms(0), [&"e0".into()]);
+    for tick in 0..80 {
+        let now = ms(50 * tick);
+        for (upstream, _) in core.due_probes(now) {
+            core.record_connection(now, &upstream, upstream != "e0".into());
+            opened += 1;
+        }
+    }
+    assert!(opened <= 7, "{opened} in 4 s");
+    assert!(!core.is_lost(&"e1".into()));
+}
+
+#[test]
+fn a_host_that_starts_or_whose_upstreams_start_again_reaches_them() {
+    let mut core = core(1);
+    lose_all(&mut core, ms(0));
+    let mut again = entry("e0", "north-a", POOL, 1);
+    again.incarnation = 2;
+    core.catalog.upsert(ms(10), again);
+    assert!(!core.is_lost(&"e0".into()));
+}
