Blame no request for upstreams that only this host can't reach

A host that is partitioned from upstreams took them for ended: each that was silent for a second, and each that refused its connections. It blamed the requests that were there and told all other hosts, which would withhold sound parts and requests.

Cause: silence and refusal were taken as facts of the upstream, though they may be the host's.

Now a silent upstream counts as ended if a connection to it could be opened since, or if it is unreached, no other host reaches it and this one hears others. One that refuses connections counts as ended 250 ms later, unless another host reaches it by then or no connection to another upstream could be opened.

--- a/src/proxy/catalog.rs
+++ b/src/proxy/catalog.rs
@@ -520,6 +520,17 @@
         replicas.peek().is_some() && replicas.all(|replica| replica.reach.is_lost())
     }
 
+    /// Whether a connection to another upstream than this one was opened since a time. True where
+    /// there is no other.
+    pub fn has_opened_another_since(&self, at: Duration, id: &name::Upstream) -> bool {
+        let mut others = self.replicas.values();
+        let mut others = others
+            .by_ref()
+            .filter(|replica| replica.entry.id != *id)
+            .peekable();
+        others.peek().is_none() || others.any(|replica| replica.reach.opened_at() >= Some(at))
+    }
+
     /// Adds the time of a complete answer of a plain service to its pool's average.
     pub fn observe_service_time(&mut self, pool: &name::Pool, millis: f64) {
         let estimates = self.estimates_mut(pool);
--- a/src/proxy/core/prompt.rs
+++ b/src/proxy/core/prompt.rs
@@ -97,7 +97,9 @@
     /// belief of suspects.
     pub fn judge_suspects(&mut self, now: Duration) -> Vec<Change> {
         let silent = self.catalog.all().filter(|replica| {
-            replica.is_silent() && replica.silent_for(now) >= ENDED_AFTER_SILENCE
+            replica.is_silent()
+                && replica.silent_for(now) >= ENDED_AFTER_SILENCE
+                && self.is_silence_its_own(now, replica)
         });
         let silent = silent.map(|replica| replica.end(Certainty::Presumed));
         let mut ended: Vec<_> = silent.collect();
--- a/src/proxy/core/relay.rs
+++ b/src/proxy/core/relay.rs
@@ -10,7 +10,8 @@
             catalog::Change,
             fleet::{Peer, SILENT_AFTER},
             place::{self, Choice, Job},
-            reach::Report,
+            quarantine::End,
+            reach::{INQUIRY_TIME, Report},
             replica::Replica,
         },
         route::affinity,
@@ -22,6 +23,10 @@
 const NEIGHBOUR_ROUND_TRIP_MS: f64 = 10.0;
 /// Most upstreams of each kind in a report.
 const MAX_REPORTED: usize = 64;
+/// Within this time another upstream must have been heard for the silence of one to be its own.
+const SILENCE_EVIDENCE_TIME: Duration = Duration::from_millis(500);
+/// Time from the loss of an upstream until it may be presumed to have ended.
+const PRESUMED_AFTER_LOSS: Duration = Duration::from_millis(600);
 
 /// A change in whether this host reaches any upstream.
 #[derive(Debug)]
@@ -179,4 +184,50 @@
         });
         neighbours.max_by_key(|peer| affinity::weight(key, peer.point))
     }
+
+    /// Whether the silence of an upstream can only be that of its process: it is reached, or no host
+    /// of the region reaches it, while this one hears others.
+    pub(super) fn is_silence_its_own(&self, now: Duration, replica: &Replica) -> bool {
+        if replica.reach.is_probing() {
+            return false;
+        }
+        let began_at = now.saturating_sub(replica.silent_for(now));
+        if replica.reach.opened_at() >= Some(began_at) && !replica.reach.is_lost() {
+            return true;
+        }
+        if let Some(lost_for) = replica.reach.lost_for(now)
+            && (lost_for < PRESUMED_AFTER_LOSS || replica.reach.is_relayed(now))
+        {
+            return false;
+        }
+        let mut others = self.catalog.all();
+        let mut others = others
+            .by_ref()
+            .filter(|other| other.point != replica.point)
+            .peekable();
+        others.peek().is_none()
+            || others.any(|other| other.reach.has_sign_within(now, SILENCE_EVIDENCE_TIME))
+    }
+
+    /// Records that an upstream which broke an answer off refuses connections.
+    pub fn record_refusal(&mut self, now: Duration, upstream: &name::Upstream) -> Option<Change> {
+        self.catalog.get_mut(upstream)?.reach.doubt(now);
+        self.catalog.record_unopened(now, upstream)
+    }
+
+    /// Records the end of an upstream that has refused a connection, unless the fault may be this
+    /// host's: it opened no connection to another upstream since, or another host reaches it. To be
+    /// called [`INQUIRY_TIME`] after the refusal. Returns whether it was recorded.
+    pub fn confirm_end(&mut self, now: Duration, upstream: &name::Upstream, end: End) -> bool {
+        let refused_at = now.saturating_sub(INQUIRY_TIME);
+        let replica = self.catalog.get(upstream);
+        let replica = replica.filter(|replica| replica.process() == end.process);
+        let is_reached = replica
+            .is_some_and(|replica| !replica.reach.is_lost() || replica.reach.is_relayed(now));
+        if is_reached || !self.catalog.has_opened_another_since(refused_at, upstream) {
+            return false;
+        }
+        self.record_end(now, end);
+        true
+    }
 }
--- a/src/proxy/host/prompt.rs
+++ b/src/proxy/host/prompt.rs
@@ -6,7 +6,8 @@
         clock::Clock,
         failure::Failure,
         proxy::{
-            core::Grant, dialect::Dialect, place::Job, quarantine::Suspect, send::withheld_failure,
+            core::Grant, dialect::Dialect, place::Job, quarantine::Suspect, reach::INQUIRY_TIME,
+            send::withheld_failure,
         },
     },
     prometheus_client::encoding::EncodeLabelSet,
@@ -48,9 +49,15 @@
             for delay in END_PROBE_DELAYS {
                 sleep(delay).await;
                 if host.upstreams.is_refused(address).await {
-                    tracing::info!(event = "upstream", %upstream, state = "ended");
                     let now = host.clock.now();
-                    host.core().record_end(now, end);
+                    let change = host.core().record_refusal(now, &upstream);
+                    host.apply_reach(change);
+                    // Others may reach it, or this host may reach none.
+                    sleep(INQUIRY_TIME).await;
+                    let now = host.clock.now();
+                    if host.core().confirm_end(now, &upstream, end) {
+                        tracing::info!(event = "upstream", %upstream, state = "ended");
+                    }
                     break;
                 }
             }
--- a/src/proxy/reach.rs
+++ b/src/proxy/reach.rs
@@ -17,6 +17,9 @@
 const EVIDENCE_TTL: Duration = Duration::from_millis(1_500);
 /// Shortest time between two probes of one upstream that is not known to be unreached.
 const MIN_PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time from the first failure to reach an upstream within which other hosts can have told that they
+/// reach it.
+pub const INQUIRY_TIME: Duration = Duration::from_millis(250);
 
 /// What this host knows of the way to one upstream.
 #[derive(Debug, Default)]
@@ -82,6 +85,11 @@
         self.doubted_at
     }
 
+    /// For how long it is known that no connection can be opened.
+    pub fn lost_for(&self, now: Duration) -> Option<Duration> {
+        self.lost_at.map(|at| now.saturating_sub(at))
+    }
+
     /// Records that a connection was opened. Returns whether none could be before.
     pub fn record_opened(&mut self, now: Duration) -> bool {
         self.opened_at = Some(now);
@@ -139,6 +147,12 @@
         !self.is_doubted() && latest.is_some_and(is_fresh)
     }
 
+    /// Whether a byte arrived, or a connection was opened, within this time.
+    pub fn has_sign_within(&self, now: Duration, time: Duration) -> bool {
+        let latest = self.opened_at.max(self.heard_at);
+        latest.is_some_and(|at| now.saturating_sub(at) < time)
+    }
+
     /// Records that another host reaches the upstream.
     pub fn record_witness(&mut self, now: Duration, host: &name::Host) {
         self.witnesses.insert(host.clone(), now);
--- a/tests/proxy/reach.rs
+++ b/tests/proxy/reach.rs
@@ -2,7 +2,7 @@
 //! the others believe.
 
 use {
-    crate::common::{self, POOL, address, core, entry, forwardable, identity, job, ms},
+    crate::common::{self, POOL, address, core, entry, forwardable, identity, job, ms, plain_job},
     greengagecleat::{
         name,
         proxy::{
@@ -296,6 +296,93 @@
     assert!(!core.is_lost(&"e1".into()));
 }
 
+/// Lets an upstream refuse a connection, and others of the region take one. Returns whether it counts
+/// as ended, when another host of the region reports to reach these.
+fn counts_as_ended(found_elsewhere: &[&str]) -> bool {
+    let mut core = core(3);
+    let (now, refusing) = (ms(100), "e0".into());
+    let end = core.unknown_end(now, &refusing).expect("it runs");
+    core.record_refusal(now, &refusing);
+    assert!(core.is_lost(&refusing));
+    for (upstream, _) in core.due_probes(now) {
+        core.record_connection(now, &upstream, upstream != refusing);
+    }
+    let found_elsewhere = found_elsewhere.iter().map(|upstream| (*upstream).into());
+    let told = found(found_elsewhere.collect());
+    receive(&mut core, ms(200), "n2", "north", told);
+    core.confirm_end(ms(350), &refusing, end)
+}
+
+#[test]
+fn an_upstream_that_another_host_reaches_does_not_count_as_ended() {
+    assert!(counts_as_ended(&[]));
+    assert!(counts_as_ended(&["e1"]));
+    assert!(!counts_as_ended(&["e0"]));
+}
+
+#[test]
+fn a_host_that_opens_no_connection_blames_no_request() {
+    let mut core = core(3);
+    let placed = (0..6).map(|number| {
+        let job = next(&core, ms(0), number);
+        core.place(ms(0), &job)
+    });
+    let placed: Vec<_> = placed.collect();
+    let now = ms(100);
+    let all = upstreams(&core).into_iter();
+    let ends = all.map(|upstream| {
+        let end = core.unknown_end(now, &upstream).expect("it runs");
+        (upstream, end)
+    });
+    let ends: Vec<_> = ends.collect();
+    for placement in placed {
+        let Placement::Local(grant) = placement else {
+            panic!("{placement:?}");
+        };
+        core.release(now, grant.ticket, Outcome::Broken);
+    }
+    for (upstream, end) in ends {
+        core.record_refusal(now, &upstream);
+        assert!(!core.confirm_end(ms(350), &upstream, end));
+    }
+    core.judge_suspects(ms(2_000));
+    assert_eq!(core.quarantine.blamed(), 0);
+}
+
+/// Requests under way at each upstream, of which none brings anything more.
+fn silent_core() -> Core {
+    let mut core = core(3);
+    for number in 0..12 {
+        let job = next(&core, ms(0), number);
+        core.place(ms(0), &job);
+    }
+    let plain = plain_job(&core, ms(0));
+    core.place(ms(0), &plain);
+    let silent = core.detect_silent(ms(4_000));
+    assert_eq!(silent.len(), 4, "{silent:?}");
+    core
+}
+
+#[test]
+fn upstreams_that_are_all_silent_for_one_host_do_not_count_as_ended() {
+    let mut core = silent_core();
+    core.judge_suspects(ms(4_100));
+    assert_eq!(core.quarantine.blamed(), 0);
+    lose_all(&mut core, ms(4_200));
+    core.judge_suspects(ms(6_000));
+    assert_eq!(core.quarantine.blamed(), 0);
+}
+
+#[test]
+fn a_silent_upstream_that_takes_connections_counts_as_ended() {
+    let mut core = silent_core();
+    for (upstream, _) in core.due_probes(ms(4_050)) {
+        core.record_connection(ms(4_060), &upstream, true);
+    }
+    core.judge_suspects(ms(4_100));
+    assert!(core.quarantine.blamed() > 0);
+}
+
 #[test]
 fn a_host_that_starts_or_whose_upstreams_start_again_reaches_them() {
     let mut core = core(1);
