Direct callers to hosts that reach upstreams

Callers of a region were directed to hosts that reach no upstream, like to the others, and each of their requests took a hop over a neighbour. Hosts tell those of their region that they are cut off; the directory leaves these out while another host of the region is named. They stay ready and serve the callers that come all the same.

--- a/src/proxy/core/mod.rs
+++ b/src/proxy/core/mod.rs
@@ -307,6 +307,7 @@
             self.fleet.make_region_due();
             self.last_reach = reach.clone();
         }
+        self.fleet.is_cut_off = reach.is_cut_off;
         let recipients = self.fleet.due_recipients(now);
         if recipients.is_empty() {
             return Vec::new();
--- a/src/proxy/fleet.rs
+++ b/src/proxy/fleet.rs
@@ -172,6 +172,8 @@
     pub identity: Identity,
     /// Hash of this host's name for rendezvous hashing.
     pub point: u64,
+    /// Whether this host reaches no upstream.
+    pub is_cut_off: bool,
     peers: BTreeMap<name::Host, Peer>,
     contacts: BTreeMap<name::Host, (SocketAddr, Duration)>,
     seeds: Vec<SocketAddr>,
@@ -218,6 +220,7 @@
             .collect();
         Self {
             point: point(&identity.host),
+            is_cut_off: false,
             identity,
             peers: BTreeMap::new(),
             contacts: BTreeMap::new(),
@@ -462,7 +465,8 @@
 
     /// Returns the addresses of the hosts that callers of a region should use, and whether these
     /// are in other regions because there is none in the callers' region or domain. This host is
-    /// included if it `serves`. Of the other regions, those with the highest `suit` are used.
+    /// included if it `serves`. Hosts that reach no upstream are left out where others are named. Of
+    /// the other regions, those with the highest `suit` are used.
     pub fn directory(
         &self,
         now: Duration,
@@ -471,20 +475,29 @@
         serves: bool,
         suit: impl Fn(&name::Region) -> usize,
     ) -> (Vec<SocketAddr>, bool) {
-        let own = serves.then_some(&self.identity);
+        let own = serves.then_some((&self.identity, self.is_cut_off));
         let peers = self.peers.values().filter_map(|peer| {
             let is_live = now.saturating_sub(peer.last_heard_at) < GONE_AFTER;
-            (peer.is_ready && !peer.is_leaving && is_live).then_some(&peer.identity)
+            let is_named = peer.is_ready && !peer.is_leaving && is_live;
+            is_named.then_some((&peer.identity, peer.reach.is_cut_off))
         });
         let live: Vec<_> = own.into_iter().chain(peers).collect();
-        let in_region: Vec<_> = live
+        let is_in_region =
+            |identity: &Identity| identity.region == *region || identity.domain == *domain;
+        let (cut_off, reaching): (Vec<_>, Vec<_>) = live
             .iter()
-            .filter(|identity| identity.region == *region || identity.domain == *domain)
-            .map(|identity| identity.callers)
-            .collect();
+            .filter(|(identity, _)| is_in_region(identity))
+            .partition(|(_, is_cut_off)| *is_cut_off);
+        let in_region = if reaching.is_empty() {
+            cut_off
+        } else {
+            reaching
+        };
         if !in_region.is_empty() {
-            return (in_region, false);
+            let callers = in_region.iter().map(|(identity, _)| identity.callers);
+            return (callers.collect(), false);
         }
+        let live: Vec<_> = live.into_iter().map(|(identity, _)| identity).collect();
         let regions: BTreeSet<_> = live.iter().map(|identity| &identity.region).collect();
         let scores: BTreeMap<_, _> = regions
             .into_iter()
--- a/tests/proxy/fleet.rs
+++ b/tests/proxy/fleet.rs
@@ -3,7 +3,10 @@
 
 use {
     crate::common::{self, address, identity, ms},
-    greengagecleat::proxy::fleet::{Fleet, GONE_AFTER, Recipient, Report, Update},
+    greengagecleat::proxy::{
+        fleet::{Fleet, GONE_AFTER, Recipient, Report, Update},
+        reach,
+    },
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -206,3 +209,23 @@
     assert!(near <= 700, "{near} to the region in ten seconds");
     assert!(sent.len() - near <= 700, "{} in ten seconds", sent.len());
 }
+
+/// Callers were directed to hosts that reach no upstream, beside others of the region that do.
+#[test]
+fn a_host_that_reaches_no_upstream_is_named_only_if_its_region_has_no_other() {
+    let mut fleet = fleet();
+    let told = |sequence, is_cut_off| Report {
+        reach: reach::Report {
+            is_cut_off,
+            ..reach::Report::default()
+        },
+        ..report("n2", "north", 2, 1, sequence)
+    };
+    fleet.record_report(ms(0), &told(1, true));
+    assert_eq!(directory_at(&fleet, ms(1), "north"), [address(1)]);
+    fleet.is_cut_off = true;
+    let both = [address(1), address(2)];
+    assert_eq!(directory_at(&fleet, ms(1), "north"), both);
+    fleet.record_report(ms(0), &told(2, false));
+    assert_eq!(directory_at(&fleet, ms(1), "north"), [address(2)]);
+}
