Bound the reports that tell of upstreams which are missed

Each change in what a host misses or finds made reports to all hosts of its region due at once, up to twenty times a second each. Early reports now come at most every 100 ms. What hosts tell of upstreams is looked at only if one tells something, or has before.

--- a/src/proxy/core/mod.rs
+++ b/src/proxy/core/mod.rs
@@ -54,6 +54,9 @@
 const SHARING_TIMEOUT: Duration = Duration::from_secs(10);
 /// Hosts of the region that are assumed during [`DISCOVERY_TIME`] to share an upstream's limit.
 const ASSUMED_HOSTS: usize = 4;
+/// Shortest time between two reports that are sent early since this host reaches other upstreams than
+/// before.
+const MIN_REACH_INTERVAL: Duration = Duration::from_millis(100);
 /// Share of the fleet's allowed retry ratio that is used.
 const RETRY_RATIO_SHARE: f64 = 0.7;
 /// Share of the fleet's allowed extra retries that is used. The rest covers restarts, as a host
@@ -180,6 +183,8 @@
     retry_hosts: usize,
     /// What was last told of upstreams that this host or others can't reach.
     last_reach: reach::Report,
+    /// When that was.
+    reach_told_at: Duration,
     /// Since when this host reaches no upstream.
     cut_off_since: Option<Duration>,
     rng: StdRng,
@@ -211,6 +216,7 @@
             retry_budgets: BTreeMap::new(),
             retry_hosts: 0,
             last_reach: reach::Report::default(),
+            reach_told_at: Duration::ZERO,
             cut_off_since: None,
             rng: StdRng::seed_from_u64(setup.rng_seed),
             started_at: now,
@@ -249,6 +255,7 @@
         now: Duration,
         report: Report,
     ) -> (Update, Vec<(name::Upstream, throttle::Change)>) {
+        let has_told = self.fleet.has_told_of_reach(&report.from.host);
         let update = self.fleet.record_report(now, &report);
         let mut changes = Vec::new();
         if update == Update::Stale {
@@ -274,7 +281,9 @@
         self.limiter
             .set_estimated_hosts(self.fleet.estimated_hosts(domains));
         if report.from.region == self.setup.identity.region {
-            self.receive_reach(now, host, &report.reach);
+            if has_told || !report.reach.is_empty() {
+                self.receive_reach(now, host, &report.reach);
+            }
             for replica in self.catalog.all_mut() {
                 replica.forget_tally(host);
             }
@@ -303,8 +312,9 @@
         leaving: bool,
     ) -> Vec<(Recipient, Report)> {
         let reach = self.reach_report(now);
-        if reach != self.last_reach {
+        if reach != self.last_reach && now >= self.reach_told_at + MIN_REACH_INTERVAL {
             self.fleet.make_region_due();
+            self.reach_told_at = now;
             self.last_reach = reach.clone();
         }
         self.fleet.is_cut_off = reach.is_cut_off;
--- a/src/proxy/fleet.rs
+++ b/src/proxy/fleet.rs
@@ -382,6 +382,12 @@
         }
     }
 
+    /// Whether a host has last told of upstreams that it or others can't reach.
+    pub fn has_told_of_reach(&self, host: &name::Host) -> bool {
+        let peer = self.peers.get(host);
+        peer.is_some_and(|peer| !peer.reach.is_empty())
+    }
+
     /// Returns the sequence number of the next report.
     pub fn next_sequence(&mut self) -> u64 {
         self.sequence += 1;
