Count only signs of an upstream since another host misses it

A host told that it reaches an upstream if it had a byte of it within 1.5 s. Of one that had just ended it said so too, so that the host which missed it forwarded requests for it in vain, and did not take it for ended. And each host of a region probed what one missed.

Now a sign counts only since the other host misses the upstream, and three hosts probe it if none comes within 100 ms. The test of what is told failed before ("seen before"): all three upstreams were told as found.

--- a/src/proxy/core/relay.rs
+++ b/src/proxy/core/relay.rs
@@ -23,6 +23,8 @@
 const NEIGHBOUR_ROUND_TRIP_MS: f64 = 10.0;
 /// Most upstreams of each kind in a report.
 const MAX_REPORTED: usize = 64;
+/// Hosts that probe an upstream which another one misses, unless they have a sign of it.
+const MAX_INQUIRED: usize = 3;
 /// Within this time another upstream must have been heard for the silence of one to be its own.
 const SILENCE_EVIDENCE_TIME: Duration = Duration::from_millis(500);
 /// Time from the loss of an upstream until it may be presumed to have ended.
@@ -76,7 +78,7 @@
         let asked = asking.flat_map(|peer| &peer.reach.missing);
         let is_found = |upstream: &&name::Upstream| {
             let replica = self.catalog.get(upstream);
-            replica.is_some_and(|replica| replica.reach.is_proved(now))
+            replica.is_some_and(|replica| replica.reach.is_found(now))
         };
         Report {
             missing: missing
@@ -88,19 +90,31 @@
         }
     }
 
-    /// Takes over what another host of the region tells of upstreams. Those that it misses and of
-    /// which this host has had no sign lately are put in doubt, which finds out.
+    /// Takes over what another host of the region tells of upstreams. A few hosts, the first by
+    /// rendezvous weight, probe those that it misses unless they have a sign of them.
     pub(super) fn receive_reach(&mut self, now: Duration, host: &name::Host, report: &Report) {
+        let is_probed = |replica: &Replica| {
+            let others = self.fleet.neighbours(now);
+            self.rank(replica, others.filter(|peer| peer.identity.host != *host))
+                .1
+                < MAX_INQUIRED
+        };
+        let missing = report.missing.iter();
+        let probed: BTreeSet<_> = missing
+            .filter_map(|upstream| self.catalog.get(upstream))
+            .filter(|replica| is_probed(replica))
+            .map(|replica| replica.entry.id.clone())
+            .collect();
         for replica in self.catalog.all_mut() {
             let upstream = &replica.entry.id;
+            let reach = &mut replica.reach;
             if report.found.contains(upstream) {
-                replica.reach.record_witness(now, host);
+                reach.record_witness(now, host);
             } else {
-                replica.reach.forget_witness(host);
-            }
-            if report.missing.contains(upstream) && !replica.reach.is_proved(now) {
-                replica.reach.doubt(now);
+                reach.forget_witness(host);
             }
+            let is_missing = report.missing.contains(upstream);
+            reach.record_inquiry(now, host, is_missing, probed.contains(upstream));
         }
     }
 
--- a/src/proxy/reach.rs
+++ b/src/proxy/reach.rs
@@ -17,6 +17,9 @@
 const EVIDENCE_TTL: Duration = Duration::from_millis(1_500);
 /// Shortest time between two probes of one upstream that is not known to be unreached.
 const MIN_PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time for which a sign of life of an upstream that another host misses is waited for, before a probe
+/// is made.
+const INQUIRY_PATIENCE: Duration = Duration::from_millis(100);
 /// Time from the first failure to reach an upstream within which other hosts can have told that they
 /// reach it.
 pub const INQUIRY_TIME: Duration = Duration::from_millis(250);
@@ -34,6 +37,12 @@
     heard_at: Option<Duration>,
     probed_at: Option<Duration>,
     is_probing: bool,
+    /// Other hosts that miss it.
+    inquirers: BTreeSet<name::Host>,
+    /// Since when another host misses it.
+    asked_at: Option<Duration>,
+    /// Whether this host is to probe it for other hosts that miss it.
+    is_probed_for_others: bool,
     /// Other hosts that reach it, with the time of their reports.
     witnesses: BTreeMap<name::Host, Duration>,
 }
@@ -123,10 +132,39 @@
     /// Whether a probe is due that settles a doubt.
     pub fn is_probe_due(&self, now: Duration) -> bool {
         let is_early = |at: Duration| now.saturating_sub(at) < MIN_PROBE_INTERVAL;
-        self.is_doubted()
-            && !self.is_lost()
-            && !self.is_probing
-            && !self.probed_at.is_some_and(is_early)
+        let is_asked = |at: Duration| {
+            now.saturating_sub(at) >= INQUIRY_PATIENCE && self.last_sign() < Some(at)
+        };
+        let is_wanted =
+            self.is_doubted() || (self.is_probed_for_others && self.asked_at.is_some_and(is_asked));
+        is_wanted && !self.is_lost() && !self.is_probing && !self.probed_at.is_some_and(is_early)
+    }
+
+    /// Records whether another host misses the upstream, and whether this host is one of those that
+    /// then probe it.
+    pub fn record_inquiry(
+        &mut self,
+        now: Duration,
+        host: &name::Host,
+        is_missing: bool,
+        is_probed: bool,
+    ) {
+        if !is_missing {
+            self.inquirers.remove(host);
+        } else if !self.inquirers.contains(host) {
+            self.inquirers.insert(host.clone());
+            self.is_probed_for_others = is_probed;
+        }
+        if self.inquirers.is_empty() {
+            self.asked_at = None;
+        } else {
+            self.asked_at.get_or_insert(now);
+        }
+    }
+
+    /// When there was a sign of life.
+    fn last_sign(&self) -> Option<Duration> {
+        self.opened_at.max(self.heard_at)
     }
 
     /// When the last probe began; zero before the first.
@@ -140,17 +178,19 @@
         self.is_probing = true;
     }
 
-    /// Whether there was a sign of life lately, and nothing speaks against it.
-    pub fn is_proved(&self, now: Duration) -> bool {
+    /// Whether there was a sign of life lately and since another host misses the upstream, and nothing
+    /// speaks against it.
+    pub fn is_found(&self, now: Duration) -> bool {
         let is_fresh = |at: Duration| now.saturating_sub(at) < EVIDENCE_TTL;
-        let latest = self.opened_at.max(self.heard_at);
-        !self.is_doubted() && latest.is_some_and(is_fresh)
+        let is_since = |at: Duration| self.asked_at.is_some_and(|asked_at| at >= asked_at);
+        let mut sign = self.last_sign().into_iter();
+        !self.is_doubted() && sign.any(|at| is_fresh(at) && is_since(at))
     }
 
     /// Whether a byte arrived, or a connection was opened, within this time.
     pub fn has_sign_within(&self, now: Duration, time: Duration) -> bool {
-        let latest = self.opened_at.max(self.heard_at);
-        latest.is_some_and(|at| now.saturating_sub(at) < time)
+        self.last_sign()
+            .is_some_and(|at| now.saturating_sub(at) < time)
     }
 
     /// Records that another host reaches the upstream.
--- a/tests/proxy/reach.rs
+++ b/tests/proxy/reach.rs
@@ -231,15 +231,21 @@
 fn a_host_is_told_of_upstreams_only_if_there_is_a_sign_of_them() {
     let mut core = core(2);
     let all = upstreams(&core);
-    receive(&mut core, ms(10), "n2", "north", missing(all.clone()));
-    assert!(told(&mut core, ms(20)).found.is_empty());
-    // Each is probed, as nothing was heard of it.
-    let due = core.due_probes(ms(20));
+    for upstream in &all {
+        core.record_connection(ms(0), upstream, true);
+    }
+    receive(&mut core, ms(110), "n2", "north", missing(all.clone()));
+    assert!(told(&mut core, ms(120)).found.is_empty(), "seen before");
+    // Each is probed, as nothing is heard of it.
+    assert!(core.due_probes(ms(120)).is_empty());
+    let due = core.due_probes(ms(210));
     assert_eq!(due.len(), all.len());
     for (upstream, _) in &due {
-        core.record_connection(ms(30), upstream, true);
+        core.record_connection(ms(220), upstream, true);
     }
-    assert_eq!(told(&mut core, ms(40)).found, all);
+    assert_eq!(told(&mut core, ms(250)).found, all);
+    receive(&mut core, ms(300), "n2", "north", reach::Report::default());
+    assert!(told(&mut core, ms(400)).found.is_empty());
 }
 
 #[test]
@@ -392,3 +398,22 @@
     core.catalog.upsert(ms(10), again);
     assert!(!core.is_lost(&"e0".into()));
 }
+
+#[test]
+fn few_hosts_of_a_large_region_probe_an_upstream_that_one_misses() {
+    let probes = (0..24).filter(|number| {
+        let mut setup = common::setup(&format!("n{number}"), "north", 1);
+        setup.identity.incarnation = 1;
+        let mut core = Core::new(ms(0), setup);
+        core.catalog
+            .replace_all(ms(0), vec![entry("e0", "north-a", POOL, 1)]);
+        for other in (0..24).filter(|other| other != number) {
+            let host = format!("n{other}");
+            receive(&mut core, ms(0), &host, "north", reach::Report::default());
+        }
+        let told = missing(BTreeSet::from(["e0".into()]));
+        receive(&mut core, ms(10), "n24", "north", told);
+        !core.due_probes(ms(200)).is_empty()
+    });
+    assert_eq!(probes.count(), 3);
+}
