Probe an upstream that was lost a moment ago more often

The only upstream of a pool that was away for 100 ms stayed unused for a second where its host reaches others, as lost ones were probed each second. Now the time to the next probe is half of that since the loss, from 100 ms to 1 s.

--- a/src/proxy/catalog.rs
+++ b/src/proxy/catalog.rs
@@ -35,8 +35,9 @@
 const EJECTION_TIME: Duration = Duration::from_millis(800);
 /// Upper bound on the length of an ejection; engines recover within seconds.
 const MAX_EJECTION_TIME: Duration = Duration::from_secs(4);
-/// Time between two probes of upstreams that can't be reached, while others can.
-const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Least and most time between two probes of upstreams that can't be reached, while others can. It
+/// is half of the time since the last of them was lost.
+const PROBE_INTERVAL: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(1));
 /// The same while none can be reached.
 const CUT_OFF_PROBE_INTERVAL: Duration = Duration::from_millis(250);
 /// Most upstreams that are probed at once after one was reached again.
@@ -499,6 +500,10 @@
         if lost.is_empty() {
             return due;
         }
+        let lost_for = lost
+            .iter()
+            .filter_map(|replica| replica.reach.lost_for(now));
+        let lost_for = lost_for.min().unwrap_or_default();
         lost.sort_by_key(|replica| replica.reach.probed_at());
         lost.truncate(if self.is_returning { MAX_PROBES } else { 1 });
         for replica in lost {
@@ -506,7 +511,7 @@
             due.push((replica.entry.id.clone(), replica.entry.address));
         }
         let interval = if is_any_reached {
-            PROBE_INTERVAL
+            (lost_for / 2).clamp(PROBE_INTERVAL.0, PROBE_INTERVAL.1)
         } else {
             CUT_OFF_PROBE_INTERVAL
         };
