--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -89,11 +89,17 @@
 impl<C: Clock> Entry<C> {
     /// Binds the addresses over TCP and starts every service.
     pub async fn start(settings: Settings, clock: C) -> Result<Self> {
-        Self::start_on(Network::Tcp, settings, clock).await
+        Self::start_on(Network::Tcp, Network::Tcp, settings, clock).await
     }
 
-    /// Binds the addresses on `network` and starts every service.
-    pub async fn start_on(network: Network, settings: Settings, clock: C) -> Result<Self> {
+    /// Binds the addresses on `network` and starts every service; upstreams are reached on
+    /// `upstream_network`.
+    pub async fn start_on(
+        network: Network,
+        upstream_network: Network,
+        settings: Settings,
+        clock: C,
+    ) -> Result<Self> {
         let callers = bind(&network, "callers' address", settings.listen).await?;
         let peers = bind(&network, "peers' address", settings.peer_listen).await?;
         let admin = bind(&network, "admin address", settings.admin_listen).await?;
@@ -116,7 +122,7 @@
             host: settings.name.clone(),
             secret: Arc::from(settings.peer_secret.as_str()),
             message_limit: wire::MESSAGE_LIMIT.max(settings.body_limit + EXCHANGE_HEADROOM_BYTES),
-            network: network.clone(),
+            network,
         };
         let link = link::Handle::new(identity.clone(), peer_addresses.clone());
         kernel.publish("link", link.clone());
@@ -151,7 +157,7 @@
         let queue = queue::Handle::new(queue::Options::default(), clock.clone(), router.clone());
         queue.register(&metrics);
         kernel.spawn("queue", queue.clone().run(stopped.clone()));
-        let upstreams = upstream::Client::new(network);
+        let upstreams = upstream::Client::new(upstream_network);
         let (digest_mailbox, digest_inbox) = mpsc::channel(DIGEST_MAILBOX_CAPACITY);
         kernel.spawn(
             "load",
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -9,6 +9,7 @@
         entry::{Addresses, Entry},
         key::Digest,
         limit::Timing,
+        net::Network,
         settings::Settings,
     },
     std::{net::SocketAddr, time::Duration},
@@ -80,11 +81,21 @@
 
     /// Starts an entry host and adds it to the host list.
     pub(crate) async fn host(&mut self, name: &str, region: &str) -> Running {
+        self.host_on(name, region, Network::Tcp).await
+    }
+
+    /// The same, for a host that reaches its upstreams on `upstream_network`.
+    pub(crate) async fn host_on(
+        &mut self,
+        name: &str,
+        region: &str,
+        upstream_network: Network,
+    ) -> Running {
         let settings = Settings {
             region_hosts: self.region_hosts,
             ..settings(name, region, self.platform.address)
         };
-        let entry = Entry::start(settings, Monotonic::new())
+        let entry = Entry::start_on(Network::Tcp, upstream_network, settings, Monotonic::new())
             .await
             .expect("entry host");
         let addresses = entry.addresses();
--- a/tests/golden/bench.rs
+++ b/tests/golden/bench.rs
@@ -157,7 +157,7 @@
         let clock = FixedClock {
             origin: Instant::now(),
         };
-        Entry::start_on(self.network.clone(), settings, clock)
+        Entry::start_on(self.network.clone(), self.network.clone(), settings, clock)
             .await
             .expect("the host starts")
     }
