Renew the sign of upstreams that a neighbour misses before it expires

Callers of a host that is cut off were refused for moments, again and again, while its neighbours had no requests for the upstreams.

Cause: a host vouches for an upstream for 1.5 s after its last sign, and probed it again only once that had expired and the next report asked. Between them, up to 0.3 s of each 1.8 s, it told at once that it reaches none; the host that is cut off had no witness then, refused what it could not forward elsewhere, and could presume that a silent upstream had ended.

Now a report that misses an upstream whose last sign is a second old makes a probe due, with no doubt about the upstream. A probe a second for each such upstream is the most that it costs; it was one each 1.8 s.

--- a/src/proxy/core/relay.rs
+++ b/src/proxy/core/relay.rs
@@ -89,7 +89,7 @@
     }
 
     /// Takes over what another host of the region tells of upstreams. Those that it misses and of
-    /// which this host has had no sign lately are put in doubt, which finds out.
+    /// which this host has had no sign lately are probed.
     pub(super) fn receive_reach(&mut self, now: Duration, host: &name::Host, report: &Report) {
         for replica in self.catalog.all_mut() {
             let upstream = &replica.entry.id;
@@ -98,8 +98,8 @@
             } else {
                 replica.reach.forget_witness(host);
             }
-            if report.missing.contains(upstream) && !replica.reach.is_proved(now) {
-                replica.reach.doubt(now);
+            if report.missing.contains(upstream) {
+                replica.reach.ask(now);
             }
         }
     }
--- a/src/proxy/reach.rs
+++ b/src/proxy/reach.rs
@@ -34,6 +34,8 @@
     heard_at: Option<Duration>,
     probed_at: Option<Duration>,
     is_probing: bool,
+    /// Whether another host asks for a new sign of life before the last one expires.
+    is_renewal_due: bool,
     /// Other hosts that reach it, with the time of their reports.
     witnesses: BTreeMap<name::Host, Duration>,
 }
@@ -120,10 +122,20 @@
         self.doubted_at.get_or_insert(now);
     }
 
-    /// Whether a probe is due that settles a doubt.
+    /// Records that another host asks whether the upstream is reached, so that a probe is due unless
+    /// there was a sign of it lately.
+    pub fn ask(&mut self, now: Duration) {
+        if !self.is_proved(now) {
+            self.doubt(now);
+        } else if !self.has_sign_within(now, MIN_PROBE_INTERVAL) {
+            self.is_renewal_due = true;
+        }
+    }
+
+    /// Whether a probe is due that settles a doubt or renews a sign of life.
     pub fn is_probe_due(&self, now: Duration) -> bool {
         let is_early = |at: Duration| now.saturating_sub(at) < MIN_PROBE_INTERVAL;
-        self.is_doubted()
+        (self.is_doubted() || self.is_renewal_due)
             && !self.is_lost()
             && !self.is_probing
             && !self.probed_at.is_some_and(is_early)
@@ -138,6 +150,7 @@
     pub fn start_probe(&mut self, now: Duration) {
         self.probed_at = Some(now);
         self.is_probing = true;
+        self.is_renewal_due = false;
     }
 
     /// Whether there was a sign of life lately, and nothing speaks against it.
--- a/tests/proxy/reach.rs
+++ b/tests/proxy/reach.rs
@@ -242,6 +242,30 @@
     assert_eq!(told(&mut core, ms(40)).found, all);
 }
 
+/// Between two probes of upstreams without requests, a host did not tell that it reaches them.
+#[test]
+fn a_host_is_told_of_upstreams_without_requests_all_the_time() {
+    let mut core = core(2);
+    let all = upstreams(&core);
+    receive(&mut core, ms(0), "n2", "north", missing(all.clone()));
+    let (mut probed, mut opened) = (Vec::new(), 0);
+    for tick in 0..200 {
+        let now = ms(50 * tick + 1);
+        if tick % 5 == 3 {
+            receive(&mut core, now, "n2", "north", missing(all.clone()));
+        }
+        for (upstream, _) in std::mem::replace(&mut probed, core.due_probes(now)) {
+            core.record_connection(now, &upstream, true);
+            opened += 1;
+        }
+        for (recipient, report) in core.due_reports(now, true, false) {
+            let is_told = recipient.is_same_region && tick >= 2;
+            assert!(!is_told || report.reach.found == all, "{now:?}");
+        }
+    }
+    assert!(opened <= all.len() * 10, "{opened} in 10 s");
+}
+
 #[test]
 fn two_hosts_that_reach_nothing_ask_each_other_and_forward_nothing() {
     let mut core = core(2);
