Count an upstream once among those that are reported as reached

Hosts that missed an upstream which others had not in common were told of no neighbour that reaches it, so their callers' requests for it were refused.

Cause: a report holds 64 upstreams that other hosts miss and the sender reaches. The limit was applied to the upstreams of all hosts one after the other, before repetitions fell away, so that a few hosts which miss the same ones used it up.

Now the limit counts different upstreams.

--- a/src/proxy/core/relay.rs
+++ b/src/proxy/core/relay.rs
@@ -73,7 +73,7 @@
         let missing = self.catalog.all().filter(is_missing);
         let is_fresh = |peer: &&Peer| now.saturating_sub(peer.last_heard_at) < SILENT_AFTER;
         let asking = self.region_peers().filter(is_fresh);
-        let asked = asking.flat_map(|peer| &peer.reach.missing);
+        let asked: BTreeSet<_> = asking.flat_map(|peer| &peer.reach.missing).collect();
         let is_found = |upstream: &&name::Upstream| {
             let replica = self.catalog.get(upstream);
             replica.is_some_and(|replica| replica.reach.is_proved(now))
@@ -83,7 +83,12 @@
                 .map(|replica| replica.entry.id.clone())
                 .take(MAX_REPORTED)
                 .collect(),
-            found: asked.filter(is_found).take(MAX_REPORTED).cloned().collect(),
+            found: asked
+                .into_iter()
+                .filter(is_found)
+                .take(MAX_REPORTED)
+                .cloned()
+                .collect(),
             is_cut_off: self.catalog.is_cut_off(),
         }
     }
--- a/tests/proxy/reach.rs
+++ b/tests/proxy/reach.rs
@@ -266,6 +266,25 @@
     assert!(opened <= all.len() * 10, "{opened} in 10 s");
 }
 
+/// Upstreams that several hosts missed left no room for those that others missed.
+#[test]
+fn hosts_that_miss_the_same_upstreams_leave_room_for_what_others_miss() {
+    let mut core = core(40);
+    let all = upstreams(&core);
+    for upstream in &all {
+        core.record_connection(ms(0), upstream, true);
+    }
+    let (first, last): (BTreeSet<_>, BTreeSet<_>) = all
+        .iter()
+        .cloned()
+        .partition(|upstream| *upstream < "e4".into());
+    for host in ["n2", "n03", "n004", "n0005"] {
+        receive(&mut core, ms(10), host, "north", missing(first.clone()));
+    }
+    receive(&mut core, ms(10), "n9", "north", missing(last));
+    assert_eq!(told(&mut core, ms(20)).found, all);
+}
+
 #[test]
 fn two_hosts_that_reach_nothing_ask_each_other_and_forward_nothing() {
     let mut core = core(2);
