Count ends of upstreams of which other evidence is recent

A request that ends upstreams could be sent to more of them than it has to be: some of the ends were not counted, so it was withheld later, or only once the store told of the ends.

Cause: an upstream that refuses a connection counts as ended only if a connection to another one was opened since. These are opened when an upstream becomes unreached, and none was since the refusal where requests had found it unreached before, where one was opened since an older doubt, or where the others had been probed within the last second.

Evidence: two ends 500 ms apart among four upstreams, of which the second did not count, and an upstream that requests found unreached 20 ms before the refusal. Both tests fail without the change and pass with it.

Now a refusal that was asked for always has two others probed, whenever these were probed last. Only a change to unreached or such a refusal causes it, so an end costs two connections as before; the test of that passes unchanged.

--- a/src/proxy/catalog.rs
+++ b/src/proxy/catalog.rs
@@ -462,18 +462,35 @@
             return None;
         }
         let doubted_at = replica.reach.doubted_at().unwrap_or(now);
+        self.doubt_others(now, doubted_at);
+        Some(Change::Lost(id.clone()))
+    }
+
+    /// Records that an upstream refused a connection, which alone makes it unreached. Some others are
+    /// in doubt too, as only a connection opened since tells whether the fault is this host's.
+    pub fn record_refused(&mut self, now: Duration, id: &name::Upstream) -> Option<Change> {
+        self.is_returning = false;
+        let replica = self.replicas.get_mut(id)?;
+        replica.reach.doubt(now);
+        let is_new = replica.reach.record_failed(now);
+        self.doubt_others(now, now);
+        is_new.then(|| Change::Lost(id.clone()))
+    }
+
+    /// Puts some upstreams in doubt that are not, so that they are probed now, unless a connection to
+    /// one of these was opened since a time.
+    fn doubt_others(&mut self, now: Duration, since: Duration) {
         let is_undoubted = |replica: &&mut Replica| !replica.reach.is_doubted();
         let others = self.replicas.values_mut().filter(is_undoubted);
         let (mut others, opened): (Vec<_>, Vec<_>) =
-            others.partition(|replica| replica.reach.opened_at() < Some(doubted_at));
-        if opened.is_empty() {
-            others
-                .sort_by_key(|replica| affinity::mix(replica.point ^ doubted_at.as_nanos() as u64));
-            for replica in others.into_iter().take(DOUBTED_BESIDE_LOST) {
-                replica.reach.doubt(now);
-            }
+            others.partition(|replica| replica.reach.opened_at() < Some(since));
+        if !opened.is_empty() {
+            return;
+        }
+        others.sort_by_key(|replica| affinity::mix(replica.point ^ since.as_nanos() as u64));
+        for replica in others.into_iter().take(DOUBTED_BESIDE_LOST) {
+            replica.reach.doubt_at_once(now);
         }
-        Some(Change::Lost(id.clone()))
     }
 
     /// The upstreams to which a connection is to be opened now, to find out whether that is possible.
--- a/src/proxy/core/relay.rs
+++ b/src/proxy/core/relay.rs
@@ -216,8 +216,7 @@
 
     /// Records that an upstream which broke an answer off refuses connections.
     pub fn record_refusal(&mut self, now: Duration, upstream: &name::Upstream) -> Option<Change> {
-        self.catalog.get_mut(upstream)?.reach.doubt(now);
-        self.catalog.record_unopened(now, upstream)
+        self.catalog.record_refused(now, upstream)
     }
 
     /// Records the end of an upstream that has refused a connection, unless the fault may be this
--- a/src/proxy/reach.rs
+++ b/src/proxy/reach.rs
@@ -122,6 +122,12 @@
         self.doubted_at.get_or_insert(now);
     }
 
+    /// Like [`Self::doubt`], however short ago the last probe was.
+    pub fn doubt_at_once(&mut self, now: Duration) {
+        self.doubt(now);
+        self.probed_at = None;
+    }
+
     /// Records that another host asks whether the upstream is reached, so that a probe is due unless
     /// there was a sign of it lately.
     pub fn ask(&mut self, now: Duration) {
--- a/tests/proxy/reach.rs
+++ b/tests/proxy/reach.rs
@@ -363,6 +363,41 @@
     assert!(!counts_as_ended(&["e0"]));
 }
 
+/// Probes that are due, of which all but those of these upstreams open a connection.
+fn probe_all_but(core: &mut Core, now: Duration, refusing: &[name::Upstream]) {
+    for (upstream, _) in core.due_probes(now) {
+        core.record_connection(now, &upstream, !refusing.contains(&upstream));
+    }
+}
+
+/// The second of two ends within a second was not counted.
+#[test]
+fn upstreams_that_end_shortly_after_one_another_all_count_as_ended() {
+    let mut core = core(3);
+    let ending: [name::Upstream; 2] = ["e0".into(), "e1".into()];
+    for (number, upstream) in ending.iter().enumerate() {
+        let refused_at = ms(100 + 500 * number as u64);
+        let end = core.unknown_end(refused_at, upstream).expect("it runs");
+        core.record_refusal(refused_at, upstream);
+        probe_all_but(&mut core, refused_at, &ending[..=number]);
+        let now = refused_at + reach::INQUIRY_TIME;
+        assert!(core.confirm_end(now, upstream, end), "{upstream}");
+    }
+}
+
+/// The end of an upstream that requests had found unreached was not counted.
+#[test]
+fn an_upstream_that_was_unreached_when_it_refused_counts_as_ended() {
+    let mut core = core(3);
+    let refusing: name::Upstream = "e0".into();
+    let end = core.unknown_end(ms(100), &refusing).expect("it runs");
+    lose(&mut core, ms(110), [&refusing]);
+    probe_all_but(&mut core, ms(111), std::slice::from_ref(&refusing));
+    core.record_refusal(ms(130), &refusing);
+    probe_all_but(&mut core, ms(131), std::slice::from_ref(&refusing));
+    assert!(core.confirm_end(ms(380), &refusing, end));
+}
+
 #[test]
 fn a_host_that_opens_no_connection_blames_no_request() {
     let mut core = core(3);
