Vouch for an upstream only with a sign since the question

The end of an upstream did not count where another host of the region had heard it in the 1.5 s before: requests that end upstreams would be withheld late, and requests were handed to neighbours for an upstream that was gone.

Cause: a host answered that it reaches an upstream by the last sign of it, however long before the question. One without requests there notices no end, so it vouched for the dead for up to 1.5 s; the end is confirmed 250 ms after the refusal.

Now a host that begins to miss an upstream gets the answer of a sign that came since; without one a probe finds out at once. Asking on is no new question, so an answer that was given holds.

Evidence: a host that heard an upstream 10 ms before the question told of it as reached; the test fails without the change and passes with it. The test of reports from several hosts now opens the connections after they ask.

--- a/src/proxy/core/relay.rs
+++ b/src/proxy/core/relay.rs
@@ -76,7 +76,7 @@
         let asked: BTreeSet<_> = asking.flat_map(|peer| &peer.reach.missing).collect();
         let is_found = |upstream: &&name::Upstream| {
             let replica = self.catalog.get(upstream);
-            replica.is_some_and(|replica| replica.reach.is_proved(now))
+            replica.is_some_and(|replica| replica.reach.is_confirmed(now))
         };
         Report {
             missing: missing
@@ -103,9 +103,8 @@
             } else {
                 replica.reach.forget_witness(host);
             }
-            if report.missing.contains(upstream) {
-                replica.reach.ask(now);
-            }
+            let is_asking = report.missing.contains(upstream);
+            replica.reach.record_asking(now, host, is_asking);
         }
     }
 
--- a/src/proxy/reach.rs
+++ b/src/proxy/reach.rs
@@ -34,6 +34,10 @@
     heard_at: Option<Duration>,
     probed_at: Option<Duration>,
     is_probing: bool,
+    /// Other hosts that can't reach it.
+    asking: BTreeSet<name::Host>,
+    /// When one of them began to ask.
+    asked_at: Option<Duration>,
     /// Whether another host asks for a new sign of life before the last one expires.
     is_renewal_due: bool,
     /// Other hosts that reach it, with the time of their reports.
@@ -128,12 +132,20 @@
         self.probed_at = None;
     }
 
-    /// Records that another host asks whether the upstream is reached, so that a probe is due unless
-    /// there was a sign of it lately.
-    pub fn ask(&mut self, now: Duration) {
+    /// Records whether another host asks if the upstream is reached. If so, a probe is due unless there
+    /// was a sign of it lately, and since the host began to ask.
+    pub fn record_asking(&mut self, now: Duration, host: &name::Host, is_asking: bool) {
+        if !is_asking {
+            self.asking.remove(host);
+            return;
+        }
+        if self.asking.insert(host.clone()) {
+            self.asked_at = Some(now);
+            self.probed_at = None;
+        }
         if !self.is_proved(now) {
             self.doubt(now);
-        } else if !self.has_sign_within(now, MIN_PROBE_INTERVAL) {
+        } else if !self.is_confirmed(now) || !self.has_sign_within(now, MIN_PROBE_INTERVAL) {
             self.is_renewal_due = true;
         }
     }
@@ -166,6 +178,11 @@
         !self.is_doubted() && latest.is_some_and(is_fresh)
     }
 
+    /// Whether there was a sign of life lately, and since a host began to ask for one.
+    pub fn is_confirmed(&self, now: Duration) -> bool {
+        self.is_proved(now) && self.opened_at.max(self.heard_at) >= self.asked_at
+    }
+
     /// Whether a byte arrived, or a connection was opened, within this time.
     pub fn has_sign_within(&self, now: Duration, time: Duration) -> bool {
         let latest = self.opened_at.max(self.heard_at);
--- a/tests/proxy/reach.rs
+++ b/tests/proxy/reach.rs
@@ -271,9 +271,6 @@
 fn hosts_that_miss_the_same_upstreams_leave_room_for_what_others_miss() {
     let mut core = core(40);
     let all = upstreams(&core);
-    for upstream in &all {
-        core.record_connection(ms(0), upstream, true);
-    }
     let (first, last): (BTreeSet<_>, BTreeSet<_>) = all
         .iter()
         .cloned()
@@ -282,9 +279,29 @@
         receive(&mut core, ms(10), host, "north", missing(first.clone()));
     }
     receive(&mut core, ms(10), "n9", "north", missing(last));
+    for upstream in &all {
+        core.record_connection(ms(15), upstream, true);
+    }
     assert_eq!(told(&mut core, ms(20)).found, all);
 }
 
+/// A sign of life from before an end counted as a proof against it.
+#[test]
+fn a_host_tells_of_no_upstream_without_a_sign_since_it_was_asked() {
+    let mut core = core(2);
+    let asked = BTreeSet::from(["e0".into()]);
+    core.record_connection(ms(90), &"e0".into(), true);
+    receive(&mut core, ms(100), "n2", "north", missing(asked.clone()));
+    assert!(told(&mut core, ms(110)).found.is_empty());
+    let due = core.due_probes(ms(110));
+    assert_eq!(due, [("e0".into(), address(1))]);
+    core.record_connection(ms(120), &"e0".into(), true);
+    assert_eq!(told(&mut core, ms(130)).found, asked);
+    // Asking on is no new question.
+    receive(&mut core, ms(390), "n2", "north", missing(asked.clone()));
+    assert_eq!(told(&mut core, ms(400)).found, asked);
+}
+
 #[test]
 fn two_hosts_that_reach_nothing_ask_each_other_and_forward_nothing() {
     let mut core = core(2);
