--- a/src/proxy/reach.rs
+++ b/src/proxy/reach.rs
@@ -129,11 +129,20 @@
         self.doubted_at.get_or_insert(now);
     }
 
-    /// Whether a probe is due that settles a doubt.
+    /// Like [`Self::doubt`], however short ago the last probe was.
+    pub fn doubt_at_once(&mut self, now: Duration) {
+        self.doubt(now);
+        self.probed_at = None;
+    }
+
+    /// Whether a probe is due that settles a doubt, or that brings another host a new sign.
     pub fn is_probe_due(&self, now: Duration) -> bool {
         let is_early = |at: Duration| now.saturating_sub(at) < MIN_PROBE_INTERVAL;
-        let is_asked = |at: Duration| {
-            now.saturating_sub(at) >= INQUIRY_PATIENCE && self.last_sign() < Some(at)
+        let has_new_sign = |asked_at: Duration| {
+            self.last_sign() >= Some(asked_at) && self.has_sign_within(now, MIN_PROBE_INTERVAL)
+        };
+        let is_asked = |asked_at: Duration| {
+            now.saturating_sub(asked_at) >= INQUIRY_PATIENCE && !has_new_sign(asked_at)
         };
         let is_wanted =
             self.is_doubted() || (self.is_probed_for_others && self.asked_at.is_some_and(is_asked));
