--- a/tests/proxy/reach.rs
+++ b/tests/proxy/reach.rs
@@ -291,6 +291,104 @@
     assert_eq!(told(&mut core, ms(20)).found, all);
 }
 
+#[test]
+fn two_hosts_that_reach_nothing_ask_each_other_and_forward_nothing() {
+    let mut core = core(2);
+    lose_all(&mut core, ms(0));
+    let all = upstreams(&core);
+    receive(&mut core, ms(10), "n2", "north", missing(all));
+    let told = told(&mut core, ms(20));
+    assert!(told.found.is_empty());
+    let placed = core.place(ms(20), &next(&core, ms(20), 1));
+    assert_eq!(placed, Placement::Wait);
+}
+
+#[test]
+fn upstreams_are_probed_in_turn_and_at_once_when_one_is_reached_again() {
+    let mut core = core(8);
+    lose_all(&mut core, ms(0));
+    let mut probed = Vec::new();
+    for tick in 1..=40 {
+        let now = ms(50 * tick);
+        for (upstream, _) in core.due_probes(now) {
+            core.record_connection(now, &upstream, false);
+            probed.push(upstream);
+        }
+    }
+    assert!((6..=9).contains(&probed.len()), "{} in 2 s", probed.len());
+    let distinct: BTreeSet<_> = probed.iter().collect();
+    assert!(distinct.len() >= probed.len() - 1, "{probed:?}");
+    let change = core.record_connection(ms(2_100), &"e0".into(), true);
+    assert_eq!(change, Some(Change::Reached("e0".into())));
+    let due = core.due_probes(ms(2_100));
+    assert_eq!(due.len(), 8, "{due:?}");
+    for (upstream, _) in due {
+        core.record_connection(ms(2_110), &upstream, true);
+    }
+    let placed = core.place(ms(2_120), &next(&core, ms(2_120), 1));
+    assert!(matches!(placed, Placement::Local(_)), "{placed:?}");
+}
+
+#[test]
+fn one_upstream_that_ended_costs_few_connections() {
+    let mut core = core(16);
+    let mut opened = 0;
+    lose(&mut core, ms(0), [&"e0".into()]);
+    for tick in 0..80 {
+        let now = ms(50 * tick);
+        for (upstream, _) in core.due_probes(now) {
+            core.record_connection(now, &upstream, upstream != "e0".into());
+            opened += 1;
+        }
+    }
+    assert!(opened <= 15, "{opened} in 4 s");
+    assert!(!core.is_lost(&"e1".into()));
+}
+
+/// An upstream that was away for a moment stayed unused for a second.
+#[test]
+fn an_upstream_that_is_back_at_once_is_used_at_once() {
+    let mut core = core(4);
+    lose(&mut core, ms(0), [&"r0".into()]);
+    let mut back_at = None;
+    for tick in 1..=40 {
+        let now = ms(10 * tick);
+        for (upstream, _) in core.due_probes(now) {
+            let is_open = upstream != "r0".into() || now >= ms(100);
+            core.record_connection(now, &upstream, is_open);
+        }
+        if !core.is_lost(&"r0".into()) {
+            back_at.get_or_insert(now);
+        }
+    }
+    let back_at = back_at.expect("it is reached again");
+    assert!(back_at <= ms(250), "{back_at:?}");
+}
+
+/// Lets an upstream refuse a connection, and others of the region take one. Returns whether it counts
+/// as ended, when another host of the region reports to reach these.
+fn counts_as_ended(found_elsewhere: &[&str]) -> bool {
+    let mut core = core(3);
+    let (now, refusing) = (ms(100), "e0".into());
+    let end = core.unknown_end(now, &refusing).expect("it runs");
+    core.record_refusal(now, &refusing);
+    assert!(core.is_lost(&refusing));
+    for (upstream, _) in core.due_probes(now) {
+        core.record_connection(now, &upstream, upstream != refusing);
+    }
+    let found_elsewhere = found_elsewhere.iter().map(|upstream| (*upstream).into());
+    let told = found(found_elsewhere.collect());
+    receive(&mut core, ms(200), "n2", "north", told);
+    core.confirm_end(ms(350), &refusing, end)
+}
+
+#[test]
+fn an_upstream_that_another_host_reaches_does_not_count_as_ended() {
+    assert!(counts_as_ended(&[]));
+    assert!(counts_as_ended(&["e1"]));
+    assert!(!counts_as_ended(&["e0"]));
+}
+
 /// Probes that are due, of which all but those of these upstreams open a connection.
 fn probe_all_but(core: &mut Core, now: Duration, refusing: &[name::Upstream]) {
     for (upstream, _) in core.due_probes(now) {
