Treat an upstream as cold that no host reached for a while

One that started again under its name while it was unreached, and that a probe found before the store told of the start, got as many requests as a warm one: its ejection, which implies that it may be cold, lapses when nothing is sent to it. Now it counts as cold for 3 s, by when it has published its state, unless another host reached it soon after the loss. The test failed before.

--- a/src/proxy/reach.rs
+++ b/src/proxy/reach.rs
@@ -45,6 +45,8 @@
     is_probed_for_others: bool,
     /// Other hosts that reach it, with the time of their reports.
     witnesses: BTreeMap<name::Host, Duration>,
+    /// Whether one of them reported that soon after the loss, so that the upstream ran on.
+    is_vouched: bool,
 }
 
 /// Upstreams in a report to hosts of the same region.
@@ -105,6 +107,7 @@
         self.doubted_at = None;
         self.is_probing = false;
         self.witnesses.clear();
+        self.is_vouched = false;
         self.lost_at.take().is_some()
     }
 
@@ -204,9 +207,15 @@
 
     /// Records that another host reaches the upstream.
     pub fn record_witness(&mut self, now: Duration, host: &name::Host) {
+        self.is_vouched |= self.lost_for(now).is_some_and(|time| time < EVIDENCE_TTL);
         self.witnesses.insert(host.clone(), now);
     }
 
+    /// Whether the upstream is known to have run when it was lost.
+    pub fn is_vouched(&self) -> bool {
+        self.is_vouched
+    }
+
     /// Forgets that another host reaches the upstream.
     pub fn forget_witness(&mut self, host: &name::Host) {
         self.witnesses.remove(host);
--- a/src/proxy/replica.rs
+++ b/src/proxy/replica.rs
@@ -42,6 +42,9 @@
 /// How far the share of server errors may exceed the pool's before such errors count as failures of
 /// this upstream.
 const ERROR_MARGIN: f64 = 0.25;
+/// How long an upstream is treated as cold after it was unreached by all hosts: until it has published
+/// its state again.
+const COLD_AFTER_LOSS: Duration = Duration::from_secs(3);
 /// Window for counting the requests sent to a cold upstream: one second plus the delay that links
 /// add.
 pub const COLD_WINDOW: Duration = Duration::from_millis(1_150);
@@ -288,13 +291,18 @@
     }
 
     /// Records that a connection to the upstream was opened. If none could be before, its failures
-    /// until now say nothing about it. Returns whether that is so.
+    /// until now say nothing about it; it may have started again and be cold, unless another host
+    /// reached it meanwhile. Returns whether that is so.
     pub fn record_opened(&mut self, now: Duration) -> bool {
+        let is_vouched = self.reach.is_vouched();
         let was_lost = self.reach.record_opened(now);
         if was_lost {
             self.health = Health::default();
             self.last_byte_at = now;
             self.is_silent = false;
+            if !is_vouched {
+                self.assume_cold_until(now + COLD_AFTER_LOSS);
+            }
         }
         was_lost
     }
--- a/tests/proxy/reach.rs
+++ b/tests/proxy/reach.rs
@@ -515,3 +515,25 @@
     });
     assert_eq!(probes.count(), 3);
 }
+
+/// Whether an upstream is cold that was lost for 5 s, and that another host tells of at these times.
+fn is_cold_when_back(told_at: &[u64]) -> bool {
+    let mut core = core(2);
+    let upstream: name::Upstream = "e0".into();
+    lose(&mut core, ms(0), [&upstream]);
+    for at in told_at {
+        let told = found(BTreeSet::from([upstream.clone()]));
+        receive(&mut core, ms(*at), "n2", "north", told);
+    }
+    core.record_connection(ms(5_000), &upstream, true);
+    let replica = core.catalog.get(&upstream).expect("it is listed");
+    replica.is_cold(ms(5_001))
+}
+
+/// An upstream that started again unseen got as many requests as a warm one.
+#[test]
+fn an_upstream_that_no_host_reached_counts_as_cold_when_it_is_back() {
+    assert!(is_cold_when_back(&[]));
+    assert!(is_cold_when_back(&[4_900]), "it may have started before");
+    assert!(!is_cold_when_back(&[200]));
+}
