--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -6,6 +6,8 @@
 mod common;
 #[path = "proxy/core.rs"]
 mod core;
+#[path = "proxy/crash.rs"]
+mod crash;
 #[path = "proxy/fingerprint.rs"]
 mod fingerprint;
 #[path = "proxy/fleet.rs"]
