Tell of upstreams that are unreached no more since they were removed

The log and the metrics went on saying that a host reaches no upstream, or misses some, after these had been removed from the list or had started again, until the next connection failed or opened. They are looked at with each round of reports now.

--- a/src/proxy/catalog.rs
+++ b/src/proxy/catalog.rs
@@ -545,11 +545,8 @@
     /// Whether a connection to another upstream than this one was opened since a time. True where
     /// there is no other.
     pub fn has_opened_another_since(&self, at: Duration, id: &name::Upstream) -> bool {
-        let mut others = self.replicas.values();
-        let mut others = others
-            .by_ref()
-            .filter(|replica| replica.entry.id != *id)
-            .peekable();
+        let is_other = |replica: &&Replica| replica.entry.id != *id;
+        let mut others = self.replicas.values().filter(is_other).peekable();
         others.peek().is_none() || others.any(|replica| replica.reach.opened_at() >= Some(at))
     }
 
--- a/src/proxy/core/relay.rs
+++ b/src/proxy/core/relay.rs
@@ -100,9 +100,8 @@
     pub(super) fn receive_reach(&mut self, now: Duration, host: &name::Host, report: &Report) {
         let is_probed = |replica: &Replica| {
             let others = self.fleet.neighbours(now);
-            self.rank(replica, others.filter(|peer| peer.identity.host != *host))
-                .1
-                < MAX_INQUIRED
+            let others = others.filter(|peer| peer.identity.host != *host);
+            self.rank(replica, others).1 < MAX_INQUIRED
         };
         let missing = report.missing.iter();
         let probed: BTreeSet<_> = missing
@@ -219,11 +218,8 @@
         {
             return false;
         }
-        let mut others = self.catalog.all();
-        let mut others = others
-            .by_ref()
-            .filter(|other| other.point != replica.point)
-            .peekable();
+        let is_other = |other: &&Replica| other.point != replica.point;
+        let mut others = self.catalog.all().filter(is_other).peekable();
         others.peek().is_none()
             || others.any(|other| other.reach.has_sign_within(now, SILENCE_EVIDENCE_TIME))
     }
--- a/src/proxy/host.rs
+++ b/src/proxy/host.rs
@@ -586,6 +586,8 @@
             changes
         };
         self.log_changes(changes);
+        // Upstreams may have been removed or started again.
+        self.log_cut_off();
         self.probe_upstreams();
         self.judge_suspects();
         if self.core().queue_len() > 0 {
--- a/src/proxy/host/reach.rs
+++ b/src/proxy/host/reach.rs
@@ -25,17 +25,15 @@
     /// Acts on a change in which upstreams are reached, and opens the connections that find out more.
     pub(super) fn apply_reach(&self, change: Option<Change>) {
         if let Some(change) = change {
-            let (lost, idle) = {
+            let lost = {
                 let core = self.core();
-                let lost = core.catalog.all().filter(|replica| replica.reach.is_lost());
                 let changed = core.catalog.get(change.upstream());
-                let changed = changed.filter(|replica| replica.reach.is_lost());
-                (lost.count(), changed.map(|replica| replica.entry.address))
+                let lost = changed.filter(|replica| replica.reach.is_lost());
+                lost.map(|replica| replica.entry.address)
             };
-            if let Some(address) = idle {
+            if let Some(address) = lost {
                 self.upstreams.close_idle(address);
             }
-            self.lost_upstreams.set(lost as i64);
             self.log_changes([change]);
             self.log_cut_off();
             self.reach_changes.send_modify(|count| *count += 1);
@@ -44,8 +42,15 @@
         self.probe_upstreams();
     }
 
-    fn log_cut_off(&self) {
-        let change = self.core().take_cut_off_change(self.clock.now());
+    /// Logs whether this host has begun, or ceased, to reach no upstream.
+    pub(super) fn log_cut_off(&self) {
+        let (lost, change) = {
+            let mut core = self.core();
+            let lost = core.catalog.all().filter(|replica| replica.reach.is_lost());
+            let lost = lost.count();
+            (lost, core.take_cut_off_change(self.clock.now()))
+        };
+        self.lost_upstreams.set(lost as i64);
         let Some(CutOff {
             is_cut_off,
             upstreams,
