Reset the connection of a call that is given up

Cause: a connection to an upstream that is given up was closed in order, so that what had not arrived still did once the partition was over. It is reset now, which discards that.

--- a/src/net.rs
+++ b/src/net.rs
@@ -149,6 +149,17 @@
     }
 }
 
+impl Stream {
+    /// Makes closing the connection reset it, so that bytes which have not arrived never do.
+    pub fn set_reset_on_close(&self) -> io::Result<()> {
+        match self {
+            Self::Tcp(stream) => stream.set_zero_linger(),
+            Self::Memory(_) => Ok(()),
+            Self::Gated(connection) => connection.set_reset_on_close(),
+        }
+    }
+}
+
 impl AsyncRead for Stream {
     fn poll_read(
         self: Pin<&mut Self>,
--- a/src/net/gate.rs
+++ b/src/net/gate.rs
@@ -101,6 +101,10 @@
 }
 
 impl Connection {
+    pub(super) fn set_reset_on_close(&self) -> io::Result<()> {
+        self.stream.set_zero_linger()
+    }
+
     /// Passes if the gate lets the connection's bytes through; else wakes the task once that may have
     /// changed.
     fn poll_passage(&self, context: &Context<'_>) -> Poll<io::Result<()>> {
--- a/src/upstream/metered.rs
+++ b/src/upstream/metered.rs
@@ -78,8 +78,9 @@
         Pin::new(&mut self.get_mut().stream).poll_flush(context)
     }
 
-    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_shutdown(context)
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // An orderly end would follow bytes that have not arrived, instead of discarding them.
+        Poll::Ready(Ok(()))
     }
 
     fn poll_write_vectored(
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -324,6 +324,10 @@
         .await
         .map_err(|_| unreachable("timed out".into()))?
         .map_err(|error| unreachable(error.to_string()))?;
+    // A request that is given up must not arrive later, as after a partition.
+    if let Err(error) = stream.set_reset_on_close() {
+        tracing::warn!(%address, %error, "the connection is closed without a reset");
+    }
     let meter = Meter::default();
     let stream = Connection::new(stream, meter.clone());
     let (requests, connection) = http1::Builder::new()
