Say each thing about unreached upstreams once

The upstreams that are lost, and the hosts that reach them, were gathered in four places; the time for which an upstream is taken for cold until it has published its state stood twice, under two names; a doubled condition in the queue's estimate says what the other one says; a probe is no longer marked as begun where none can be started.

--- a/src/proxy/catalog.rs
+++ b/src/proxy/catalog.rs
@@ -9,7 +9,7 @@
         origin,
         place::Job,
         quarantine::{Certainty, End},
-        replica::{Outcome, Replica},
+        replica::{ASSUMED_COLD_TIME, Outcome, Replica},
         speed::Speed,
     },
     crate::{
@@ -26,9 +26,6 @@
 /// How long after the platform becomes reachable again a missing upstream is kept, since it may
 /// still be listed again. The platform promises about two seconds.
 const RELIST_GRACE: Duration = Duration::from_millis(2_200);
-/// How long an upstream is treated as cold after the evacuation of its failure domain ends: until
-/// it has published its state again, which takes a heartbeat and a read of the store.
-const COLD_AFTER_EVACUATION: Duration = Duration::from_secs(3);
 /// Failure count, halved by each success, at which an upstream is ejected.
 const EJECTION_THRESHOLD: f64 = 1.9;
 /// Length of the first ejection.
@@ -345,7 +342,7 @@
         for replica in self.replicas.values_mut() {
             let domain = &replica.entry.domain;
             if self.evacuated.contains(domain) && !domains.contains(domain) {
-                replica.assume_cold_until(now + COLD_AFTER_EVACUATION);
+                replica.assume_cold_until(now + ASSUMED_COLD_TIME);
             }
         }
         self.evacuated = domains;
@@ -384,6 +381,11 @@
         self.replicas.values()
     }
 
+    /// The upstreams to which no connection can be opened.
+    pub fn lost(&self) -> impl Iterator<Item = &Replica> {
+        self.all().filter(|replica| replica.reach.is_lost())
+    }
+
     /// All upstreams, for changes.
     pub fn all_mut(&mut self) -> impl Iterator<Item = &mut Replica> {
         self.replicas.values_mut()
--- a/src/proxy/core/region.rs
+++ b/src/proxy/core/region.rs
@@ -171,10 +171,7 @@
 
     /// Peer addresses of the hosts that this host may forward requests to.
     pub fn relay_addresses(&self, now: Duration) -> BTreeSet<SocketAddr> {
-        let lost = self.catalog.all().filter(|replica| replica.reach.is_lost());
-        let witnesses: BTreeSet<_> = lost
-            .flat_map(|replica| replica.reach.witnesses(now))
-            .collect();
+        let witnesses = self.witnesses(now);
         let neighbours = self.fleet.neighbours(now);
         let neighbours = neighbours.filter(|peer| witnesses.contains(&peer.identity.host));
         let relays = self.relays(now).chain(neighbours);
--- a/src/proxy/core/relay.rs
+++ b/src/proxy/core/relay.rs
@@ -71,8 +71,7 @@
 
     /// What this host tells those of its region of upstreams that it or they can't reach.
     pub(super) fn reach_report(&self, now: Duration) -> Report {
-        let is_missing = |replica: &&Replica| replica.reach.is_lost();
-        let missing = self.catalog.all().filter(is_missing);
+        let missing = self.catalog.lost();
         let is_fresh = |peer: &&Peer| now.saturating_sub(peer.last_heard_at) < SILENT_AFTER;
         let asking = self.region_peers().filter(is_fresh);
         let asked: BTreeSet<_> = asking.flat_map(|peer| &peer.reach.missing).collect();
@@ -143,18 +142,21 @@
         }
         let lasted = self.cut_off_since.take();
         self.cut_off_since = is_cut_off.then_some(now);
-        let lost = self.catalog.all().filter(|replica| replica.reach.is_lost());
-        let witnesses: BTreeSet<_> = lost
-            .flat_map(|replica| replica.reach.witnesses(now))
-            .collect();
         Some(CutOff {
             is_cut_off,
             upstreams: self.catalog.all().count(),
-            witnesses: witnesses.len(),
+            witnesses: self.witnesses(now).len(),
             lasted: lasted.map(|since| now.saturating_sub(since)),
         })
     }
 
+    /// The other hosts that reach upstreams which this one doesn't.
+    pub(super) fn witnesses(&self, now: Duration) -> BTreeSet<&name::Host> {
+        let lost = self.catalog.lost();
+        lost.flat_map(|replica| replica.reach.witnesses(now))
+            .collect()
+    }
+
     /// Whether a host is another one of this region.
     pub fn is_neighbour(&self, host: &name::Host) -> bool {
         let mut peers = self.region_peers();
--- a/src/proxy/core/wait.rs
+++ b/src/proxy/core/wait.rs
@@ -109,8 +109,8 @@
         let replicas = self.catalog.eligible_for(job);
         let waits_ms: Vec<_> = replicas
             .filter(|replica| {
-                let is_relayed = job.may_forward && replica.reach.is_relayed(now);
-                is_relayed || (replica.is_available(now) && !replica.reach.is_lost())
+                self.is_open(now, job, replica)
+                    && (replica.reach.is_lost() || replica.is_available(now))
             })
             .map(|replica| replica.prefill_ahead(now, rank, tokens_per_ms) / tokens_per_ms)
             .collect();
--- a/src/proxy/host/reach.rs
+++ b/src/proxy/host/reach.rs
@@ -46,8 +46,7 @@
     pub(super) fn log_cut_off(&self) {
         let (lost, change) = {
             let mut core = self.core();
-            let lost = core.catalog.all().filter(|replica| replica.reach.is_lost());
-            let lost = lost.count();
+            let lost = core.catalog.lost().count();
             (lost, core.take_cut_off_change(self.clock.now()))
         };
         self.lost_upstreams.set(lost as i64);
@@ -74,10 +73,10 @@
 
     /// Opens the connections that are due to find out which upstreams are reached.
     pub(super) fn probe_upstreams(&self) {
-        let due = self.core().due_probes(self.clock.now());
         let Ok(runtime) = Handle::try_current() else {
             return;
         };
+        let due = self.core().due_probes(self.clock.now());
         for (upstream, address) in due {
             runtime.spawn(self.clone().probe(upstream, address));
         }
--- a/src/proxy/reach.rs
+++ b/src/proxy/reach.rs
@@ -115,11 +115,13 @@
     /// unreached: the second failure does.
     pub fn record_failed(&mut self, now: Duration) -> bool {
         self.is_probing = false;
-        if self.doubted_at.is_none() {
+        if !self.is_doubted() {
             self.doubt(now);
             return false;
         }
-        self.lost_at.replace(self.lost_at.unwrap_or(now)).is_none()
+        let is_new = !self.is_lost();
+        self.lost_at.get_or_insert(now);
+        is_new
     }
 
     /// Records a byte of the upstream. It may have come on a connection that was opened before.
@@ -193,10 +195,10 @@
     /// Whether there was a sign of life lately and since another host misses the upstream, and nothing
     /// speaks against it.
     pub fn is_found(&self, now: Duration) -> bool {
-        let is_fresh = |at: Duration| now.saturating_sub(at) < EVIDENCE_TTL;
-        let is_since = |at: Duration| self.asked_at.is_some_and(|asked_at| at >= asked_at);
-        let mut sign = self.last_sign().into_iter();
-        !self.is_doubted() && sign.any(|at| is_fresh(at) && is_since(at))
+        let is_since = |asked_at: Duration| self.last_sign() >= Some(asked_at);
+        !self.is_doubted()
+            && self.has_sign_within(now, EVIDENCE_TTL)
+            && self.asked_at.is_some_and(is_since)
     }
 
     /// Whether a byte arrived, or a connection was opened, within this time.
--- a/src/proxy/replica.rs
+++ b/src/proxy/replica.rs
@@ -42,9 +42,9 @@
 /// How far the share of server errors may exceed the pool's before such errors count as failures of
 /// this upstream.
 const ERROR_MARGIN: f64 = 0.25;
-/// How long an upstream is treated as cold after it was unreached by all hosts: until it has published
-/// its state again.
-const COLD_AFTER_LOSS: Duration = Duration::from_secs(3);
+/// How long an upstream that may have become cold is treated so: until it has published its state
+/// again, which takes a heartbeat and a read of the store.
+pub const ASSUMED_COLD_TIME: Duration = Duration::from_secs(3);
 /// Window for counting the requests sent to a cold upstream: one second plus the delay that links
 /// add.
 pub const COLD_WINDOW: Duration = Duration::from_millis(1_150);
@@ -301,7 +301,7 @@
             self.last_byte_at = now;
             self.is_silent = false;
             if !is_vouched {
-                self.assume_cold_until(now + COLD_AFTER_LOSS);
+                self.assume_cold_until(now + ASSUMED_COLD_TIME);
             }
         }
         was_lost
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -223,9 +223,11 @@
         host: &name::Host,
         pool: &name::Pool,
     ) -> bool {
-        match *region == self.home.region {
-            true => self.neighbours.reaches(now, host, pool),
-            false => self.regions.reaches(now, region, host, pool, &self.options),
+        if *region == self.home.region {
+            self.neighbours.reaches(now, host, pool)
+        } else {
+            let regions = &self.regions;
+            regions.reaches(now, region, host, pool, &self.options)
         }
     }
 
