Send a session to one engine, and look for others where other hosts don't

Cause: hosts know of each other's requests by reports that are half a second old in a region of 32 hosts. All looked for the engine with the least cost, so all found the same one. Its queue grew, late work was let in on old figures, and sessions moved on, so that prefixes were read again everywhere.

Change: a session goes to the engine that rendezvous hashing gives while that one answers on time; else a request looks at its own few others, which all hosts together look at about once. Late work only where next to nothing waits. What others reported counts 0.6 for as long as the next report may take.

Test: a simulated region, 6 hosts and 32.

--- a/src/proxy/core/mod.rs
+++ b/src/proxy/core/mod.rs
@@ -508,7 +508,8 @@
             return None;
         }
         let pool = self.table.as_ref()?.pool(&job.pool)?;
-        place::choose(&self.catalog, pool, job, now, |replica, pool| {
+        let hosts = self.fleet.region_hosts();
+        place::choose(&self.catalog, pool, job, now, hosts, |replica, pool| {
             self.may_send(now, replica, pool)
         })
     }
--- a/src/proxy/core/relay.rs
+++ b/src/proxy/core/relay.rs
@@ -170,7 +170,8 @@
             return None;
         }
         let pool = self.table.as_ref()?.pool(&job.pool)?;
-        let mut choice = place::choose(&self.catalog, pool, job, now, |replica, _| {
+        let hosts = self.fleet.region_hosts();
+        let mut choice = place::choose(&self.catalog, pool, job, now, hosts, |replica, _| {
             replica.reach.is_relayed(now) && self.choose_neighbour(now, job, replica).is_some()
         })?;
         choice.predicted_ms += NEIGHBOUR_ROUND_TRIP_MS;
--- a/src/proxy/place.rs
+++ b/src/proxy/place.rs
@@ -20,7 +20,7 @@
         table::{Engine, Match, Pool},
     },
     crate::{name, route::affinity},
-    std::{sync::Arc, time::Duration},
+    std::{cmp::Reverse, sync::Arc, time::Duration},
 };
 
 /// Share of the objective that the predicted time to the first byte may take for an answer to count
@@ -31,7 +31,7 @@
 pub const REMOTE_ON_TIME_SHARE: f64 = 0.8;
 /// Share of the objective up to which an upstream's own wait allows a late request, so that late
 /// requests do not delay those that are on time.
-pub const LATE_WAIT_SHARE: f64 = 0.15;
+pub const LATE_WAIT_SHARE: f64 = 0.03;
 /// Share of the time between arrival and deadline that the prediction of a late answer may take.
 const LATE_PATIENCE_SHARE: f64 = 0.6;
 /// Weight of the prefill time of uncached tokens in an engine's score, because the requests queued
@@ -137,12 +137,14 @@
 /// Chooses the best upstream of this region for a job; `None` if none can take it now.
 ///
 /// Upstreams that are silent, full or ejected are used only if all usable ones are. `may_send` tells
-/// whether the rate of an upstream allows another request of this host.
+/// whether the rate of an upstream allows another request of this host. `hosts` is the number of hosts
+/// of the region, which choose without knowing what the others choose meanwhile.
 pub fn choose(
     catalog: &Catalog,
     pool: &Pool,
     job: &Job,
     now: Duration,
+    hosts: usize,
     may_send: impl Fn(&Replica, &Pool) -> bool,
 ) -> Option<Choice> {
     let usable: Vec<_> = catalog
@@ -161,7 +163,7 @@
         &available
     };
     match pool.engine {
-        Some(engine) => choose_engine(catalog, pool, engine, job, now, candidates),
+        Some(engine) => choose_engine(catalog, pool, engine, job, now, candidates, hosts),
         None => choose_plain(catalog, pool, job, now, candidates),
     }
 }
@@ -173,48 +175,84 @@
     job: &Job,
     now: Duration,
     candidates: &[&Replica],
+    hosts: usize,
 ) -> Option<Choice> {
-    let (tokens_per_ms, base_ms) = learned_speed(catalog, &pool.name);
+    let speed = learned_speed(catalog, &pool.name);
+    let holder = session_engine(job, candidates);
+    let held_at = holder.map(|holder| holder.point);
+    let evaluate = |replica: &&Replica| evaluate_engine(engine, speed, job, now, replica, held_at);
+    let near = holder.as_ref().and_then(evaluate);
+    if let Some(near) = &near
+        && near.choice.is_on_time
+    {
+        return Some(near.choice.clone());
+    }
+    // Each request looks at other engines, and all hosts together at each engine about once: hosts
+    // that looked for the least loaded engine of all would find the same one.
+    let mut others: Vec<_> = candidates
+        .iter()
+        .filter(|replica| Some(replica.point) != held_at)
+        .collect();
+    let key = job.fingerprint.0;
+    others.sort_unstable_by_key(|replica| Reverse(affinity::weight(key, replica.point)));
+    if holder.is_some() {
+        others.truncate((candidates.len() / hosts.max(1)).max(1));
+    }
+    let others = others.into_iter().filter_map(evaluate);
+    let far = others.min_by(|left, right| left.score.total_cmp(&right.score));
+    match (near, far) {
+        (_, Some(far)) if far.choice.is_on_time => Some(far.choice),
+        (near, far) => near.or(far).map(|candidate| candidate.choice),
+    }
+}
+
+/// An engine that may take a job.
+struct Candidate {
+    choice: Choice,
+    /// Predicted cost in milliseconds; the least is chosen.
+    score: f64,
+}
+
+/// Predicts when an engine begins to answer; `None` if it must not take the job.
+fn evaluate_engine(
+    engine: Engine,
+    (tokens_per_ms, base_ms): (f64, f64),
+    job: &Job,
+    now: Duration,
+    replica: &Replica,
+    assumed_holder: Option<u64>,
+) -> Option<Candidate> {
     let prompt_tokens = job.prompt_tokens();
-    let assumed_holder = session_engine(job, candidates);
-    let mut best: Option<(f64, Choice)> = None;
-    for replica in candidates {
-        let running = replica.running(now);
-        let memory_tokens =
-            replica.memory_tokens(now) + u64::from(prompt_tokens) + u64::from(job.tokens.1);
-        let is_full = memory_tokens as f64 > MEMORY_SHARE * engine.memory_tokens as f64;
-        if running >= engine.slots || (is_full && running > 0) {
-            continue;
-        }
-        let slowness = replica.slowness(now);
-        let tokens_ahead = replica.prefill_ahead(now, job.matched.priority, tokens_per_ms);
-        let mut cached_tokens = replica.cache.cached_tokens(&job.prefixes);
-        if assumed_holder == Some(replica.point) {
-            cached_tokens = cached_tokens.max(shared_tokens(&job.prefixes));
-        }
-        let uncached_tokens = prompt_tokens.saturating_sub(cached_tokens);
-        let prefill_tokens = tokens_ahead + f64::from(uncached_tokens);
-        let wait_ms = slowness * tokens_ahead / tokens_per_ms;
-        let predicted_ms = slowness * (base_ms + prefill_tokens / tokens_per_ms);
-        let Some(is_on_time) = job.timeliness(now, predicted_ms, wait_ms) else {
-            continue;
-        };
-        let late_ms = if is_on_time { 0.0 } else { job.objective_ms() };
-        let score = late_ms
-            + wait_ms
-            + PREFILL_WEIGHT * slowness * f64::from(uncached_tokens) / tokens_per_ms;
-        if best.as_ref().is_none_or(|(least, _)| score < *least) {
-            let choice = Choice {
-                upstream: replica.entry.id.clone(),
-                predicted_ms,
-                prefill_tokens,
-                uncached_tokens,
-                is_on_time,
-            };
-            best = Some((score, choice));
-        }
+    let running = replica.running(now);
+    let memory_tokens =
+        replica.memory_tokens(now) + u64::from(prompt_tokens) + u64::from(job.tokens.1);
+    let is_full = memory_tokens as f64 > MEMORY_SHARE * engine.memory_tokens as f64;
+    if running >= engine.slots || (is_full && running > 0) {
+        return None;
     }
-    best.map(|(_, choice)| choice)
+    let slowness = replica.slowness(now);
+    let tokens_ahead = replica.prefill_ahead(now, job.matched.priority, tokens_per_ms);
+    let mut cached_tokens = replica.cache.cached_tokens(&job.prefixes);
+    if assumed_holder == Some(replica.point) {
+        cached_tokens = cached_tokens.max(shared_tokens(&job.prefixes));
+    }
+    let uncached_tokens = prompt_tokens.saturating_sub(cached_tokens);
+    let prefill_tokens = tokens_ahead + f64::from(uncached_tokens);
+    let wait_ms = slowness * tokens_ahead / tokens_per_ms;
+    let predicted_ms = slowness * (base_ms + prefill_tokens / tokens_per_ms);
+    let is_on_time = job.timeliness(now, predicted_ms, wait_ms)?;
+    let late_ms = if is_on_time { 0.0 } else { job.objective_ms() };
+    let prefill_ms = slowness * f64::from(uncached_tokens) / tokens_per_ms;
+    Some(Candidate {
+        choice: Choice {
+            upstream: replica.entry.id.clone(),
+            predicted_ms,
+            prefill_tokens,
+            uncached_tokens,
+            is_on_time,
+        },
+        score: late_ms + wait_ms + PREFILL_WEIGHT * prefill_ms,
+    })
 }
 
 /// Tokens of all parts of a prompt but the last, which other requests of the session share.
@@ -222,21 +260,12 @@
     cache::total_tokens(prefixes.iter().rev().skip(1))
 }
 
-/// The engine that all hosts of the region assume to hold a session's prefix, by rendezvous
-/// hashing. `None` if this host knows an engine that holds the prefix.
-fn session_engine(job: &Job, candidates: &[&Replica]) -> Option<u64> {
+/// The engine that all hosts of the region send a session to, by rendezvous hashing. So they need not
+/// tell each other which engine holds its prefix. `None` for a request without a prompt.
+fn session_engine<'a>(job: &Job, candidates: &[&'a Replica]) -> Option<&'a Replica> {
     let prefix = cache::session_prefix(&job.prefixes).or(job.prefixes.first())?;
-    let needed_tokens = shared_tokens(&job.prefixes);
-    let is_known = candidates
-        .iter()
-        .any(|replica| replica.cache.cached_tokens(&job.prefixes) >= needed_tokens);
-    if is_known {
-        return None;
-    }
-    candidates
-        .iter()
-        .map(|replica| replica.point)
-        .max_by_key(|point| affinity::weight(prefix.hash, *point))
+    let engines = candidates.iter().copied();
+    engines.max_by_key(|replica| affinity::weight(prefix.hash, replica.point))
 }
 
 fn choose_plain(
--- a/src/proxy/replica.rs
+++ b/src/proxy/replica.rs
@@ -27,6 +27,12 @@
 pub const PRIORITY_LEVELS: usize = 10;
 /// How long another host's report of its own requests is counted.
 const TALLY_TTL: Duration = Duration::from_secs(2);
+/// Share of the prompt tokens in a host's report that still count when the engine has had the time to
+/// prefill them, because the host goes on sending. Holds for [`RECURRING_TIME`].
+const RECURRING_SHARE: f64 = 0.6;
+/// Age of a report until which its sender is taken to go on sending; about the time between two
+/// reports in a large region.
+const RECURRING_TIME: Duration = Duration::from_millis(600);
 /// Pause after an upstream answered that it is full.
 const FULL_PAUSE: Duration = Duration::from_millis(150);
 /// Weight of the newest observation in the moving average of slowness.
@@ -249,7 +255,8 @@
 
     /// Prompt tokens that the engine must prefill before it starts a request of this priority.
     /// Tokens reported by other hosts are reduced by what the engine has processed since, at `rate`
-    /// tokens per millisecond, which all hosts' prompts share.
+    /// tokens per millisecond, which all hosts' prompts share, but for [`RECURRING_TIME`] not below
+    /// [`RECURRING_SHARE`].
     pub fn prefill_ahead(&self, now: Duration, priority: u8, rate: f64) -> f64 {
         let own = self.own_tally.prefill_ahead(priority);
         let reported = self
@@ -261,7 +268,12 @@
         }
         let remaining = |(age, tally): (Duration, &Tally)| {
             let reported = tally.prefill_ahead(priority);
-            (reported - rate * millis(age) * reported / all).max(0.0)
+            let left = (reported - rate * millis(age) * reported / all).max(0.0);
+            if age < RECURRING_TIME {
+                left.max(RECURRING_SHARE * reported)
+            } else {
+                left
+            }
         };
         own + self.fresh_tallies(now).map(remaining).sum::<f64>()
     }
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -24,6 +24,8 @@
 mod reach;
 #[path = "proxy/reader.rs"]
 mod reader;
+#[path = "proxy/region.rs"]
+mod region;
 #[path = "proxy/replay.rs"]
 mod replay;
 #[path = "proxy/sample.rs"]
