Tell hosts of other regions only what they read

Now the first six of a region by rendezvous weight tell a host of spare capacity (three are forwarded to), and lists of contacts become rarer as the fleet grows; a host that is newly met gets one at once. The test failed before with 50 of 50 hosts told.

Fields of messages are as before; a host of the version before takes a region without a report of spare capacity for one without room, for the hosts that it doesn't forward to.

--- a/src/proxy/core/mod.rs
+++ b/src/proxy/core/mod.rs
@@ -366,10 +366,10 @@
                 } else {
                     Vec::new()
                 },
-                spare: if recipient.is_same_region {
-                    Vec::new()
-                } else {
+                spare: if recipient.includes_spare {
                     spare.clone()
+                } else {
+                    Vec::new()
                 },
                 reach: if recipient.is_same_region {
                     reach.clone()
--- a/src/proxy/fleet.rs
+++ b/src/proxy/fleet.rs
@@ -42,8 +42,12 @@
 pub const GONE_AFTER: Duration = Duration::from_millis(3_500);
 /// Age of the last report from which a host is removed.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
-/// One in so many reports to a host lists the hosts that the sender knows.
+/// One in so many reports to a host lists the hosts that the sender knows. In a large fleet, fewer of
+/// those to hosts of other regions do.
 const REPORTS_PER_CONTACTS: u64 = 8;
+/// Hosts of each region, the first by rendezvous weight, that tell another host of its spare
+/// capacity: more than the host forwards to, because it may know fewer of them.
+const INFORMANTS_PER_REGION: usize = 2 * RELAYS_PER_REGION;
 /// Time between reports to seeds and contacts that have not reported themselves.
 const SEED_RETRY_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -191,6 +195,8 @@
     pub address: SocketAddr,
     /// Whether the host is of the sender's region; false for a host that has not reported yet.
     pub is_same_region: bool,
+    /// Whether the report should tell of the spare capacity of the sender's region.
+    pub includes_spare: bool,
     /// Whether the report should list the hosts that the sender knows.
     pub includes_contacts: bool,
     /// Time of the report before the last one; what is newer is told, so that one report may be
@@ -292,6 +298,7 @@
         let region_interval = REGION_REPORT_INTERVAL.mul_f64(scale(region_peers));
         let remote_interval =
             REMOTE_REPORT_INTERVAL.mul_f64(scale(self.peers.len() - region_peers));
+        let remote_contacts = REPORTS_PER_CONTACTS * scale(self.peers.len()) as u64;
         let neighbour_points: Vec<_> = self.neighbours(now).map(|peer| peer.point).collect();
         let (own, own_point) = (&self.identity, self.point);
         let mut recipients = Vec::new();
@@ -302,12 +309,17 @@
                 continue;
             }
             let is_same_region = peer.identity.region == own.region;
-            let interval = if is_same_region {
-                region_interval
-            } else if is_relay(peer.point, own_point, &neighbour_points) {
-                REMOTE_REPORT_INTERVAL
+            let rank = if is_same_region {
+                usize::MAX
             } else {
-                remote_interval
+                relay_rank(peer.point, own_point, &neighbour_points)
+            };
+            let (interval, contacts) = if is_same_region {
+                (region_interval, REPORTS_PER_CONTACTS)
+            } else if rank < RELAYS_PER_REGION {
+                (REMOTE_REPORT_INTERVAL, remote_contacts)
+            } else {
+                (remote_interval, remote_contacts)
             };
             peer.next_report_at = now + interval;
             peer.sent_reports += 1;
@@ -317,7 +329,8 @@
                 host: host.clone(),
                 address: peer.identity.peers,
                 is_same_region,
-                includes_contacts: peer.sent_reports % REPORTS_PER_CONTACTS == 1,
+                includes_spare: rank < INFORMANTS_PER_REGION,
+                includes_contacts: peer.sent_reports % contacts == 1,
                 news_since,
             });
         }
@@ -349,6 +362,7 @@
             host,
             address,
             is_same_region: false,
+            includes_spare: true,
             includes_contacts: true,
             news_since: Duration::ZERO,
         };
@@ -518,12 +532,12 @@
     }
 }
 
-/// Whether a host of another region with the hash `origin` forwards to the one with the hash `own`,
-/// provided that it knows the same `others` of that region.
-fn is_relay(origin: u64, own: u64, others: &[u64]) -> bool {
+/// How many of the `others` of its region a host of another region with the hash `origin` prefers to
+/// forward to before the one with the hash `own`.
+fn relay_rank(origin: u64, own: u64, others: &[u64]) -> usize {
     let weight = affinity::weight(origin, own);
     let before = |other: &&u64| affinity::weight(origin, **other) > weight;
-    others.iter().filter(before).count() < RELAYS_PER_REGION
+    others.iter().filter(before).count()
 }
 
 /// Hash of a host's name for rendezvous hashing.
--- a/tests/proxy/fleet.rs
+++ b/tests/proxy/fleet.rs
@@ -7,7 +7,7 @@
         fleet::{Fleet, GONE_AFTER, Recipient, Report, Update},
         reach,
     },
-    std::{net::SocketAddr, time::Duration},
+    std::{collections::BTreeSet, net::SocketAddr, time::Duration},
 };
 
 fn report(host: &str, region: &str, last: u8, incarnation: u64, sequence: u64) -> Report {
@@ -210,6 +210,45 @@
     assert!(sent.len() - near <= 700, "{} in ten seconds", sent.len());
 }
 
+/// In a large fleet most reports to hosts of other regions were of no use to them: each had the spare
+/// capacity that only the hosts read which forward here, and one in eight had the addresses of the
+/// whole fleet.
+#[test]
+fn reports_between_regions_of_a_large_fleet_hold_only_what_is_read() {
+    let asking = LargeFleet::new("h0");
+    let relays: Vec<_> = ["south", "east"]
+        .iter()
+        .flat_map(|region| asking.fleet.relays(ms(1), &(*region).into()))
+        .map(|relay| relay.identity.host.clone())
+        .collect();
+    assert_eq!(relays.len(), 6);
+    for relay in &relays {
+        let sent = LargeFleet::new(relay.as_str()).recipients();
+        let mut to_asking = sent.iter().filter(|due| due.host.as_str() == "h0");
+        assert!(to_asking.all(|due| due.includes_spare), "{relay} forwards");
+    }
+    let mut large = LargeFleet::new("h0");
+    let first = large.fleet.due_recipients(ms(1));
+    assert!(first.iter().all(|due| due.includes_contacts));
+    let sent = large.recipients();
+    let far: Vec<_> = sent.iter().filter(|due| !due.is_same_region).collect();
+    let near_spare = sent
+        .iter()
+        .filter(|due| due.is_same_region && due.includes_spare);
+    assert_eq!(near_spare.count(), 0);
+    let informed: BTreeSet<_> = far
+        .iter()
+        .filter(|due| due.includes_spare)
+        .map(|due| &due.host)
+        .collect();
+    assert!(informed.len() * 2 <= 50, "{} of 50 hosts", informed.len());
+    let contacts = far.iter().filter(|due| due.includes_contacts).count();
+    assert!(
+        contacts <= 10,
+        "{contacts} lists of contacts in ten seconds"
+    );
+}
+
 /// Callers were directed to hosts that reach no upstream, beside others of the region that do.
 #[test]
 fn a_host_that_reaches_no_upstream_is_named_only_if_its_region_has_no_other() {
