Send nothing to cold upstreams just after a start

For its first 5 s a host sends a cold upstream one request a second, whatever the others do, and 22 hosts of a region that start at once know none of each other.

For the first 1.5 s, in which hosts hear of each other, it now sends none; after that ranks count as before.

--- a/src/proxy/core/mod.rs
+++ b/src/proxy/core/mod.rs
@@ -50,6 +50,9 @@
 /// Time after the start during which a host may not know the other hosts of its region yet. Until
 /// it is over, the host sends a cold upstream at most one request a second.
 const DISCOVERY_TIME: Duration = Duration::from_secs(5);
+/// Time after the start during which a host sends nothing to a cold upstream: it has heard of few
+/// hosts, and all hosts of the region may have started at once.
+const FIRST_REPORTS_TIME: Duration = Duration::from_millis(1_500);
 /// How long a host that is not heard keeps its part of an upstream's limit.
 const SHARING_TIMEOUT: Duration = Duration::from_secs(10);
 /// Hosts of the region that are assumed during [`DISCOVERY_TIME`] to share an upstream's limit.
@@ -535,13 +538,17 @@
     /// the region. Where there are more hosts than requests, only the first hosts by rendezvous
     /// weight send one; all hosts compute the same order for an upstream.
     fn cold_limit(&self, now: Duration, replica: &Replica, pool: &Pool) -> usize {
+        let age = now.saturating_sub(self.started_at);
+        if age < FIRST_REPORTS_TIME {
+            return 0;
+        }
         let limit = (pool.cold_per_s * COLD_RATE_FACTOR).floor() as usize;
         let hosts = self.fleet.region_hosts();
         if hosts > limit {
             let staying = self.region_peers().filter(|peer| !peer.is_leaving);
             return usize::from(self.rank(replica, staying).1 < limit);
         }
-        if now.saturating_sub(self.started_at) < DISCOVERY_TIME {
+        if age < DISCOVERY_TIME {
             return 1;
         }
         (limit / hosts.max(2)).max(1)
--- a/tests/proxy/place.rs
+++ b/tests/proxy/place.rs
@@ -134,3 +134,23 @@
     }
     assert!(sent.len() >= 8, "{sent:?}");
 }
+
+/// After a loss of power all hosts of a region start at once. None knows the others yet, and each
+/// sent a cold engine one request: seven in the first second where five were allowed.
+#[test]
+fn hosts_that_all_start_at_once_do_not_crowd_a_cold_engine() {
+    let mut sent = 0;
+    for host in 0..22 {
+        let mut core = core(0);
+        let mut cold = crate::common::entry("e0", "north-a", crate::common::POOL, 2);
+        cold.cold_for = ms(3_000);
+        core.catalog.upsert(ms(0), cold);
+        for tick in 0..10 {
+            let at = ms(100 * tick);
+            let next = job(&core, at, host, 1_000 * host + tick);
+            sent += usize::from(place_locally(&mut core, at, &next).is_some());
+        }
+    }
+    // The bound is 3 requests a second, plus half as many, plus 3.
+    assert!(sent <= 7, "{sent} in the first second");
+}
