Take an upstream for cold that several hosts miss

A host takes an upstream for cold that it lost or ejected itself, but in a region of 32 hosts each has a request at an engine now and then only, so that many had noticed nothing, and its start is published up to a second later.

When two hosts that reach others tell that they miss it, and this host had no sign of it since, it counts as cold until 3 s after they last told. Hosts that reach nothing don't count, nor does one host alone.

--- a/src/proxy/core/relay.rs
+++ b/src/proxy/core/relay.rs
@@ -12,7 +12,7 @@
             place::{self, Choice, Job},
             quarantine::End,
             reach::{INQUIRY_TIME, Report},
-            replica::Replica,
+            replica::{ASSUMED_COLD_TIME, Replica},
         },
         route::affinity,
     },
@@ -25,6 +25,8 @@
 const MAX_REPORTED: usize = 64;
 /// Hosts that probe an upstream which another one misses, unless they have a sign of it.
 const MAX_INQUIRED: usize = 3;
+/// Hosts that must miss an upstream for others to take it for cold.
+const MIN_MISSING: usize = 2;
 /// Within this time another upstream must have been heard for the silence of one to be its own.
 const SILENCE_EVIDENCE_TIME: Duration = Duration::from_millis(500);
 /// Time from the loss of an upstream until it may be presumed to have ended.
@@ -119,6 +121,24 @@
             let is_missing = report.missing.contains(upstream);
             reach.record_inquiry(now, host, is_missing, probed.contains(upstream));
         }
+        for upstream in &report.missing {
+            if self.is_missed(upstream)
+                && let Some(replica) = self.catalog.get_mut(upstream)
+            {
+                replica.assume_cold_until(now + ASSUMED_COLD_TIME);
+            }
+        }
+    }
+
+    /// Whether several hosts of the region that reach others can't reach an upstream, and this host has
+    /// had no sign of it since. It may have started again, and be cold, before that is published.
+    fn is_missed(&self, upstream: &name::Upstream) -> bool {
+        let is_missing =
+            |peer: &&Peer| !peer.reach.is_cut_off && peer.reach.missing.contains(upstream);
+        let missing = self.region_peers().filter(is_missing);
+        let replica = self.catalog.get(upstream);
+        replica.is_some_and(|replica| replica.reach.is_unheard_since_asked())
+            && missing.take(MIN_MISSING).count() == MIN_MISSING
     }
 
     /// Whether this host, or for a request that may be forwarded another one of the region, reaches
--- a/src/proxy/reach.rs
+++ b/src/proxy/reach.rs
@@ -192,6 +192,12 @@
         self.is_probing = true;
     }
 
+    /// Whether another host misses the upstream and there was no sign of life since.
+    pub fn is_unheard_since_asked(&self) -> bool {
+        let is_before = |asked_at: Duration| self.last_sign() < Some(asked_at);
+        self.asked_at.is_some_and(is_before)
+    }
+
     /// Whether there was a sign of life lately and since another host misses the upstream, and nothing
     /// speaks against it.
     pub fn is_found(&self, now: Duration) -> bool {
--- a/tests/proxy/reach.rs
+++ b/tests/proxy/reach.rs
@@ -537,3 +537,37 @@
     assert!(is_cold_when_back(&[4_900]), "it may have started before");
     assert!(!is_cold_when_back(&[200]));
 }
+
+/// Hosts without requests at an upstream that had gone dark sent it as much as a warm one when it was
+/// back, before its start was published.
+#[test]
+fn an_upstream_that_several_hosts_miss_counts_as_cold() {
+    let told = || missing(BTreeSet::from(["e0".into()]));
+    let is_cold = |core: &Core, at| {
+        let replica = core.catalog.get(&"e0".into()).expect("it is listed");
+        replica.is_cold(ms(at))
+    };
+    let mut one = core(2);
+    receive(&mut one, ms(10), "n2", "north", told());
+    assert!(!is_cold(&one, 20), "the fault may be that host's");
+    receive(&mut one, ms(20), "n30", "north", told());
+    assert!(is_cold(&one, 30));
+    assert!(is_cold(&one, 2_900));
+    assert!(!is_cold(&one, 3_100));
+
+    let mut other = core(2);
+    for (at, host) in [(10, "n2"), (20, "n30"), (30, "n400")] {
+        let cut_off = reach::Report {
+            is_cut_off: true,
+            ..told()
+        };
+        receive(&mut other, ms(at), host, "north", cut_off);
+    }
+    assert!(!is_cold(&other, 40), "these hosts reach nothing");
+
+    let mut hearing = core(2);
+    receive(&mut hearing, ms(10), "n2", "north", told());
+    hearing.record_connection(ms(15), &"e0".into(), true);
+    receive(&mut hearing, ms(20), "n30", "north", told());
+    assert!(!is_cold(&hearing, 30), "it runs");
+}
