Log upstreams that count as cold since others miss them

A belief changed without a line: `upstream` with state `missed` tells of it, once. Core::receive_report returns what a report has changed as one type.

--- a/src/proxy/catalog.rs
+++ b/src/proxy/catalog.rs
@@ -87,6 +87,8 @@
     Lost(name::Upstream),
     /// A connection to the upstream was opened again.
     Reached(name::Upstream),
+    /// Several other hosts can open no connection to the upstream, so it counts as cold.
+    Missed(name::Upstream),
 }
 
 impl Change {
@@ -100,7 +102,8 @@
             | Self::Silent(upstream)
             | Self::Standing(upstream)
             | Self::Lost(upstream)
-            | Self::Reached(upstream) => upstream,
+            | Self::Reached(upstream)
+            | Self::Missed(upstream) => upstream,
         }
     }
 
@@ -115,6 +118,7 @@
             Self::Standing(_) => "standing changed",
             Self::Lost(_) => "unreached",
             Self::Reached(_) => "reached",
+            Self::Missed(_) => "missed",
         }
     }
 }
--- a/src/proxy/core/mod.rs
+++ b/src/proxy/core/mod.rs
@@ -135,6 +135,17 @@
     pub report_age: Duration,
 }
 
+/// What a report of another host has changed.
+#[derive(Debug)]
+pub struct Reception {
+    /// Effect on what is known of its sender.
+    pub update: Update,
+    /// Changes in the limits that upstreams name.
+    pub limits: Vec<(name::Upstream, throttle::Change)>,
+    /// Upstreams that count as cold now, as other hosts miss them.
+    pub upstreams: Vec<Change>,
+}
+
 /// What a reservation counts for at its upstream, so that its release takes back the same.
 #[derive(Debug)]
 struct Reservation {
@@ -253,16 +264,15 @@
     }
 
     /// Records a report of another host: its load, its spare capacity and what it has admitted.
-    pub fn receive_report(
-        &mut self,
-        now: Duration,
-        report: Report,
-    ) -> (Update, Vec<(name::Upstream, throttle::Change)>) {
+    pub fn receive_report(&mut self, now: Duration, report: Report) -> Reception {
         let has_told = self.fleet.has_told_of_reach(&report.from.host);
-        let update = self.fleet.record_report(now, &report);
-        let mut changes = Vec::new();
-        if update == Update::Stale {
-            return (update, changes);
+        let mut reception = Reception {
+            update: self.fleet.record_report(now, &report),
+            limits: Vec::new(),
+            upstreams: Vec::new(),
+        };
+        if reception.update == Update::Stale {
+            return reception;
         }
         let host = &report.from.host;
         if report.leaving {
@@ -285,7 +295,7 @@
             .set_estimated_hosts(self.fleet.estimated_hosts(domains));
         if report.from.region == self.setup.identity.region {
             if has_told || !report.reach.is_empty() {
-                self.receive_reach(now, host, &report.reach);
+                reception.upstreams = self.receive_reach(now, host, &report.reach);
             }
             for replica in self.catalog.all_mut() {
                 replica.forget_tally(host);
@@ -300,11 +310,12 @@
                     && replica.process() == *process
                 {
                     let change = replica.throttle.record_report(now, limit);
-                    changes.extend(change.map(|change| (upstream.clone(), change)));
+                    let change = change.map(|change| (upstream.clone(), change));
+                    reception.limits.extend(change);
                 }
             }
         }
-        (update, changes)
+        reception
     }
 
     /// Builds the reports that are due now, each with its recipient.
--- a/src/proxy/core/relay.rs
+++ b/src/proxy/core/relay.rs
@@ -98,7 +98,13 @@
 
     /// Takes over what another host of the region tells of upstreams. A few hosts, the first by
     /// rendezvous weight, probe those that it misses unless they have a sign of them.
-    pub(super) fn receive_reach(&mut self, now: Duration, host: &name::Host, report: &Report) {
+    /// Returns the upstreams that count as cold now, because several hosts miss them.
+    pub(super) fn receive_reach(
+        &mut self,
+        now: Duration,
+        host: &name::Host,
+        report: &Report,
+    ) -> Vec<Change> {
         let is_probed = |replica: &Replica| {
             let others = self.fleet.neighbours(now);
             let others = others.filter(|peer| peer.identity.host != *host);
@@ -121,13 +127,19 @@
             let is_missing = report.missing.contains(upstream);
             reach.record_inquiry(now, host, is_missing, probed.contains(upstream));
         }
-        for upstream in &report.missing {
-            if self.is_missed(upstream)
-                && let Some(replica) = self.catalog.get_mut(upstream)
-            {
-                replica.assume_cold_until(now + ASSUMED_COLD_TIME);
+        let missed = report.missing.iter();
+        let missed: Vec<_> = missed.filter(|upstream| self.is_missed(upstream)).collect();
+        let mut changes = Vec::new();
+        for upstream in missed {
+            let Some(replica) = self.catalog.get_mut(upstream) else {
+                continue;
+            };
+            if !replica.is_cold(now) {
+                changes.push(Change::Missed(upstream.clone()));
             }
+            replica.assume_cold_until(now + ASSUMED_COLD_TIME);
         }
+        changes
     }
 
     /// Whether several hosts of the region that reach others can't reach an upstream, and this host has
--- a/src/proxy/host.rs
+++ b/src/proxy/host.rs
@@ -604,15 +604,15 @@
             let report = *received.message;
             let (host, incarnation) = (report.from.host.clone(), report.from.incarnation);
             let (version, now) = (report.version, self.clock.now());
-            let (update, own_version, limit_changes) = {
+            let (reception, own_version) = {
                 let mut core = self.core();
-                let (update, limit_changes) = core.receive_report(now, report);
-                (update, core.version(), limit_changes)
+                (core.receive_report(now, report), core.version())
             };
-            for (upstream, change) in limit_changes {
+            for (upstream, change) in reception.limits {
                 self.log_limit(&upstream, change);
             }
-            match update {
+            self.log_changes(reception.upstreams);
+            match reception.update {
                 Update::Joined => {
                     tracing::info!(event = "host", %host, incarnation, state = "live")
                 }
--- a/tests/proxy/reach.rs
+++ b/tests/proxy/reach.rs
@@ -36,14 +36,20 @@
     lose(core, now, &all);
 }
 
-/// Lets another host report.
-fn receive(core: &mut Core, now: Duration, host: &str, region: &str, told: reach::Report) {
+/// Lets another host report. Returns the changes in the state of upstreams.
+fn receive(
+    core: &mut Core,
+    now: Duration,
+    host: &str,
+    region: &str,
+    told: reach::Report,
+) -> Vec<Change> {
     let sequence = now.as_millis() as u64 + 1;
     let report = Report {
         reach: told,
         ..common::report(identity(host, region, host.len() as u8), sequence)
     };
-    core.receive_report(now, report);
+    core.receive_report(now, report).upstreams
 }
 
 fn found(upstreams: BTreeSet<name::Upstream>) -> reach::Report {
@@ -550,9 +556,12 @@
     let mut one = core(2);
     receive(&mut one, ms(10), "n2", "north", told());
     assert!(!is_cold(&one, 20), "the fault may be that host's");
-    receive(&mut one, ms(20), "n30", "north", told());
+    let changes = receive(&mut one, ms(20), "n30", "north", told());
+    assert_eq!(changes, [Change::Missed("e0".into())]);
+    let changes = receive(&mut one, ms(25), "n30", "north", told());
+    assert_eq!(changes, [], "it is told once");
     assert!(is_cold(&one, 30));
-    assert!(is_cold(&one, 2_900));
+    assert!(is_cold(&one, 3_000));
     assert!(!is_cold(&one, 3_100));
 
     let mut other = core(2);
