--- a/src/proxy/place.rs
+++ b/src/proxy/place.rs
@@ -5,9 +5,9 @@
 //!
 //! The expected load: regions peak in turn at twice their mean, most of the work is prefill, and
 //! prefilling a prefix again that another engine of the region holds costs as much as serving two
-//! more requests. So a prompt goes to the engine that holds its prefix, unless the wait there is
-//! longer than prefilling it elsewhere. An engine's own queue is kept short, because a request that
-//! waits at the host can still be reordered, sent elsewhere or refused.
+//! more requests. So all hosts send a session to the same engine while that one answers on time. An
+//! engine's own queue is kept short, because a request that waits at the host can still be reordered,
+//! sent elsewhere or refused.
 
 use {
     super::{
