--- a/src/proxy/fleet.rs
+++ b/src/proxy/fleet.rs
@@ -309,17 +309,12 @@
                 continue;
             }
             let is_same_region = peer.identity.region == own.region;
-            let rank = if is_same_region {
-                usize::MAX
-            } else {
-                relay_rank(peer.point, own_point, &neighbour_points)
-            };
-            let (interval, contacts) = if is_same_region {
-                (region_interval, REPORTS_PER_CONTACTS)
-            } else if rank < RELAYS_PER_REGION {
-                (REMOTE_REPORT_INTERVAL, remote_contacts)
-            } else {
-                (remote_interval, remote_contacts)
+            let rank =
+                (!is_same_region).then(|| relay_rank(peer.point, own_point, &neighbour_points));
+            let (interval, contacts) = match rank {
+                None => (region_interval, REPORTS_PER_CONTACTS),
+                Some(rank) if rank < RELAYS_PER_REGION => (REMOTE_REPORT_INTERVAL, remote_contacts),
+                Some(_) => (remote_interval, remote_contacts),
             };
             peer.next_report_at = now + interval;
             peer.sent_reports += 1;
@@ -329,7 +324,7 @@
                 host: host.clone(),
                 address: peer.identity.peers,
                 is_same_region,
-                includes_spare: rank < INFORMANTS_PER_REGION,
+                includes_spare: rank.is_some_and(|rank| rank < INFORMANTS_PER_REGION),
                 includes_contacts: peer.sent_reports % contacts == 1,
                 news_since,
             });
--- a/src/proxy/place.rs
+++ b/src/proxy/place.rs
@@ -182,10 +182,8 @@
     let held_at = holder.map(|holder| holder.point);
     let evaluate = |replica: &&Replica| evaluate_engine(engine, speed, job, now, replica, held_at);
     let near = holder.as_ref().and_then(evaluate);
-    if let Some(near) = &near
-        && near.choice.is_on_time
-    {
-        return Some(near.choice.clone());
+    if near.as_ref().is_some_and(|near| near.choice.is_on_time) {
+        return near.map(|near| near.choice);
     }
     // Each request looks at other engines, and all hosts together at each engine about once: hosts
     // that looked for the least loaded engine of all would find the same one.
--- a/testbed/src/raw.rs
+++ b/testbed/src/raw.rs
@@ -11,7 +11,7 @@
         time::Duration,
     },
     tokio::{
-        io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader},
+        io::{AsyncBufRead, AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader},
         net::{TcpListener, TcpStream},
         time::sleep,
     },
@@ -233,7 +233,7 @@
 }
 
 /// Reads the next request; `None` at the end of the connection.
-pub(crate) async fn read_request(stream: &mut BufReader<TcpStream>) -> io::Result<Option<Request>> {
+pub async fn read_request(stream: &mut (impl AsyncBufRead + Unpin)) -> io::Result<Option<Request>> {
     let mut request = Request::default();
     loop {
         let mut line = String::new();
--- a/tests/proxy/region.rs
+++ b/tests/proxy/region.rs
@@ -38,8 +38,10 @@
 const ANSWER_TIME: Duration = Duration::from_millis(400);
 const OBJECTIVE: Duration = Duration::from_millis(600);
 const MEMORY_TOKENS: u64 = 364_219;
+/// Prefixes that fit into that memory beside what runs, at 2,600 tokens each.
+const HELD_PREFIXES: usize = (MEMORY_TOKENS / 2_600) as usize;
 const SESSIONS_PER_ENGINE: u64 = 30;
-/// Prompts that all requests of a session share, after the part that all sessions share.
+/// Tokens of the part that a quarter of the sessions share, and of the session's own.
 const SHARED: [u32; 2] = [2_520, 3_780];
 /// Mean of the part of a prompt that belongs to one request.
 const OWN_TOKENS: f64 = 2_890.0;
@@ -299,9 +301,7 @@
                 self.tally.again += u64::from(prefix.tokens);
             }
         }
-        // 5,200 tokens a prefix on average.
-        let most = (MEMORY_TOKENS / 5_200) as usize * 2;
-        while engine.held.len() > most {
+        while engine.held.len() > HELD_PREFIXES {
             let oldest = engine.held.iter().min_by_key(|(_, at)| **at);
             let oldest = *oldest.expect("it holds some").0;
             engine.held.remove(&oldest);
