Use no upstream again that has left, for an older entry

Callers' requests reached upstreams that had said they were leaving, or whose entry had been removed (DRAIN).

Cause: an entry with another start was taken for a later start even when it was an earlier one, and a removed upstream was forgotten, so that an entry older than the removal (a heartbeat that is written late, the list of a host that has read less) brought it back as new, and no longer leaving.

Evidence: an_upstream_that_leaves_is_not_used_again_for_a_late_entry_of_the_process_before and an_upstream_that_has_left_is_not_used_again_for_an_older_entry failed before, with Restarted and Listed where nothing may change.

Change: entries are ordered by start and sequence, and the last state of a removed upstream is kept for a minute. One that was leaving stays so until it starts again.

--- a/src/proxy/catalog.rs
+++ b/src/proxy/catalog.rs
@@ -26,6 +26,8 @@
 /// How long after the platform becomes reachable again a missing upstream is kept, since it may
 /// still be listed again. The platform promises about two seconds.
 const RELIST_GRACE: Duration = Duration::from_millis(2_200);
+/// How long the last state of a removed upstream is remembered.
+const DEPARTED_TTL: Duration = Duration::from_secs(60);
 /// Failure count, halved by each success, at which an upstream is ejected.
 const EJECTION_THRESHOLD: f64 = 1.9;
 /// Length of the first ejection.
@@ -123,12 +125,21 @@
     }
 }
 
+/// The last published state of an upstream that was removed.
+#[derive(Debug)]
+struct Departed {
+    order: (u64, u64),
+    is_leaving: bool,
+    at: Duration,
+}
+
 /// The upstreams of one region.
 #[derive(Debug)]
 pub struct Catalog {
     /// Failure domains of the region.
     domains: BTreeSet<name::Domain>,
     replicas: BTreeMap<name::Upstream, Replica>,
+    departed: BTreeMap<name::Upstream, Departed>,
     evacuated: BTreeSet<name::Domain>,
     estimates: BTreeMap<name::Pool, Estimates>,
     /// Whether the platform cannot be reached.
@@ -158,6 +169,7 @@
         Self {
             domains,
             replicas: BTreeMap::new(),
+            departed: BTreeMap::new(),
             evacuated: BTreeSet::new(),
             estimates: BTreeMap::new(),
             is_unreachable: false,
@@ -267,9 +279,7 @@
         }
         let id = entry.id.clone();
         let Some(replica) = self.replicas.get_mut(&id) else {
-            self.replicas.insert(id.clone(), Replica::new(now, entry));
-            self.generation += 1;
-            return Some(Change::Listed(id));
+            return self.list(now, entry);
         };
         let was_leaving = replica.entry.leaving;
         let end = replica.end(Certainty::Certain);
@@ -291,6 +301,22 @@
         (is_leaving && !was_leaving).then_some(Change::Leaving(id))
     }
 
+    /// Adds an upstream, unless its entry is no newer than its removal. A process that was leaving when
+    /// it was removed goes on leaving.
+    fn list(&mut self, now: Duration, mut entry: Entry) -> Option<Change> {
+        let id = entry.id.clone();
+        if let Some(departed) = self.departed.get(&id) {
+            if entry.order() <= departed.order {
+                return None;
+            }
+            entry.leaving |= departed.is_leaving && entry.incarnation == departed.order.0;
+        }
+        self.departed.remove(&id);
+        self.replicas.insert(id.clone(), Replica::new(now, entry));
+        self.generation += 1;
+        Some(Change::Listed(id))
+    }
+
     /// Removes an upstream that is no longer listed. While the platform is unreachable and shortly
     /// after, its entry may only have lapsed, so it is kept until it had time to be listed again.
     pub fn remove(&mut self, now: Duration, id: &name::Upstream) -> Option<Change> {
@@ -332,6 +358,14 @@
         }
         let entry = replica.entry;
         self.retire_build(now, &entry);
+        self.departed
+            .retain(|_, departed| now.saturating_sub(departed.at) < DEPARTED_TTL);
+        let departed = Departed {
+            order: entry.order(),
+            is_leaving: entry.leaving,
+            at: now,
+        };
+        self.departed.insert(entry.id.clone(), departed);
         Some(Change::Gone(entry.id))
     }
 
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -36,6 +36,11 @@
     /// rounding and from the age of a heartbeat.
     const COLD_TOLERANCE: Duration = Duration::from_millis(1_500);
 
+    /// Increases with each publication of an upstream, also over its starts.
+    pub fn order(&self) -> (u64, u64) {
+        (self.incarnation, self.sequence)
+    }
+
     /// Whether another entry of the same upstream, as of the same time, differs only in its
     /// sequence number and, within the tolerance, in its remaining cold time. Becoming cold and
     /// ceasing to be cold always count as differences.
--- a/src/proxy/replica.rs
+++ b/src/proxy/replica.rs
@@ -171,9 +171,10 @@
         replica
     }
 
-    /// Applies newly published state. Returns whether the upstream has restarted.
+    /// Applies newly published state, unless it is older than what is known. Returns whether the
+    /// upstream has restarted.
     pub fn update(&mut self, now: Duration, entry: Entry) -> bool {
-        if entry.incarnation == self.entry.incarnation && entry.sequence < self.entry.sequence {
+        if entry.order() < self.entry.order() {
             return false;
         }
         let restarted = entry.incarnation != self.entry.incarnation;
--- a/tests/proxy/upstreams.rs
+++ b/tests/proxy/upstreams.rs
@@ -58,6 +58,49 @@
     assert_eq!(eligible(&catalog), ["e0", "e1"]);
 }
 
+/// A heartbeat of the process before, written late, was taken for another start, and an upstream that
+/// was leaving was used again.
+#[test]
+fn an_upstream_that_leaves_is_not_used_again_for_a_late_entry_of_the_process_before() {
+    let mut catalog = catalog();
+    let mut leaving = entry("e0", "north-a", POOL, 2);
+    leaving.incarnation = 7;
+    leaving.leaving = true;
+    catalog.upsert(ms(10), leaving);
+    let before = entry("e0", "north-a", POOL, 90);
+    assert_eq!(catalog.upsert(ms(20), before), None);
+    assert_eq!(eligible(&catalog), ["e1"]);
+}
+
+/// An upstream that had left was used again when an entry older than its removal was written once
+/// more, or another host listed it that had read less.
+#[test]
+fn an_upstream_that_has_left_is_not_used_again_for_an_older_entry() {
+    let mut catalog = catalog();
+    catalog.upsert(ms(10), entry("e0", "north-a", POOL, 4));
+    catalog.remove(ms(20), &"e0".into());
+    for sequence in [3, 4] {
+        let older = entry("e0", "north-a", POOL, sequence);
+        assert_eq!(catalog.upsert(ms(30), older.clone()), None);
+        let listed = vec![older, entry("e1", "north-b", POOL, 1)];
+        catalog.replace_all(ms(40), listed);
+        assert_eq!(eligible(&catalog), ["e1"]);
+    }
+    catalog.upsert(ms(50), entry("e0", "north-a", POOL, 5));
+    assert_eq!(eligible(&catalog), ["e0", "e1"], "it is alive after all");
+
+    let mut leaving = entry("e1", "north-b", POOL, 2);
+    leaving.leaving = true;
+    catalog.upsert(ms(60), leaving);
+    catalog.remove(ms(70), &"e1".into());
+    catalog.upsert(ms(80), entry("e1", "north-b", POOL, 3));
+    assert_eq!(eligible(&catalog), ["e0"], "a process that leaves stays so");
+    let mut again = entry("e1", "north-b", POOL, 1);
+    again.incarnation = 2;
+    catalog.upsert(ms(90), again);
+    assert_eq!(eligible(&catalog), ["e0", "e1"], "it has started again");
+}
+
 #[test]
 fn a_removed_upstream_is_gone_at_once_while_the_platform_is_reachable() {
     let mut catalog = catalog();
