--- a/src/proxy/catalog.rs
+++ b/src/proxy/catalog.rs
@@ -81,6 +81,8 @@
     Leaving(name::Upstream),
     /// The upstream was removed.
     Gone(name::Upstream),
+    /// The upstream was not listed again in time, while the platform can't be reached.
+    Lapsed(name::Upstream),
     /// The upstream sends nothing although requests are pending at it.
     Silent(name::Upstream),
     /// The upstream was ejected after failures, or its ejection ended.
@@ -101,6 +103,7 @@
             | Self::Restarted(upstream)
             | Self::Leaving(upstream)
             | Self::Gone(upstream)
+            | Self::Lapsed(upstream)
             | Self::Silent(upstream)
             | Self::Standing(upstream)
             | Self::Lost(upstream)
@@ -116,6 +119,7 @@
             Self::Restarted(_) => "restarted",
             Self::Leaving(_) => "leaving",
             Self::Gone(_) => "gone",
+            Self::Lapsed(_) => "lapsed",
             Self::Silent(_) => "silent",
             Self::Standing(_) => "standing changed",
             Self::Lost(_) => "unreached",
@@ -329,17 +333,22 @@
         self.forget(now, id)
     }
 
-    /// Removes upstreams that were not listed again in time.
+    /// Removes upstreams that were not listed again in time. While the platform is unreachable they
+    /// only lapse, since all entries may be missing for its outage.
     pub fn expire(&mut self, now: Duration) -> Vec<Change> {
-        let expired: Vec<_> = self
-            .replicas
-            .iter()
-            .filter(|(_, replica)| replica.removal_at.is_some_and(|until| now >= until))
-            .map(|(id, _)| id.clone())
-            .collect();
+        let is_expired = |replica: &Replica| replica.removal_at.is_some_and(|until| now >= until);
         if self.is_unreachable {
-            return Vec::new();
+            let replicas = self.replicas.values_mut();
+            let lapsed = replicas.filter(|replica| !replica.has_lapsed && is_expired(replica));
+            let lapse = |replica: &mut Replica| {
+                replica.has_lapsed = true;
+                Change::Lapsed(replica.entry.id.clone())
+            };
+            return lapsed.map(lapse).collect();
         }
+        let expired = self.replicas.iter();
+        let expired = expired.filter(|(_, replica)| is_expired(replica));
+        let expired: Vec<_> = expired.map(|(id, _)| id.clone()).collect();
         let gone = expired.iter().filter_map(|id| self.forget(now, id));
         gone.collect()
     }
@@ -429,13 +438,18 @@
         self.replicas.values_mut()
     }
 
-    /// Upstreams of a pool that are neither leaving nor in an evacuated failure domain.
+    /// Upstreams of a pool that are neither leaving nor in an evacuated failure domain. Those that have
+    /// lapsed are among them only if there are no others.
     pub fn eligible(&self, pool: &name::Pool) -> impl Iterator<Item = &Replica> {
-        self.replicas.values().filter(move |replica| {
+        let is_usable = move |replica: &&Replica| {
             replica.entry.pool == *pool
                 && !replica.entry.leaving
                 && !self.evacuated.contains(&replica.entry.domain)
-        })
+        };
+        let mut replicas = self.replicas.values().filter(is_usable);
+        let is_any_listed = replicas.any(|replica| !replica.has_lapsed);
+        let replicas = self.replicas.values().filter(is_usable);
+        replicas.filter(move |replica| !replica.has_lapsed || !is_any_listed)
     }
 
     /// Eligible upstreams that may serve a request.
--- a/src/proxy/replica.rs
+++ b/src/proxy/replica.rs
@@ -100,6 +100,8 @@
     /// When to remove the upstream unless it is listed again; set when it goes missing around an
     /// outage of the platform.
     pub removal_at: Option<Duration>,
+    /// Whether it was not listed again in time, while the platform could not be reached.
+    pub has_lapsed: bool,
     /// The limit that the upstream names.
     pub throttle: Throttle,
     /// Whether this host and others reach it.
@@ -152,6 +154,7 @@
             own_tally: Tally::default(),
             cache: Cache::default(),
             removal_at: None,
+            has_lapsed: false,
             throttle: Throttle::default(),
             reach: Reach::default(),
             other_tallies: BTreeMap::new(),
@@ -192,6 +195,7 @@
             self.set_cold_until(now);
         }
         self.removal_at = None;
+        self.has_lapsed = false;
         restarted
     }
 
