Apply what the store tells of upstreams in its order

Callers' requests reached upstreams that had said they were leaving (DRAIN).

Cause: of several changes of one upstream in one answer only the last one was taken. An upstream that had said that it leaves and was removed before the host read on was only removed, which counts later just after an outage; and an entry that can't be read was passed over as a change, so that the upstream was used as it was before, while the same entry in a full list removed it.

Evidence: an_upstream_that_left_within_one_batch_of_changes_is_not_used and an_upstream_whose_entry_cannot_be_read_is_not_used_until_it_can. The decision stood in the loop that reads the store, so these tests do not compile on the code before; there it can be read.

Change: the catalog applies changes in their order, and marks an upstream whose entry can't be read. It is used again once an entry can be read.

--- a/src/proxy/catalog.rs
+++ b/src/proxy/catalog.rs
@@ -81,6 +81,8 @@
     Leaving(name::Upstream),
     /// The upstream was removed.
     Gone(name::Upstream),
+    /// The entry of the upstream can't be read.
+    Unreadable(name::Upstream),
     /// The upstream was not listed again in time, while the platform can't be reached.
     Lapsed(name::Upstream),
     /// The upstream sends nothing although requests are pending at it.
@@ -103,6 +105,7 @@
             | Self::Restarted(upstream)
             | Self::Leaving(upstream)
             | Self::Gone(upstream)
+            | Self::Unreadable(upstream)
             | Self::Lapsed(upstream)
             | Self::Silent(upstream)
             | Self::Standing(upstream)
@@ -119,6 +122,7 @@
             Self::Restarted(_) => "restarted",
             Self::Leaving(_) => "leaving",
             Self::Gone(_) => "gone",
+            Self::Unreadable(_) => "unreadable",
             Self::Lapsed(_) => "lapsed",
             Self::Silent(_) => "silent",
             Self::Standing(_) => "standing changed",
@@ -129,6 +133,17 @@
     }
 }
 
+/// What the store tells of one upstream.
+#[derive(Debug)]
+pub enum News {
+    /// Its published state.
+    Entry(Entry),
+    /// Something that is no published state was written in its place.
+    Unreadable(name::Upstream),
+    /// It is no longer listed.
+    Removed(name::Upstream),
+}
+
 /// The last published state of an upstream that was removed.
 #[derive(Debug)]
 struct Departed {
@@ -204,9 +219,10 @@
         self.generation
     }
 
-    /// The published state of all upstreams, with the remaining cold time as of `now`.
+    /// The published state of all upstreams that can be read, with the remaining cold time as of `now`.
     pub fn entries(&self, now: Duration) -> Vec<Entry> {
         let all = self.replicas.values();
+        let all = all.filter(|replica| !replica.is_unreadable);
         all.map(|replica| replica.entry_at(now)).collect()
     }
 
@@ -276,6 +292,57 @@
         changes
     }
 
+    /// Replaces the whole list of upstreams with what was read.
+    pub fn replace_listed(&mut self, now: Duration, news: Vec<News>) -> Vec<Change> {
+        let (mut entries, mut unreadable) = (Vec::new(), Vec::new());
+        for news in news {
+            match news {
+                News::Entry(entry) => entries.push(entry),
+                News::Unreadable(id) => unreadable.push(id),
+                News::Removed(_) => {}
+            }
+        }
+        let mut changes = self.replace_all(now, entries);
+        let unreadable = unreadable.iter();
+        changes.extend(unreadable.filter_map(|id| self.mark_unreadable(id)));
+        changes
+    }
+
+    /// Applies changes in the order in which they were made. An upstream that was added and removed
+    /// again is passed over.
+    pub fn apply(&mut self, now: Duration, news: Vec<News>) -> Vec<Change> {
+        let removed: BTreeSet<_> = news
+            .iter()
+            .filter_map(|news| match news {
+                News::Removed(id) => Some(id.clone()),
+                News::Entry(_) | News::Unreadable(_) => None,
+            })
+            .collect();
+        let mut changes = Vec::new();
+        for news in news {
+            changes.extend(match news {
+                News::Entry(entry) => {
+                    let is_known = self.replicas.contains_key(&entry.id);
+                    let is_passed = !is_known && removed.contains(&entry.id);
+                    (!is_passed).then(|| self.upsert(now, entry)).flatten()
+                }
+                News::Unreadable(id) => self.mark_unreadable(&id),
+                News::Removed(id) => self.remove(now, &id),
+            });
+        }
+        changes
+    }
+
+    /// Marks an upstream whose entry can't be read, so that it is not used until one can.
+    fn mark_unreadable(&mut self, id: &name::Upstream) -> Option<Change> {
+        let replica = self.replicas.get_mut(id)?;
+        if std::mem::replace(&mut replica.is_unreadable, true) {
+            return None;
+        }
+        self.generation += 1;
+        Some(Change::Unreadable(id.clone()))
+    }
+
     /// Adds or updates one upstream from its published state. Ignores upstreams of other regions.
     pub fn upsert(&mut self, now: Duration, entry: Entry) -> Option<Change> {
         if !self.domains.contains(&entry.domain) {
@@ -286,10 +353,12 @@
             return self.list(now, entry);
         };
         let was_leaving = replica.entry.leaving;
+        let was_unreadable = replica.is_unreadable;
         let end = replica.end(Certainty::Certain);
         let before = replica.entry_at(now);
         let restarted = replica.update(now, entry);
-        if !replica.entry_at(now).is_equivalent(&before) {
+        let is_readable_again = was_unreadable && !replica.is_unreadable;
+        if is_readable_again || !replica.entry_at(now).is_equivalent(&before) {
             self.generation += 1;
         }
         let is_leaving = replica.entry.leaving;
@@ -438,12 +507,13 @@
         self.replicas.values_mut()
     }
 
-    /// Upstreams of a pool that are neither leaving nor in an evacuated failure domain. Those that have
-    /// lapsed are among them only if there are no others.
+    /// Upstreams of a pool whose entry can be read, neither leaving nor in an evacuated failure domain.
+    /// Those that have lapsed are among them only if there are no others.
     pub fn eligible(&self, pool: &name::Pool) -> impl Iterator<Item = &Replica> {
         let is_usable = move |replica: &&Replica| {
             replica.entry.pool == *pool
                 && !replica.entry.leaving
+                && !replica.is_unreadable
                 && !self.evacuated.contains(&replica.entry.domain)
         };
         let mut replicas = self.replicas.values().filter(is_usable);
--- a/src/proxy/follow.rs
+++ b/src/proxy/follow.rs
@@ -9,8 +9,8 @@
 
 use {
     super::{
-        dialect::Dialect, entry::Entry, host::Host, reader::Token, server::wait_for_phase,
-        table::Table,
+        catalog::News, dialect::Dialect, entry::Entry, host::Host, reader::Token,
+        server::wait_for_phase, table::Table,
     },
     crate::{Result, clock::Clock, entry::Phase, name},
     rand::{RngExt, SeedableRng, rngs::StdRng},
@@ -64,10 +64,12 @@
     Upstream(Entry),
     /// An upstream is no longer listed.
     Removed(name::Upstream),
-    /// An entry that could not be decoded. It is logged and otherwise ignored.
+    /// An entry that could not be decoded.
     Unreadable {
         /// Key of the entry in the store.
         key: String,
+        /// The upstream that it should describe, which is not used until an entry can be read.
+        upstream: Option<name::Upstream>,
         /// Why it could not be decoded.
         reason: String,
     },
@@ -269,8 +271,7 @@
     /// Applies entries to the core. `is_full` says that they are the whole section, not changes.
     fn apply_items(&mut self, items: Vec<Item>, is_full: bool) {
         let now = self.host.clock.now();
-        let mut entries = Vec::new();
-        let mut removed = Vec::new();
+        let mut news = Vec::new();
         let before = self.host.core().catalog.evacuated().clone();
         let mut evacuated = if is_full {
             BTreeSet::new()
@@ -286,16 +287,15 @@
                 Item::Restored(domain) => {
                     evacuated.remove(&domain);
                 }
-                Item::Upstream(entry) => {
-                    removed.retain(|id| *id != entry.id);
-                    entries.push(entry);
-                }
-                Item::Removed(id) => {
-                    entries.retain(|entry: &Entry| entry.id != id);
-                    removed.push(id);
-                }
-                Item::Unreadable { key, reason } => {
+                Item::Upstream(entry) => news.push(News::Entry(entry)),
+                Item::Removed(id) => news.push(News::Removed(id)),
+                Item::Unreadable {
+                    key,
+                    upstream,
+                    reason,
+                } => {
                     tracing::warn!(event = "store", key, reason, "entry could not be decoded");
+                    news.extend(upstream.map(News::Unreadable));
                 }
             }
         }
@@ -308,15 +308,9 @@
                 }
                 Vec::new()
             } else if is_full {
-                core.catalog.replace_all(now, entries)
+                core.catalog.replace_listed(now, news)
             } else {
-                let put = entries.into_iter();
-                let mut changes: Vec<_> = put
-                    .filter_map(|entry| core.catalog.upsert(now, entry))
-                    .collect();
-                let removed = removed.iter();
-                changes.extend(removed.filter_map(|id| core.catalog.remove(now, id)));
-                changes
+                core.catalog.apply(now, news)
             }
         };
         self.host.log_changes(changes);
--- a/src/proxy/replica.rs
+++ b/src/proxy/replica.rs
@@ -102,6 +102,8 @@
     pub removal_at: Option<Duration>,
     /// Whether it was not listed again in time, while the platform could not be reached.
     pub has_lapsed: bool,
+    /// Whether something that can't be read was written in place of its entry.
+    pub is_unreadable: bool,
     /// The limit that the upstream names.
     pub throttle: Throttle,
     /// Whether this host and others reach it.
@@ -155,6 +157,7 @@
             cache: Cache::default(),
             removal_at: None,
             has_lapsed: false,
+            is_unreadable: false,
             throttle: Throttle::default(),
             reach: Reach::default(),
             other_tallies: BTreeMap::new(),
@@ -196,6 +199,7 @@
         }
         self.removal_at = None;
         self.has_lapsed = false;
+        self.is_unreadable = false;
         restarted
     }
 
--- a/tests/proxy/upstreams.rs
+++ b/tests/proxy/upstreams.rs
@@ -3,7 +3,7 @@
 use {
     crate::common::{POOL, entry, ms},
     greengagecleat::proxy::{
-        catalog::{Catalog, Change},
+        catalog::{Catalog, Change, News},
         replica::{Outcome, Replica, Tally},
     },
     std::collections::BTreeSet,
@@ -146,6 +146,56 @@
     assert_eq!(eligible(&catalog), ["e0"], "it is listed again");
 }
 
+/// Of an upstream that had said that it leaves and was removed before a host read on, the host took
+/// only the removal, which counts later just after an outage.
+#[test]
+fn an_upstream_that_left_within_one_batch_of_changes_is_not_used() {
+    let mut catalog = catalog();
+    catalog.set_reachable(ms(1_000), false);
+    catalog.set_reachable(ms(5_000), true);
+    let mut leaving = entry("e0", "north-a", POOL, 2);
+    leaving.leaving = true;
+    let mut added = entry("e2", "north-a", POOL, 1);
+    added.incarnation = 3;
+    let news = vec![
+        News::Entry(leaving),
+        News::Entry(added),
+        News::Removed("e0".into()),
+        News::Removed("e2".into()),
+    ];
+    assert_eq!(
+        catalog.apply(ms(5_010), news),
+        [Change::Leaving("e0".into())]
+    );
+    assert_eq!(eligible(&catalog), ["e1"]);
+}
+
+/// Something that another writer left in place of an upstream's entry was passed over when it came as
+/// a change, and the upstream used as it was before.
+#[test]
+fn an_upstream_whose_entry_cannot_be_read_is_not_used_until_it_can() {
+    let mut catalog = catalog();
+    let before = catalog.generation();
+    let unreadable = || vec![News::Unreadable("e0".into())];
+    let told = catalog.apply(ms(10), unreadable());
+    assert_eq!(told, [Change::Unreadable("e0".into())]);
+    assert_eq!(catalog.apply(ms(20), unreadable()), []);
+    assert_eq!(eligible(&catalog), ["e1"]);
+    let listed: Vec<_> = catalog.entries(ms(20)).into_iter().collect();
+    assert_eq!(listed.len(), 1, "other hosts are told of it no more");
+    catalog.upsert(ms(30), entry("e0", "north-a", POOL, 2));
+    assert_eq!(eligible(&catalog), ["e0", "e1"]);
+    assert_eq!(catalog.generation(), before + 2);
+
+    let news = vec![
+        News::Entry(entry("e1", "north-b", POOL, 2)),
+        News::Unreadable("e0".into()),
+        News::Unreadable("new".into()),
+    ];
+    catalog.replace_listed(ms(40), news);
+    assert_eq!(eligible(&catalog), ["e1"], "neither in a full list");
+}
+
 #[test]
 fn an_evacuated_domain_is_not_used_and_comes_back_cold() {
     let mut catalog = catalog();
