Ask again before a byte is sent whether the upstream may have it

A request reached an upstream that had said that it was leaving (DRAIN) when it had waited for a connection meanwhile: 1 s at most, and longer on a host that stood still.

Cause: an upstream was chosen before its connection was opened, and not looked at again.

Change: the client of upstreams asks before the first byte on each connection. A request that may not be sent has not run and is placed anew, without a retry of the budget.

--- a/src/proxy/catalog.rs
+++ b/src/proxy/catalog.rs
@@ -510,18 +510,21 @@
     /// Upstreams of a pool whose entry can be read, neither leaving nor in an evacuated failure domain.
     /// Those that have lapsed are among them only if there are no others.
     pub fn eligible(&self, pool: &name::Pool) -> impl Iterator<Item = &Replica> {
-        let is_usable = move |replica: &&Replica| {
-            replica.entry.pool == *pool
-                && !replica.entry.leaving
-                && !replica.is_unreadable
-                && !self.evacuated.contains(&replica.entry.domain)
-        };
+        let is_usable =
+            move |replica: &&Replica| replica.entry.pool == *pool && self.is_usable(replica);
         let mut replicas = self.replicas.values().filter(is_usable);
         let is_any_listed = replicas.any(|replica| !replica.has_lapsed);
         let replicas = self.replicas.values().filter(is_usable);
         replicas.filter(move |replica| !replica.has_lapsed || !is_any_listed)
     }
 
+    /// Whether an upstream's entry can be read, and it is neither leaving nor in an evacuated failure
+    /// domain.
+    pub fn is_usable(&self, replica: &Replica) -> bool {
+        let entry = &replica.entry;
+        !entry.leaving && !replica.is_unreadable && !self.evacuated.contains(&entry.domain)
+    }
+
     /// Eligible upstreams that may serve a request.
     pub fn eligible_for<'a>(&'a self, job: &'a Job) -> impl Iterator<Item = &'a Replica> {
         let eligible = self.eligible(&job.pool);
--- a/src/proxy/core/mod.rs
+++ b/src/proxy/core/mod.rs
@@ -654,6 +654,19 @@
         }
     }
 
+    /// Whether a request may still be sent to the upstream of its reservation. To be asked just before
+    /// its first byte is sent, as the upstream may have left or started again while a connection was
+    /// opened.
+    pub fn confirm_send(&self, ticket: u64) -> bool {
+        let Some(reservation) = self.reservations.get(&ticket) else {
+            return false;
+        };
+        let replica = self.catalog.get(&reservation.upstream);
+        replica.is_some_and(|replica| {
+            replica.process() == reservation.process && self.catalog.is_usable(replica)
+        })
+    }
+
     /// Records the first byte of an answer's body. Returns the time that it took as a multiple of
     /// the predicted time; `None` if the first byte was recorded before or the reservation is gone.
     pub fn record_first_byte(&mut self, now: Duration, ticket: u64) -> Option<f64> {
--- a/src/proxy/send.rs
+++ b/src/proxy/send.rs
@@ -145,16 +145,18 @@
     let limit = late_after(predicted);
     let address = reservation.grant.address;
     let abandoned = host.until_lost(&upstream);
+    let ticket = reservation.grant.ticket;
+    let may_send = || host.core().confirm_send(ticket);
     let sending = host
         .upstreams
-        .send_unless(address, request, is_repeatable, abandoned);
+        .send_unless(address, request, is_repeatable, abandoned, may_send);
     let response = patience
         .watch(limit, sending)
         .await
-        .inspect_err(|failure| {
-            if failure.code == Code::Unreachable {
-                reservation.record_unreachable();
-            }
+        .inspect_err(|failure| match failure.code {
+            Code::Unreachable => reservation.record_unreachable(),
+            Code::NotReady => reservation.outcome = Outcome::NotRun,
+            _ => {}
         })?;
     let (head, mut body) = response.into_parts();
     let reply = host
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -132,19 +132,26 @@
         request: Request<Full<Bytes>>,
         is_repeatable: bool,
     ) -> Result<Response<Body>, Failure> {
-        self.send_unless(address, request, is_repeatable, pending())
+        self.send_unless(address, request, is_repeatable, pending(), || true)
             .await
     }
 
-    /// Like [`Self::send`], but gives up opening a connection once `abandoned` is ready. The call has
-    /// not run then.
+    /// Like [`Self::send`], but gives up opening a connection once `abandoned` is ready, and asks
+    /// `may_send` before a byte is sent. The call has not run if either ends it; the failure is
+    /// [`Code::NotReady`] where `may_send` does.
     pub async fn send_unless(
         &self,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         is_repeatable: bool,
         abandoned: impl Future<Output = ()>,
+        may_send: impl Fn() -> bool,
     ) -> Result<Response<Body>, Failure> {
+        let check = || {
+            let withdrawn =
+                || Failure::not_run(Code::NotReady, "the upstream may get no request any more");
+            may_send().then_some(()).ok_or_else(withdrawn)
+        };
         let limit = if is_repeatable {
             self.limits.max_idle
         } else {
@@ -152,6 +159,7 @@
         };
         let mut request = request;
         while let Some(sender) = self.checkout(address, limit) {
+            check()?;
             match self.send_on(address, sender, request).await {
                 Ok(response) => return Ok(response),
                 Err(SendError {
@@ -168,6 +176,7 @@
                 return Err(Failure::not_run(Code::Unreachable, reason));
             }
         };
+        check()?;
         self.send_on(address, sender, request)
             .await
             .map_err(|error| error.failure)
