Fail calls whose bytes are not acknowledged, before they could arrive late

A request whose path was cut lay in its connection and reached the upstream when the path was whole again, at worst long after the upstream had said that it was leaving (DRAIN). The same holds for a call forwarded to another host, which states the time left as of its sending.

Cause: resets the connection of a call that is given up, but a call that may not repeat is not given up before its deadline, and the operating system sends unacknowledged bytes again for minutes.

Evidence: tests/upstream.rs a_call_whose_bytes_are_not_taken_fails_before_they_could_arrive_late: not ended after 20 s before, fails after 2.2 s now (one run each).

Change: connections to upstreams and those that carry forwarded calls set TCP_USER_TIMEOUT to 2 s. Such a call may have run, and is repeated only where it may be. An upstream that stands still for longer with its receive window full loses the call too.

--- a/src/link/socket.rs
+++ b/src/link/socket.rs
@@ -26,6 +26,8 @@
 
 /// Longest time to connect and to complete the web socket handshake.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest time for which bytes of a forwarded call may lie unacknowledged.
+const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Silence after which a connection is pinged.
 const PING_AFTER: Duration = Duration::from_secs(3);
 /// Silence after which a pinged connection is closed.
@@ -116,6 +118,12 @@
                     peer: peer.clone(),
                     source,
                 })?;
+            // A forwarded call states the time left, so it must not arrive late.
+            if purpose == Purpose::Exchange
+                && let Err(error) = stream.set_acknowledgement_timeout(ACKNOWLEDGEMENT_TIMEOUT)
+            {
+                tracing::warn!(peer, %error, "forwarded calls may arrive late");
+            }
             let request = http::Request::builder()
                 .uri(format!("ws://{address}{}", purpose.path()))
                 .header("host", &peer)
--- a/src/net.rs
+++ b/src/net.rs
@@ -12,6 +12,7 @@
         pin::Pin,
         sync::{Arc, Mutex, PoisonError},
         task::{Context, Poll},
+        time::Duration,
     },
     tokio::{
         io::{AsyncRead, AsyncWrite, DuplexStream, ReadBuf, duplex},
@@ -150,6 +151,17 @@
 }
 
 impl Stream {
+    /// Makes the connection fail once bytes that were written have not been acknowledged for a time, so
+    /// that they do not arrive later than that, as after a partition. Without effect where the
+    /// operating system knows no such limit.
+    pub fn set_acknowledgement_timeout(&self, limit: Duration) -> io::Result<()> {
+        match self {
+            Self::Tcp(stream) => set_acknowledgement_timeout(stream, limit),
+            Self::Memory(_) => Ok(()),
+            Self::Gated(connection) => connection.set_acknowledgement_timeout(limit),
+        }
+    }
+
     /// Makes closing the connection reset it, so that bytes which have not arrived never do.
     pub fn set_reset_on_close(&self) -> io::Result<()> {
         match self {
@@ -160,6 +172,17 @@
     }
 }
 
+#[cfg(target_os = "linux")]
+fn set_acknowledgement_timeout(stream: &TcpStream, limit: Duration) -> io::Result<()> {
+    let millis = u32::try_from(limit.as_millis()).unwrap_or(u32::MAX);
+    Ok(rustix::net::sockopt::set_tcp_user_timeout(stream, millis)?)
+}
+
+#[cfg(not(target_os = "linux"))]
+fn set_acknowledgement_timeout(_: &TcpStream, _: Duration) -> io::Result<()> {
+    Ok(())
+}
+
 impl AsyncRead for Stream {
     fn poll_read(
         self: Pin<&mut Self>,
--- a/src/net/gate.rs
+++ b/src/net/gate.rs
@@ -9,6 +9,7 @@
         pin::Pin,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         task::{Context, Poll, Waker},
+        time::Duration,
     },
     tokio::{
         io::{AsyncRead, AsyncWrite, ReadBuf},
@@ -105,6 +106,10 @@
         self.stream.set_zero_linger()
     }
 
+    pub(super) fn set_acknowledgement_timeout(&self, limit: Duration) -> io::Result<()> {
+        super::set_acknowledgement_timeout(&self.stream, limit)
+    }
+
     /// Passes if the gate lets the connection's bytes through; else wakes the task once that may have
     /// changed.
     fn poll_passage(&self, context: &Context<'_>) -> Poll<io::Result<()>> {
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -33,6 +33,9 @@
 
 /// Longest time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest time for which bytes of a request may lie unacknowledged. An upstream that has said that it
+/// leaves takes requests for a few seconds more.
+const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Most headers accepted in an upstream's response.
 const MAX_HEADERS: usize = 64;
 /// Read buffer of a connection; bounds the size of a response head.
@@ -337,6 +340,9 @@
     if let Err(error) = stream.set_reset_on_close() {
         tracing::warn!(%address, %error, "the connection is closed without a reset");
     }
+    if let Err(error) = stream.set_acknowledgement_timeout(ACKNOWLEDGEMENT_TIMEOUT) {
+        tracing::warn!(%address, %error, "bytes on the connection may arrive late");
+    }
     let meter = Meter::default();
     let stream = Connection::new(stream, meter.clone());
     let (requests, connection) = http1::Builder::new()
--- a/tests/upstream.rs
+++ b/tests/upstream.rs
@@ -1,7 +1,7 @@
 //! Connections to upstreams.
 
 use {
-    greengagecleat::{net::Network, upstream::Client},
+    greengagecleat::{failure::Ran, net::Network, upstream::Client},
     http::Request,
     http_body_util::Full,
     std::{io, time::Duration},
@@ -23,3 +23,19 @@
     let error = ended.expect_err("the connection is reset");
     assert_eq!(error.kind(), io::ErrorKind::ConnectionReset);
 }
+
+/// Bytes of a call that lay in its connection while the path was cut arrived when it was whole again,
+/// at an upstream that had said long before that it was leaving.
+#[tokio::test]
+async fn a_call_whose_bytes_are_not_taken_fails_before_they_could_arrive_late() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    // More than the buffers hold, as the peer's system acknowledges what they do.
+    let body = Full::from(vec![0; 32 * 1024 * 1024]);
+    let request = Request::post("/").body(body).unwrap();
+    let client = Client::new(Network::Tcp);
+    let calling = client.send(address, request, true);
+    let called = timeout(Duration::from_secs(20), calling).await;
+    let failure = called.expect("the call ends").expect_err("it fails");
+    assert_eq!(failure.ran, Ran::Unknown, "some bytes have arrived");
+}
