Count what a cold upstream gets when it is sent, not when it is granted

Cause: requests were counted when they were granted. Those that waited for a connection, because the upstream did not answer, all left when it had started again; and what a host had sent a moment before a start was published was forgotten with it.

Change: a request is counted anew just before its first byte, and not sent if the upstream is cold by then and takes no more; one whose connection took 0.4 s without a sign of the upstream takes it for cold, which is logged as missed.

--- a/src/proxy/catalog.rs
+++ b/src/proxy/catalog.rs
@@ -93,7 +93,8 @@
     Lost(name::Upstream),
     /// A connection to the upstream was opened again.
     Reached(name::Upstream),
-    /// Several other hosts can open no connection to the upstream, so it counts as cold.
+    /// The upstream may have started again unseen, so it counts as cold: several other hosts can open
+    /// no connection to it, or one was long in opening.
     Missed(name::Upstream),
 }
 
--- a/src/proxy/core/mod.rs
+++ b/src/proxy/core/mod.rs
@@ -23,7 +23,7 @@
         rate::Limiter,
         reach,
         reader::{self, Listing, Reading, Role},
-        replica::{Outcome, Replica, millis},
+        replica::{ASSUMED_COLD_TIME, Outcome, Replica, millis},
         table::{Match, Pool, Table},
         throttle::{self, Notice, Share},
     },
@@ -53,6 +53,8 @@
 /// Time after the start during which a host sends nothing to a cold upstream: it has heard of few
 /// hosts, and all hosts of the region may have started at once.
 const FIRST_REPORTS_TIME: Duration = Duration::from_millis(1_500);
+/// Time to open a connection from which the upstream may have started again meanwhile.
+const SLOW_CONNECTION: Duration = Duration::from_millis(400);
 /// How long a host that is not heard keeps its part of an upstream's limit.
 const SHARING_TIMEOUT: Duration = Duration::from_secs(10);
 /// Hosts of the region that are assumed during [`DISCOVERY_TIME`] to share an upstream's limit.
@@ -157,6 +159,8 @@
     prefill_tokens: f64,
     predicted_ms: f64,
     sent_at: Duration,
+    /// When it was last counted among the requests that a cold upstream gets.
+    counted_at: Duration,
     is_engine: bool,
     process: Process,
     suspects: Arc<[Suspect]>,
@@ -534,9 +538,13 @@
         if replica.reach.is_lost() {
             return false;
         }
+        self.is_within_cold_limit(now, replica, pool) && self.is_within_limit(now, replica)
+    }
+
+    /// Whether an upstream, if it is cold, takes another request of this host.
+    fn is_within_cold_limit(&self, now: Duration, replica: &Replica, pool: &Pool) -> bool {
         let is_warm = pool.cold_per_s <= 0.0 || !replica.is_cold(now);
-        (is_warm || replica.recent_sends(now) < self.cold_limit(now, replica, pool))
-            && self.is_within_limit(now, replica)
+        is_warm || replica.recent_sends(now) < self.cold_limit(now, replica, pool)
     }
 
     /// Whether the limit that an upstream names allows another request of this host.
@@ -640,6 +648,7 @@
             prefill_tokens: choice.prefill_tokens,
             predicted_ms: choice.predicted_ms,
             sent_at: now,
+            counted_at: now,
             is_engine: engine.is_some(),
             process,
             suspects: job.suspects.clone(),
@@ -658,16 +667,47 @@
     }
 
     /// Whether a request may still be sent to the upstream of its reservation. To be asked just before
-    /// its first byte is sent, as the upstream may have left or started again while a connection was
-    /// opened.
-    pub fn confirm_send(&self, ticket: u64) -> bool {
-        let Some(reservation) = self.reservations.get(&ticket) else {
+    /// its first byte is sent, as the upstream may have left, started again or become cold while a
+    /// connection was opened. Returns a change too if the time that it took makes the upstream cold.
+    pub fn confirm_send(&mut self, now: Duration, ticket: u64) -> (bool, Option<Change>) {
+        let Some(reservation) = self.reservations.get_mut(&ticket) else {
+            return (false, None);
+        };
+        let counted_at = std::mem::replace(&mut reservation.counted_at, now);
+        let upstream = reservation.upstream.clone();
+        let (pool, process) = (reservation.pool.clone(), reservation.process);
+        let Some(replica) = self.catalog.get_mut(&upstream) else {
+            return (false, None);
+        };
+        let waited = now.saturating_sub(counted_at);
+        let mut change = None;
+        if waited >= SLOW_CONNECTION && !replica.reach.has_sign_within(now, waited) {
+            let is_new = !replica.is_cold(now);
+            change = is_new.then(|| Change::Missed(upstream.clone()));
+            replica.assume_cold_until(now + ASSUMED_COLD_TIME);
+        }
+        replica.withdraw_send(counted_at);
+        let may_send = self.may_confirm(now, &upstream, &pool, process);
+        if may_send && let Some(replica) = self.catalog.get_mut(&upstream) {
+            replica.count_send(now);
+        }
+        (may_send, change)
+    }
+
+    fn may_confirm(
+        &self,
+        now: Duration,
+        upstream: &name::Upstream,
+        pool: &name::Pool,
+        process: Process,
+    ) -> bool {
+        let replica = self.catalog.get(upstream);
+        let Some(replica) = replica.filter(|replica| replica.process() == process) else {
             return false;
         };
-        let replica = self.catalog.get(&reservation.upstream);
-        replica.is_some_and(|replica| {
-            replica.process() == reservation.process && self.catalog.is_usable(replica)
-        })
+        let pool = self.table.as_ref().and_then(|table| table.pool(pool));
+        self.catalog.is_usable(replica)
+            && pool.is_none_or(|pool| self.is_within_cold_limit(now, replica, pool))
     }
 
     /// Records the first byte of an answer's body. Returns the time that it took as a multiple of
--- a/src/proxy/host.rs
+++ b/src/proxy/host.rs
@@ -487,6 +487,14 @@
         }
     }
 
+    /// Whether the request of a reservation may still be sent; asked just before its first byte.
+    pub(super) fn confirm_send(&self, ticket: u64) -> bool {
+        let now = self.clock.now();
+        let (may_send, change) = self.core().confirm_send(now, ticket);
+        self.log_changes(change);
+        may_send
+    }
+
     /// Sends due reports, expires old state and announces readings, until the host has closed.
     pub async fn run_reports(self) {
         let mut phase = self.phase.clone();
--- a/src/proxy/replica.rs
+++ b/src/proxy/replica.rs
@@ -185,10 +185,11 @@
         }
         let restarted = entry.incarnation != self.entry.incarnation;
         if restarted {
-            let other_tallies = std::mem::take(&mut self.other_tallies);
             *self = Self {
                 own_tally: self.own_tally.clone(),
-                other_tallies,
+                other_tallies: std::mem::take(&mut self.other_tallies),
+                // What was sent a moment ago may have reached the new process.
+                send_times: std::mem::take(&mut self.send_times),
                 ..Self::new(now, entry)
             };
         } else {
@@ -368,12 +369,24 @@
             self.last_byte_at = now;
             self.is_silent = false;
         }
+        self.count_send(now);
+        self.health.record_sent(now);
+    }
+
+    /// Takes a request that was counted at this time out of the recent ones.
+    pub fn withdraw_send(&mut self, counted_at: Duration) {
+        if let Some(place) = self.send_times.iter().position(|at| *at == counted_at) {
+            self.send_times.remove(place);
+        }
+    }
+
+    /// Counts a request among the recent ones.
+    pub fn count_send(&mut self, now: Duration) {
         let since = now.saturating_sub(COLD_WINDOW);
         while self.send_times.front().is_some_and(|at| *at < since) {
             self.send_times.pop_front();
         }
         self.send_times.push_back(now);
-        self.health.record_sent(now);
     }
 
     /// Adds an observed slowness: the time to a first byte over the time that the pool's averages
--- a/src/proxy/send.rs
+++ b/src/proxy/send.rs
@@ -146,7 +146,7 @@
     let address = reservation.grant.address;
     let abandoned = host.until_lost(&upstream);
     let ticket = reservation.grant.ticket;
-    let may_send = || host.core().confirm_send(ticket);
+    let may_send = || host.confirm_send(ticket);
     let sending = host
         .upstreams
         .send_unless(address, request, is_repeatable, abandoned, may_send);
--- a/tests/proxy/cold.rs
+++ b/tests/proxy/cold.rs
@@ -372,6 +372,83 @@
     (most, sum)
 }
 
+/// A host whose only upstream takes [`COLD_PER_S`], with requests that it may send there.
+fn granted(count: u64) -> (Core, Vec<u64>) {
+    let mut core = crate::common::core(1);
+    let grant = |core: &mut Core, n| {
+        let next = job(core, ms(5_000), n, 100 + n);
+        match core.place(ms(5_000), &next) {
+            Placement::Local(grant) => Some(grant.ticket),
+            _ => None,
+        }
+    };
+    let tickets: Vec<_> = (0..count).filter_map(|n| grant(&mut core, n)).collect();
+    assert!(tickets.len() >= 4, "{tickets:?}");
+    (core, tickets)
+}
+
+fn confirmed(core: &mut Core, at: u64, tickets: &[u64]) -> usize {
+    let tickets = tickets.iter();
+    tickets
+        .filter(|ticket| core.confirm_send(ms(at), **ticket).0)
+        .count()
+}
+
+/// Requests that were granted while an upstream was warm, and waited for connections, all reached it
+/// when it was cold.
+#[test]
+fn requests_that_wait_while_an_upstream_becomes_cold_are_not_all_sent() {
+    let (mut core, tickets) = granted(6);
+    let mut cold = entry("e0", "north-a", POOL, 2);
+    cold.cold_for = ms(3_000);
+    core.catalog.upsert(ms(5_100), cold);
+    let sent = confirmed(&mut core, 5_200, &tickets);
+    assert_eq!(sent, 1, "a cold upstream takes some");
+}
+
+/// Requests that waited for connections to an upstream which did not answer all reached it at once
+/// when it had started again, before that was published.
+#[test]
+fn requests_that_waited_long_for_connections_are_not_all_sent_at_once() {
+    let (mut core, tickets) = granted(6);
+    let sent = confirmed(&mut core, 5_900, &tickets);
+    assert_eq!(sent, 1);
+    let (mut core, tickets) = granted(6);
+    core.record_connection(ms(5_800), &"e0".into(), true);
+    let sent = confirmed(&mut core, 5_900, &tickets);
+    assert_eq!(sent, tickets.len(), "it was heard meanwhile");
+}
+
+/// The requests sent a moment before a start was published were forgotten with it.
+#[test]
+fn what_was_sent_just_before_a_start_is_published_counts() {
+    let (mut core, tickets) = granted(6);
+    for ticket in &tickets {
+        core.release(ms(5_050), *ticket, Outcome::Success);
+    }
+    let mut started = entry("e0", "north-a", POOL, 1);
+    started.incarnation = 2;
+    started.cold_for = ms(3_000);
+    core.catalog.upsert(ms(5_100), started);
+    let next = job(&core, ms(5_200), 9, 900);
+    let placement = core.place(ms(5_200), &next);
+    assert!(!matches!(placement, Placement::Local(_)), "{tickets:?}");
+}
+
+/// An older entry, of the process before, said that an upstream was warm that had started again.
+#[test]
+fn a_cold_upstream_is_not_warm_for_a_late_entry_of_the_process_before() {
+    let mut core = crate::common::core(1);
+    let mut started = entry("e0", "north-a", POOL, 1);
+    started.incarnation = 2;
+    started.cold_for = ms(3_000);
+    core.catalog.upsert(ms(5_000), started);
+    core.catalog
+        .upsert(ms(5_100), entry("e0", "north-a", POOL, 90));
+    let replica = core.catalog.get(&"e0".into()).expect("it is listed");
+    assert!(replica.is_cold(ms(5_200)));
+}
+
 /// Each host kept to its part of what a cold upstream takes, but hosts that knew different sets of
 /// hosts had parts that came to more than the whole.
 #[test]
