--- a/src/proxy/replica.rs
+++ b/src/proxy/replica.rs
@@ -214,7 +214,7 @@
 
     /// Sets the end of the cold time from the published state.
     fn set_cold_until(&mut self, now: Duration) {
-        self.cold_until = now + self.entry.cold_for;
+        self.cold_until = now.saturating_add(self.entry.cold_for);
     }
 
     /// Treats the upstream as cold until the given time, as it may have become cold unnoticed.
--- a/tests/proxy/upstreams.rs
+++ b/tests/proxy/upstreams.rs
@@ -6,7 +6,7 @@
         catalog::{Catalog, Change, News},
         replica::{Outcome, Replica, Tally},
     },
-    std::collections::BTreeSet,
+    std::{collections::BTreeSet, time::Duration},
 };
 
 fn catalog() -> Catalog {
@@ -196,6 +196,18 @@
     assert_eq!(eligible(&catalog), ["e1"], "neither in a full list");
 }
 
+/// An entry that named a cold time of centuries ended the task that followed the list.
+#[test]
+fn an_entry_with_an_endless_cold_time_is_taken() {
+    let mut catalog = catalog();
+    let mut endless = entry("e0", "north-a", POOL, 2);
+    endless.cold_for = Duration::MAX;
+    catalog.upsert(ms(10), endless);
+    assert!(catalog.get(&"e0".into()).unwrap().is_cold(ms(60_000)));
+    assert_eq!(eligible(&catalog), ["e0", "e1"]);
+    assert_eq!(catalog.entries(ms(20)).len(), 2);
+}
+
 #[test]
 fn an_evacuated_domain_is_not_used_and_comes_back_cold() {
     let mut catalog = catalog();
