Take no refusal without an id for that of a request on a kept connection

Report of other operators: a replica wrote an earlier refusal once more on a kept connection. Here a refusal with the earlier id was told apart already; one without an id was not: the caller was told 503, not run, of a request that the upstream had run, and another upstream ran it as well.

Change: answers tell whether their connection was used before. There a refusal must bear the id of its request; else the request may have run. src/gateway always asks for the id. Open: a caller that uses an id twice on one connection.

--- a/src/proxy/send.rs
+++ b/src/proxy/send.rs
@@ -162,7 +162,13 @@
     let reply = host
         .dialect
         .parse_reply(head.status.as_u16(), &head.headers);
-    if reply.id.is_some() && reply.id != inbound.metadata.id {
+    let is_reused = head.extensions.get::<upstream::Reused>().is_some();
+    let is_own = match &reply.id {
+        Some(_) => reply.id == inbound.metadata.id,
+        // It may be an earlier refusal that was written once more.
+        None => !(reply.has_not_run && is_reused && inbound.metadata.id.is_some()),
+    };
+    if !is_own {
         host.metrics.crossed.inc();
         return Err(upstream_failed("the upstream answered another request"));
     }
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -99,6 +99,11 @@
     Close,
 }
 
+/// Extension of an answer on a connection that had carried another call before: bytes left over from
+/// that one may have been read as the answer.
+#[derive(Debug, Clone, Copy)]
+pub struct Reused;
+
 /// The body of an upstream's answer. Dropping it before its end closes the connection, which
 /// cancels the work.
 #[derive(Debug)]
@@ -164,7 +169,10 @@
         while let Some(sender) = self.checkout(address, limit) {
             check()?;
             match self.send_on(address, sender, request).await {
-                Ok(response) => return Ok(response),
+                Ok(mut response) => {
+                    response.extensions_mut().insert(Reused);
+                    return Ok(response);
+                }
                 Err(SendError {
                     request: Some(unsent),
                     ..
