End a stream that has begun when the next engine answers with an error

Report of other operators: a stream had begun and broke off, and callers found the next replica's error in the middle of it, or the stream ended as if it were complete. Here in the gateway: a stream that broke off after an event without a token, a comment for example, was asked for again from its beginning, and the text of an error with a status that is not repeated was relayed within the stream as its orderly end.

Evidence: tests/gateway/cut.rs an_error_after_a_stream_has_begun_is_no_part_of_it, at the host and over another one: the caller got the comment and then 'the prompt is too long', whole; now the comment and an error event of the host. In src/proxy it was no fault before: whole/refused.rs, ten kinds of error with three framings, at the host and over another one, on two kinds of route, passed on the code before.

Change: after an event was relayed only an answer with status 200 goes on; any other is a failed attempt.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -88,6 +88,8 @@
     /// Bytes of the body still to be relayed, if the head has a content length.
     bytes_left: Option<u64>,
     has_ended: bool,
+    /// Whether an event of a stream was relayed, after which nothing but its events may follow.
+    has_begun: bool,
     charge: Option<Charge<C>>,
     config: watch::Receiver<Option<Arc<Snapshot>>>,
 }
@@ -103,6 +105,7 @@
             answer,
             ready_chunks: VecDeque::new(),
             has_ended: false,
+            has_begun: false,
             charge: None,
         }
     }
@@ -225,7 +228,7 @@
             }
             Ok(Next::Answer(answer)) => {
                 self.fail_in_flight();
-                self.continue_with(*answer);
+                self.continue_with(*answer).await?;
             }
             Err(failure) => {
                 if failure.code != Code::KeyWithdrawn {
@@ -281,6 +284,7 @@
     }
 
     async fn receive_event(&mut self, event: StreamEvent) {
+        self.has_begun = true;
         let attempt = self.answer.attempt;
         match event {
             StreamEvent::Token(bytes) => {
@@ -335,15 +339,23 @@
             .attempts
             .retry_broken(self.answer.attempt, failure)
             .await?;
-        self.continue_with(answer);
-        Ok(())
+        self.continue_with(answer).await
     }
 
-    /// Continues with the answer of another attempt, which follows on what is already relayed.
-    fn continue_with(&mut self, answer: Answer<C>) {
+    /// Continues with the answer of another attempt, which follows on what is already relayed. An error
+    /// can't follow on a stream that has begun, so it is a failed attempt.
+    async fn continue_with(&mut self, mut answer: Answer<C>) -> Result<(), Failure> {
+        while self.has_begun && answer.head.status != 200 {
+            let status = answer.head.status;
+            let in_flight = answer.in_flight.take();
+            in_flight.into_iter().for_each(InFlight::fail);
+            let failure = upstream_failure(&format!("the stream could not go on: status {status}"));
+            answer = self.attempts.retry_broken(answer.attempt, failure).await?;
+        }
         self.attempts.keep_slot(&answer.head.pool);
         self.mode = relay_mode(&self.attempts.call, &answer.head);
         self.answer = answer;
+        Ok(())
     }
 }
 
--- a/tests/gateway/cut.rs
+++ b/tests/gateway/cut.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::common::{Bed, KOLLAM, Running, chat, pools, until},
+    std::{collections::BTreeSet, sync::Mutex},
     testbed::{
         client::Call,
         raw::{self, Cut, End, Framing, Scissors},
@@ -15,10 +16,24 @@
 /// Prompt that the engine answers with [`ERROR`].
 const LONG_PROMPT: &str = "a long prompt";
 
+/// Prompt that the engine answers with a stream at first, then with [`ERROR`].
+const REFUSED_PROMPT: &str = "a prompt that is refused later";
+/// Beginning of a stream before its first token.
+const OPENING: &str = ": the stream is open\n\n";
+
+/// Ids of the calls with [`REFUSED_PROMPT`] that were answered.
+static ANSWERED: Mutex<BTreeSet<String>> = Mutex::new(BTreeSet::new());
+
 /// Answers plain calls with events and model calls with a completion or an error.
 fn answer(request: &raw::Request) -> raw::Answer {
     let is_long = String::from_utf8_lossy(&request.body).contains(LONG_PROMPT);
-    let (status, kind, body) = if !request.target.starts_with("/v1/") {
+    let is_refused = String::from_utf8_lossy(&request.body).contains(REFUSED_PROMPT);
+    let id = request.header("x-request-id").to_owned();
+    let (status, kind, body) = if is_refused && ANSWERED.lock().unwrap().insert(id) {
+        (200, "text/event-stream", OPENING)
+    } else if is_refused {
+        (404, "text/plain", ERROR)
+    } else if !request.target.starts_with("/v1/") {
         (200, "text/event-stream", EVENTS)
     } else if is_long {
         (400, "text/plain", ERROR)
@@ -122,3 +137,20 @@
         assert_eq!(scissors.total_arrivals() - before, 1, "it was sent again");
     }
 }
+
+/// A stream broke off before its first token, and the error with which the next engine answered was
+/// passed on within it, as its orderly end.
+#[tokio::test]
+async fn an_error_after_a_stream_has_begun_is_no_part_of_it() {
+    let (bed, scissors, hosts) = deployment().await;
+    for host in &hosts {
+        scissors.set(cut_after(OPENING.len()));
+        let seen = whole(&bed, host, &chat(REFUSED_PROMPT, 8, true)).await;
+        let (_, text) = seen.expect("the stream ends with an error of the host");
+        let rest = text.strip_prefix(OPENING).expect("it had begun");
+        assert!(
+            rest.contains("event: error") && !rest.contains(ERROR),
+            "{rest}"
+        );
+    }
+}
