Ask in the gateway too whether an upstream may still have a call

The cause found for requests that reach leaving upstreams (DRAIN), looked for on the other request path: a call that waited up to 1 s for a connection was sent to an upstream that was leaving by then.

Change: the gateway asks its router before the first byte; a call that may not be sent has not run and is placed anew without a retry of the budget.

--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -92,6 +92,7 @@
         admitted: Vec<name::Pool>,
     },
     Send {
+        upstream: name::Upstream,
         address: SocketAddr,
         offset: u64,
     },
@@ -340,8 +341,13 @@
                     tried_upstreams,
                     admitted,
                 } => Done::Placed(gateway.place(&call, tried_upstreams, &admitted).await),
-                Task::Send { address, offset } => {
-                    Done::Sent(gateway.send_to_upstream(&call, address, offset).await)
+                Task::Send {
+                    upstream,
+                    address,
+                    offset,
+                } => {
+                    let sending = gateway.send_to_upstream(&call, &upstream, address, offset);
+                    Done::Sent(sending.await)
                 }
                 Task::Forward(host) => {
                     let forwarded = gateway.forward(&call, &host).await;
@@ -405,8 +411,13 @@
                 let slot = slot.map(|slot| (target.pool.clone(), slot));
                 self.slots.extend(slot);
                 let address = target.in_flight.address;
+                let upstream = target.upstream.clone();
                 flights.sent.insert(attempt, target);
-                Task::Send { address, offset }
+                Task::Send {
+                    upstream,
+                    address,
+                    offset,
+                }
             }
         }))
     }
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -11,7 +11,7 @@
     bytes::Bytes,
     http::{HeaderMap, Request, Response, header},
     http_body_util::Full,
-    std::{net::SocketAddr, time::Duration},
+    std::{future::pending, net::SocketAddr, time::Duration},
 };
 
 /// Header with the request id. Upstreams repeat it in their answers, which exposes an answer
@@ -21,16 +21,22 @@
 const OFFSET_HEADER: &str = "x-resume-offset";
 
 impl<C: Clock> Gateway<C> {
-    /// Sends a call to an upstream and waits for the head of the response.
+    /// Sends a call to an upstream and waits for the head of the response. The call has not run if
+    /// the upstream was leaving by the time that a connection was open.
     pub(super) async fn send_to_upstream(
         &self,
         call: &Call,
+        upstream: &name::Upstream,
         address: SocketAddr,
         offset: u64,
     ) -> Result<Response<upstream::Body>, Failure> {
         let request = upstream_request(call, address, offset)?;
+        let router = &self.dependencies().router;
+        let may_send = || router.with(|router, _| router.accepts(upstream));
         let upstreams = &self.dependencies().upstreams;
-        upstreams.send(address, request, call.is_repeatable()).await
+        upstreams
+            .send_unless(address, request, call.is_repeatable(), pending(), may_send)
+            .await
     }
 
     /// Time left until the call's deadline. Fails if it has passed.
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -365,6 +365,16 @@
         }
     }
 
+    /// Whether an upstream is listed and not leaving.
+    pub fn accepts(&self, upstream: &name::Upstream) -> bool {
+        let pool = self.pool_by_upstream.get(upstream);
+        let members = pool.and_then(|pool| self.pools.get(pool));
+        members.is_some_and(|members| {
+            let replica = members.position(upstream).map(|at| &members.replicas[at]);
+            replica.is_some_and(|replica| replica.serves(None, self.options.mutant))
+        })
+    }
+
     /// Records that the head of a request's answer arrived.
     pub fn record_head(&mut self, now: Duration, upstream: &name::Upstream) {
         if let Some(members) = self.members_mut(upstream) {
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -707,6 +707,25 @@
     assert!(router.begin_trials(200 * SECOND).is_empty());
 }
 
+/// A call that waited for a connection was sent to an upstream that was leaving by then.
+#[test]
+fn upstream_that_leaves_or_is_listed_no_more_accepts_nothing() {
+    let mut router = router("north", Options::default());
+    let [stays, leaves, goes] = [0, 1, 2].map(|at| listed("north", at, State::Live).name);
+    assert!(
+        [&stays, &leaves, &goes]
+            .iter()
+            .all(|upstream| router.accepts(upstream))
+    );
+    let list = [
+        listed("north", 0, State::Live),
+        listed("north", 1, State::Leaving),
+    ];
+    router.set_upstreams(SECOND, &list);
+    assert!(router.accepts(&stays));
+    assert!(!router.accepts(&leaves) && !router.accepts(&goes));
+}
+
 #[tokio::test]
 async fn upstream_that_the_host_list_calls_leaving_gets_no_new_call() {
     let mut bed = Bed::start().await;
--- a/tests/upstream.rs
+++ b/tests/upstream.rs
@@ -1,10 +1,14 @@
 //! Connections to upstreams.
 
 use {
-    greengagecleat::{failure::Ran, net::Network, upstream::Client},
+    greengagecleat::{
+        failure::{Code, Ran},
+        net::Network,
+        upstream::Client,
+    },
     http::Request,
     http_body_util::Full,
-    std::{io, time::Duration},
+    std::{future::pending, io, time::Duration},
     tokio::{io::AsyncReadExt, net::TcpListener, time::timeout},
 };
 
@@ -39,3 +43,20 @@
     let failure = called.expect("the call ends").expect_err("it fails");
     assert_eq!(failure.ran, Ran::Unknown, "some bytes have arrived");
 }
+
+/// A call was sent to an upstream that was leaving by the time that its connection was open.
+#[tokio::test]
+async fn no_byte_is_sent_to_an_upstream_that_may_get_none_once_it_is_connected() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let request = Request::get("/").body(Full::default()).unwrap();
+    let client = Client::new(Network::Tcp);
+    let sending = client.send_unless(address, request, true, pending(), || false);
+    let failure = sending.await.expect_err("it may not be sent");
+    assert_eq!((failure.code, failure.ran), (Code::NotReady, Ran::No));
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let mut received = Vec::new();
+    // The connection may be reset.
+    stream.read_to_end(&mut received).await.ok();
+    assert_eq!(received, b"");
+}
