List an upstream again that was removed within the same batch of changes

Found in the last read of the change: an upstream whose removal and new entry came in one answer of the store was not used until its next heartbeat, about a second later.

Cause: the catalog passes over upstreams that were added and removed again, and looked for the removal anywhere in the batch, also before the entry.

Evidence: an_upstream_that_is_listed_again_within_one_batch_of_changes_is_used failed before, with only Gone where Listed must follow.

Change: only a later removal counts.

--- a/src/proxy/catalog.rs
+++ b/src/proxy/catalog.rs
@@ -312,19 +312,15 @@
     /// Applies changes in the order in which they were made. An upstream that was added and removed
     /// again is passed over.
     pub fn apply(&mut self, now: Duration, news: Vec<News>) -> Vec<Change> {
-        let removed: BTreeSet<_> = news
-            .iter()
-            .filter_map(|news| match news {
-                News::Removed(id) => Some(id.clone()),
-                News::Entry(_) | News::Unreadable(_) => None,
-            })
-            .collect();
         let mut changes = Vec::new();
-        for news in news {
-            changes.extend(match news {
+        let mut news = news.into_iter();
+        while let Some(next) = news.next() {
+            changes.extend(match next {
                 News::Entry(entry) => {
+                    let is_its_removal =
+                        |later: &News| matches!(later, News::Removed(id) if *id == entry.id);
                     let is_known = self.replicas.contains_key(&entry.id);
-                    let is_passed = !is_known && removed.contains(&entry.id);
+                    let is_passed = !is_known && news.as_slice().iter().any(is_its_removal);
                     (!is_passed).then(|| self.upsert(now, entry)).flatten()
                 }
                 News::Unreadable(id) => self.mark_unreadable(&id),
--- a/tests/proxy/upstreams.rs
+++ b/tests/proxy/upstreams.rs
@@ -170,6 +170,21 @@
     assert_eq!(eligible(&catalog), ["e1"]);
 }
 
+/// An upstream that was removed and listed again before a host read on was passed over like one that was
+/// added and removed.
+#[test]
+fn an_upstream_that_is_listed_again_within_one_batch_of_changes_is_used() {
+    let mut catalog = catalog();
+    let news = vec![
+        News::Removed("e0".into()),
+        News::Entry(entry("e0", "north-a", POOL, 2)),
+    ];
+    let changes = catalog.apply(ms(10), news);
+    let expected = [Change::Gone("e0".into()), Change::Listed("e0".into())];
+    assert_eq!(changes, expected);
+    assert_eq!(eligible(&catalog), ["e0", "e1"]);
+}
+
 /// Something that another writer left in place of an upstream's entry was passed over when it came as
 /// a change, and the upstream used as it was before.
 #[test]
