Log what answers say of leaving and of rest

The dialect reads both headers, and a line 'told' names request, upstream and what was said. Nothing is decided by it yet.

--- a/src/proxy/dialect.rs
+++ b/src/proxy/dialect.rs
@@ -53,6 +53,18 @@
     pub resume_after: Option<u64>,
 }
 
+/// A field of an answer that may be missing or not readable.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Field<T> {
+    /// The answer doesn't have it.
+    #[default]
+    Absent,
+    /// The answer states this value.
+    Value(T),
+    /// The answer has something that can't be read.
+    Malformed,
+}
+
 /// Fields that a dialect parses from the head of an upstream's answer.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Reply {
@@ -67,6 +79,10 @@
     pub is_signed: bool,
     /// The limit that the upstream names for the requests of all hosts.
     pub limit: Notice,
+    /// Whether the upstream says that it is leaving.
+    pub leaving: Field<bool>,
+    /// How long the upstream, which has turned the request away, wants no other from this host.
+    pub rest: Field<Duration>,
 }
 
 /// Translates between a platform's headers and the gateway's types.
--- a/src/proxy/send.rs
+++ b/src/proxy/send.rs
@@ -5,7 +5,7 @@
     super::{
         answer::Inbound,
         core::Remote,
-        dialect::{Dialect, Instructions},
+        dialect::{Dialect, Field, Instructions, Reply},
         headers,
         host::{Head, Host, Reservation},
         place::Job,
@@ -162,6 +162,7 @@
     let reply = host
         .dialect
         .parse_reply(head.status.as_u16(), &head.headers);
+    log_told(inbound, &upstream, &reply);
     let is_reused = head.extensions.get::<upstream::Reused>().is_some();
     let is_own = match &reply.id {
         Some(_) => reply.id == inbound.metadata.id,
@@ -233,6 +234,19 @@
     })
 }
 
+/// Logs what an answer says of its upstream's readiness for further requests.
+fn log_told(inbound: &Inbound, upstream: &name::Upstream, reply: &Reply) {
+    if reply.leaving == Field::Absent && reply.rest == Field::Absent {
+        return;
+    }
+    let rest_ms = match reply.rest {
+        Field::Value(rest) => u64::try_from(rest.as_millis()).ok(),
+        Field::Absent | Field::Malformed => None,
+    };
+    tracing::info!(event = "told", request = inbound.id(), %upstream, leaving = ?reply.leaving,
+        rest_ms, is_rest_malformed = reply.rest == Field::Malformed);
+}
+
 /// Reads the rest of an answer that is not needed, within bounds.
 async fn drain(body: &mut upstream::Body) {
     let mut bytes = 0;
