Give upstreams the rest that they ask for

Callers lost tries, and an upstream in need got requests on top: a 503 with Retry-After kept a host away for 150 ms, and where all upstreams of a pool had just refused, not at all. Cause: the time was read nowhere. Evidence: 'told' lines with the rest, followed by 'sent' from the same host every 150 ms.

A rest now closes the gates where an upstream is granted and before the first byte, for the process that asked, until its longest rest is over; it outlives a removal. A resting upstream is no spare capacity, a region where all rest takes late answers of another one, what can't wait is refused at once, and callers are told when the first one has rested. An answer that asks for rest ejects nobody and is no evidence of soundness.

--- a/src/proxy/catalog.rs
+++ b/src/proxy/catalog.rs
@@ -10,6 +10,7 @@
         place::Job,
         quarantine::{Certainty, End, Process},
         replica::{ASSUMED_COLD_TIME, Outcome, Replica},
+        rest::Rest,
         speed::Speed,
     },
     crate::{
@@ -150,6 +151,7 @@
 struct Departed {
     order: (u64, u64),
     is_leaving: bool,
+    rest: Rest,
     at: Duration,
 }
 
@@ -394,18 +396,20 @@
         (is_leaving && !was_leaving).then_some(Change::Leaving(id))
     }
 
-    /// Adds an upstream, unless its entry is no newer than its removal. A process that was leaving when
-    /// it was removed goes on leaving.
+    /// Adds an upstream, unless its entry is no newer than its removal. A process that was leaving or
+    /// at rest when it was removed goes on so.
     fn list(&mut self, now: Duration, mut entry: Entry) -> Option<Change> {
         let id = entry.id.clone();
-        if let Some(departed) = self.departed.get(&id) {
-            if entry.order() <= departed.order {
-                return None;
-            }
-            entry.leaving |= departed.is_leaving && entry.incarnation == departed.order.0;
+        let departed = self.departed.get(&id);
+        if departed.is_some_and(|departed| entry.order() <= departed.order) {
+            return None;
         }
-        self.departed.remove(&id);
-        self.replicas.insert(id.clone(), Replica::new(now, entry));
+        let departed = self.departed.remove(&id);
+        let same = departed.filter(|departed| entry.incarnation == departed.order.0);
+        entry.leaving |= same.as_ref().is_some_and(|departed| departed.is_leaving);
+        let mut replica = Replica::new(now, entry);
+        replica.rest = same.map(|departed| departed.rest).unwrap_or_default();
+        self.replicas.insert(id.clone(), replica);
         self.generation += 1;
         Some(Change::Listed(id))
     }
@@ -456,11 +460,13 @@
         }
         let entry = replica.entry;
         self.retire_build(now, &entry);
-        self.departed
-            .retain(|_, departed| now.saturating_sub(departed.at) < DEPARTED_TTL);
+        self.departed.retain(|_, departed| {
+            now.saturating_sub(departed.at) < DEPARTED_TTL || !departed.rest.is_over(now)
+        });
         let departed = Departed {
             order: entry.order(),
             is_leaving: entry.leaving,
+            rest: replica.rest,
             at: now,
         };
         self.departed.insert(entry.id.clone(), departed);
--- a/src/proxy/core/mod.rs
+++ b/src/proxy/core/mod.rs
@@ -24,6 +24,7 @@
         reach,
         reader::{self, Listing, Reading, Role},
         replica::{ASSUMED_COLD_TIME, Outcome, Replica, millis},
+        rest::Turn,
         table::{Match, Pool, Table},
         throttle::{self, Notice, Share},
     },
@@ -542,13 +543,24 @@
         })
     }
 
-    /// Whether an upstream is reached and, if it is cold or names a limit, takes another request of
-    /// this host.
+    /// Whether an upstream is reached and, if it is cold, names a limit or has asked for rest, takes
+    /// another request of this host.
     fn may_send(&self, now: Duration, replica: &Replica, pool: &Pool) -> bool {
         if replica.reach.is_lost() {
             return false;
         }
-        self.is_within_cold_limit(now, replica, pool) && self.is_within_limit(now, replica)
+        self.is_within_cold_limit(now, replica, pool)
+            && self.is_within_limit(now, replica)
+            && self.has_rested(now, replica)
+    }
+
+    /// Whether an upstream that had asked for rest takes another request of this host.
+    pub(super) fn has_rested(&self, now: Duration, replica: &Replica) -> bool {
+        if replica.rest.is_proven() {
+            return true;
+        }
+        let (hosts, rank) = self.rank(replica, self.region_peers());
+        replica.rest.may_send(now, Turn::new(rank, hosts))
     }
 
     /// Whether an upstream, if it is cold, takes another request of this host.
@@ -717,6 +729,7 @@
         };
         let pool = self.table.as_ref().and_then(|table| table.pool(pool));
         self.catalog.is_usable(replica)
+            && replica.rest.is_over(now)
             && pool.is_none_or(|pool| self.is_within_cold_limit(now, replica, pool))
     }
 
@@ -750,6 +763,7 @@
             replica.record_progress(now);
             replica.own_tally.prefill_tokens[priority] =
                 replica.own_tally.prefill_tokens[priority].saturating_sub(uncached_tokens);
+            replica.rest.record_answer(now);
             replica.observe_slowness(now, took_ms / predicted_ms.max(1.0));
         }
         Some(ratio)
@@ -770,6 +784,17 @@
         replica.throttle.record(now, reservation.sent_at, notice)
     }
 
+    /// Records that the head of an answer asks for rest. Returns how long the upstream gets, unless it
+    /// has as much already.
+    pub fn record_rest(&mut self, now: Duration, ticket: u64, asked: Duration) -> Option<Duration> {
+        let reservation = self.reservations.get(&ticket)?;
+        let replica = self.catalog.get_mut(&reservation.upstream)?;
+        if replica.process() != reservation.process {
+            return None;
+        }
+        replica.rest.record(now, asked)
+    }
+
     /// Records that the head of an answer says that its upstream is leaving.
     pub fn record_leaving(&mut self, ticket: u64) -> Option<Change> {
         let reservation = self.reservations.get(&ticket)?;
--- a/src/proxy/core/region.rs
+++ b/src/proxy/core/region.rs
@@ -49,6 +49,7 @@
                 && !replica.reach.is_lost()
                 && !(pool.cold_per_s > 0.0 && replica.is_cold(now))
                 && self.is_within_limit(now, replica)
+                && self.has_rested(now, replica)
         });
         for replica in replicas {
             spare.builds.insert(replica.entry.build.clone());
@@ -92,9 +93,12 @@
         let own = &self.setup.identity.region;
         let prompt_tokens = f64::from(job.tokens.0);
         let elapsed_ms = job.elapsed_ms(now);
-        let is_any_eligible = self.catalog.eligible_for(job).next().is_some();
+        let is_any_open = {
+            let mut eligible = self.catalog.eligible_for(job);
+            eligible.any(|replica| replica.rest.is_over(now))
+        };
         let may_be_local =
-            job.matched.allows(own) && is_any_eligible && !self.is_out_of_reach(now, job);
+            job.matched.allows(own) && is_any_open && !self.is_out_of_reach(now, job);
         let time_limit_ms = millis(job.deadline.saturating_sub(job.arrived_at));
         // A host with an older configuration would refuse the request without running it.
         let is_behind = |peer: &Peer| peer.version < job.matched.version;
@@ -161,7 +165,7 @@
     }
 
     /// The hosts of other regions that this host may forward requests to.
-    fn relays(&self, now: Duration) -> impl Iterator<Item = &Peer> {
+    pub(super) fn relays(&self, now: Duration) -> impl Iterator<Item = &Peer> {
         let regions: BTreeSet<_> = self.setup.domains.values().collect();
         let others = regions
             .into_iter()
--- a/src/proxy/core/wait.rs
+++ b/src/proxy/core/wait.rs
@@ -21,7 +21,8 @@
 const MAX_EXAMINED: usize = 48;
 /// Shortest delay before a retry that a refused caller is told, without the jitter.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(150);
-/// Longest delay before a retry that a refused caller is told, without the jitter.
+/// Longest delay before a retry that a refused caller is told, without the jitter, unless all upstreams
+/// rest for longer and no other region has any.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(3);
 /// Time over which the retries of refused callers are spread.
 const RETRY_AFTER_JITTER: Duration = Duration::from_secs(2);
@@ -90,11 +91,15 @@
         let Some(pool) = pool.filter(|_| job.matched.allows(&self.setup.identity.region)) else {
             return true;
         };
-        let mut upstreams = self.catalog.eligible_for(job);
-        if !upstreams.any(|replica| self.is_open(now, job, replica)) {
+        let upstreams = self.catalog.eligible_for(job);
+        let open = upstreams.filter(|replica| self.is_open(now, job, replica));
+        let Some(shortest_rest) = open.map(|replica| replica.rest.left(now)).min() else {
             return true;
-        }
+        };
         let longest = job.objective_ms() * MAX_WAIT_SHARE - job.elapsed_ms(now);
+        if !shortest_rest.is_zero() && millis(shortest_rest) > longest {
+            return true;
+        }
         if self
             .limited_wait(now, job)
             .is_some_and(|wait| millis(wait) > longest)
@@ -112,7 +117,10 @@
                 self.is_open(now, job, replica)
                     && (replica.reach.is_lost() || replica.is_available(now))
             })
-            .map(|replica| replica.prefill_ahead(now, rank, tokens_per_ms) / tokens_per_ms)
+            .map(|replica| {
+                let prefill_ms = replica.prefill_ahead(now, rank, tokens_per_ms) / tokens_per_ms;
+                prefill_ms.max(millis(replica.rest.left(now)))
+            })
             .collect();
         let Some(shortest_ms) = waits_ms.iter().copied().min_by(f64::total_cmp) else {
             return true;
@@ -160,7 +168,7 @@
     }
 
     /// Delay after which a refused caller should try again: the time in which the least loaded
-    /// upstream prefills what it has, plus jitter, because callers that return together would be
+    /// upstream prefills what it has, or until the first one has rested, plus jitter, because callers that return together would be
     /// refused together.
     pub fn retry_after(&mut self, now: Duration, pool: &name::Pool) -> Duration {
         let (tokens_per_ms, _) = place::learned_speed(&self.catalog, pool);
@@ -181,8 +189,17 @@
         let turn = limit.filter(|limit| *limit > 0.0).map_or(0.0, |limit| {
             (self.queue.len() as f64 + 1.0) / limit.max(1.0 / MAX_RETRY_AFTER.as_secs_f64())
         });
-        let wait = wait.max(Duration::from_secs_f64(turn));
+        let eligible = self.catalog.eligible(pool);
+        let rests = eligible.map(|replica| replica.rest.left(now));
+        let rest = rests.min().unwrap_or_default();
+        let wait = wait.max(Duration::from_secs_f64(turn)).max(rest);
+        let is_elsewhere = self.relays(now).any(|peer| peer.spare.contains_key(pool));
+        let longest = if is_elsewhere {
+            MAX_RETRY_AFTER
+        } else {
+            MAX_RETRY_AFTER.max(rest)
+        };
         let jitter = RETRY_AFTER_JITTER.mul_f64(self.rng.random());
-        wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER) + jitter
+        wait.clamp(MIN_RETRY_AFTER, longest) + jitter
     }
 }
--- a/src/proxy/host.rs
+++ b/src/proxy/host.rs
@@ -107,6 +107,8 @@
     cut_off: Gauge,
     /// Requests that were forwarded to a host of this region.
     pub(super) relayed: Counter,
+    /// Rests that upstreams have asked for.
+    rests: Counter,
     /// Changed when an upstream is reached no more, or again.
     reach_changes: watch::Sender<u64>,
     /// Upstreams that are being asked whether they have ended.
@@ -172,6 +174,7 @@
         let lost_upstreams = Gauge::default();
         let cut_off = Gauge::default();
         let relayed = Counter::default();
+        let rests = Counter::default();
         let store_calls = Counter::default();
         let store_failures = Counter::default();
         dependencies.metrics.register(|registry| {
@@ -230,6 +233,11 @@
                 "Requests forwarded to another host of the region, for an upstream that this one can't reach",
                 relayed.clone(),
             );
+            registry.register(
+                "upstream_rests",
+                "Rests that upstreams have asked this host for",
+                rests.clone(),
+            );
             registry.register(
                 "log_lines_sampled_out",
                 "Lines of successful requests that were not logged",
@@ -256,6 +264,7 @@
             lost_upstreams,
             cut_off,
             relayed,
+            rests,
             reach_changes: watch::channel(0).0,
             probed: Mutex::default(),
             phase: dependencies.phase,
@@ -709,6 +718,18 @@
         }
     }
 
+    /// Records that the head of the answer asks for rest.
+    pub(super) fn record_rest(&self, asked: Duration) {
+        let now = self.host.clock.now();
+        let ticket = self.grant.ticket;
+        let granted = self.host.core().record_rest(now, ticket, asked);
+        if let Some(rest) = granted {
+            self.host.rests.inc();
+            tracing::info!(event = "rest", upstream = %self.grant.upstream, rest_ms = rest.as_millis() as u64,
+                is_cut = rest < asked);
+        }
+    }
+
     /// Records that the head of the answer says that the upstream is leaving.
     pub(super) fn record_leaving(&self) {
         let change = self.host.core().record_leaving(self.grant.ticket);
@@ -781,16 +802,19 @@
 fn refusal(core: &mut Core, now: Duration, request: &str, job: &Job) -> Failure {
     let wait = core.retry_after(now, &job.pool);
     let eligible = core.catalog.eligible_for(job);
-    let (upstreams, open) = eligible.fold((0, 0), |(all, open), replica| {
+    let (upstreams, open, resting) = eligible.fold((0, 0, 0), |(all, open, resting), replica| {
+        let is_resting = !replica.rest.is_over(now);
+        let is_open = replica.is_available(now) && !replica.reach.is_lost() && !is_resting;
         (
             all + 1,
-            open + usize::from(replica.is_available(now) && !replica.reach.is_lost()),
+            open + usize::from(is_open),
+            resting + usize::from(is_resting),
         )
     });
     let (hosts, remote_hosts) = core.peer_counts(now);
     tracing::info!(event = "unplaced", request, pool = %job.pool, version = job.matched.version,
         build = job.build.as_ref().map(name::Build::as_str),
-        upstreams, open, waiting = core.queue_len(), hosts, hosts_away = remote_hosts, may_leave = job.may_forward,
+        upstreams, open, resting, waiting = core.queue_len(), hosts, hosts_away = remote_hosts, may_leave = job.may_forward,
         waited_ms = now.saturating_sub(job.arrived_at).as_millis() as u64);
     Failure::not_run(Code::NoCapacity, "no upstream can answer in time").retry_after(wait)
 }
--- a/src/proxy/replica.rs
+++ b/src/proxy/replica.rs
@@ -7,6 +7,7 @@
         entry::Entry,
         quarantine::{Certainty, End, Process},
         reach::Reach,
+        rest::Rest,
         throttle::Throttle,
     },
     crate::{
@@ -106,6 +107,8 @@
     pub is_unreadable: bool,
     /// The limit that the upstream names.
     pub throttle: Throttle,
+    /// The rest that it has asked this host for.
+    pub rest: Rest,
     /// Whether this host and others reach it.
     pub reach: Reach,
     /// Requests that other hosts report to have at the upstream, with the time of the report.
@@ -159,6 +162,7 @@
             has_lapsed: false,
             is_unreadable: false,
             throttle: Throttle::default(),
+            rest: Rest::default(),
             reach: Reach::default(),
             other_tallies: BTreeMap::new(),
             cold_until: Duration::ZERO,
@@ -370,6 +374,7 @@
             self.is_silent = false;
         }
         self.count_send(now);
+        self.rest.record_send(now);
         self.health.record_sent(now);
     }
 
--- a/src/proxy/send.rs
+++ b/src/proxy/send.rs
@@ -183,6 +183,9 @@
         return Err(no_capacity("the address belongs to another upstream"));
     }
     reservation.record_notice(reply.limit);
+    if let Field::Value(rest) = reply.rest {
+        reservation.record_rest(rest);
+    }
     if reply.has_not_run {
         reservation.outcome = Outcome::Full;
         drain(&mut body).await;
@@ -224,7 +227,9 @@
         });
     }
     let collected = collect(first, &mut body, limit, remaining, patience).await?;
-    reservation.outcome = if head.status.is_server_error() {
+    reservation.outcome = if matches!(reply.rest, Field::Value(_)) {
+        Outcome::Full
+    } else if head.status.is_server_error() {
         Outcome::Error
     } else {
         Outcome::Success
@@ -247,7 +252,8 @@
     let (leaving, rest) = (reply.leaving, reply.rest);
     let is_binding = leaving == Field::Value(true) || matches!(rest, Field::Value(_));
     let is_malformed = leaving == Field::Malformed || rest == Field::Malformed;
-    if !is_binding && !(is_malformed && host.should_log(inbound.id())) {
+    let is_logged = is_binding || (is_malformed && host.should_log(inbound.id()));
+    if !is_logged {
         return;
     }
     let rest_ms = match rest {
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -32,6 +32,8 @@
 mod region;
 #[path = "proxy/replay.rs"]
 mod replay;
+#[path = "proxy/rest.rs"]
+mod rest;
 #[path = "proxy/sample.rs"]
 mod sample;
 #[path = "proxy/table.rs"]
