Give upstreams the rest that they ask for in the gateway too

The same cause as in src/proxy: a 503 with Retry-After was read by nobody, so callers' next calls went to the upstream at once, and the 503 counted as its failure.

The rest is one type for both request paths now. The router leaves a resting replica out, also when most are ejected, and the client asks before the first byte.

--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -469,9 +469,10 @@
             }
         };
         sent.in_flight.record_head();
+        let rest = send::requested_rest(&response);
         let actions = self.check_head(attempt, flights.offset(attempt), &response);
         if !self.exchange.is_receiving(attempt) {
-            sent.in_flight.fail();
+            end_refused(sent.in_flight, rest);
             self.release_slots_if(is_only);
             return Step::Actions(actions);
         }
@@ -479,7 +480,7 @@
         let (head, body) = send::split_response(response, sent.upstream, sent.pool);
         let in_flight = match head.status >= 500 {
             true => {
-                sent.in_flight.fail();
+                end_refused(sent.in_flight, rest);
                 None
             }
             false => Some(sent.in_flight),
@@ -572,7 +573,7 @@
             status,
             id: Some(Id::from(id.as_str())),
             ran: None,
-            retry_after: None,
+            retry_after: send::requested_rest(response),
         });
         if actions
             .iter()
@@ -587,6 +588,14 @@
     }
 }
 
+/// Ends an attempt whose answer is a failure: the upstream's fault unless it asks for rest.
+fn end_refused<C: Clock>(in_flight: InFlight<C>, rest: Option<Duration>) {
+    match rest {
+        Some(rest) => in_flight.rest(rest),
+        None => in_flight.fail(),
+    }
+}
+
 impl<C: Clock> Flights<C> {
     fn new() -> Self {
         Self {
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -9,7 +9,7 @@
         name, upstream,
     },
     bytes::Bytes,
-    http::{HeaderMap, Request, Response, header},
+    http::{HeaderMap, Request, Response, StatusCode, header},
     http_body_util::Full,
     std::{future::pending, net::SocketAddr, time::Duration},
 };
@@ -32,7 +32,7 @@
     ) -> Result<Response<upstream::Body>, Failure> {
         let request = upstream_request(call, address, offset)?;
         let router = &self.dependencies().router;
-        let may_send = || router.with(|router, _| router.accepts(upstream));
+        let may_send = || router.with(|router, now| router.accepts(now, upstream));
         let upstreams = &self.dependencies().upstreams;
         upstreams
             .send_unless(address, request, call.is_repeatable(), pending(), may_send)
@@ -72,6 +72,21 @@
     Ok(request)
 }
 
+/// How long an upstream that has turned a call away wants no other from this host: the seconds of a 503's
+/// `retry-after`. A date says when the resource is there again, not that the upstream needs rest.
+pub(super) fn requested_rest<B>(response: &Response<B>) -> Option<Duration> {
+    if response.status() != StatusCode::SERVICE_UNAVAILABLE {
+        return None;
+    }
+    let seconds = response.headers().get(header::RETRY_AFTER)?.to_str().ok()?;
+    let seconds = seconds.trim();
+    let is_number = seconds
+        .chars()
+        .all(|sign| sign.is_ascii_digit() || sign == '.');
+    let seconds = seconds.parse().ok().filter(|_| is_number)?;
+    Some(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
+}
+
 /// Splits an upstream's response into the head that is relayed to the caller and the body.
 pub(super) fn split_response(
     response: Response<upstream::Body>,
--- a/src/proxy/catalog.rs
+++ b/src/proxy/catalog.rs
@@ -10,11 +10,11 @@
         place::Job,
         quarantine::{Certainty, End, Process},
         replica::{ASSUMED_COLD_TIME, Outcome, Replica},
-        rest::Rest,
         speed::Speed,
     },
     crate::{
         name,
+        rest::Rest,
         route::{Options, affinity},
     },
     std::{
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -25,7 +25,6 @@
 pub mod reach;
 pub mod reader;
 pub mod replica;
-pub mod rest;
 pub mod sample;
 mod send;
 pub mod server;
--- a/src/proxy/replica.rs
+++ b/src/proxy/replica.rs
@@ -7,11 +7,11 @@
         entry::Entry,
         quarantine::{Certainty, End, Process},
         reach::Reach,
-        rest::Rest,
         throttle::Throttle,
     },
     crate::{
         name,
+        rest::Rest,
         route::{
             Options,
             eject::{Health, Standing},
--- a/src/proxy/rest.rs
+++ b/src/rest.rs
@@ -25,6 +25,11 @@
     pub fn new(rank: usize, hosts: usize) -> Self {
         Self((rank as f64 / hosts.max(1) as f64).min(1.0))
     }
+
+    /// The turn of a host that doesn't know its rank, from a hash of its name and the upstream's.
+    pub fn from_hash(hash: u64) -> Self {
+        Self(hash as f64 / u64::MAX as f64)
+    }
 }
 
 /// The rest of one upstream, as this host was asked for it.
--- a/src/route/replica.rs
+++ b/src/route/replica.rs
@@ -8,7 +8,10 @@
         load::{Load, Prefill, Report},
         options::{Mutant, Options},
     },
-    crate::name,
+    crate::{
+        name,
+        rest::{Rest, Turn},
+    },
     serde::{Deserialize, Serialize},
     std::time::Duration,
 };
@@ -54,6 +57,10 @@
     pub prefill: Prefill,
     /// Health, from the outcomes of earlier requests.
     pub health: Health,
+    /// The rest that it has asked this host for.
+    pub rest: Rest,
+    /// This host's turn to return after it.
+    turn: Turn,
     mean_service_s: f64,
     state: State,
     slots: u32,
@@ -77,6 +84,8 @@
             load: Load::default(),
             prefill: Prefill::default(),
             health: Health::default(),
+            rest: Rest::default(),
+            turn: Turn::default(),
             mean_service_s: service.as_secs_f64(),
             state: listed.state,
             slots: slots.max(1),
@@ -127,6 +136,18 @@
         }
     }
 
+    /// Records that the replica asks for rest, after which it is this host's turn to return. Returns
+    /// how long it gets, unless it has as much already.
+    pub fn record_rest(&mut self, now: Duration, asked: Duration, turn: Turn) -> Option<Duration> {
+        self.turn = turn;
+        self.rest.record(now, asked)
+    }
+
+    /// Whether the replica, if it had asked for rest, takes another request of this host.
+    pub fn has_rested(&self, now: Duration) -> bool {
+        self.rest.may_send(now, self.turn)
+    }
+
     /// What may be sent to the replica, by its health.
     pub fn standing(&self, now: Duration) -> Standing {
         self.health.standing(now)
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -18,7 +18,7 @@
         select::{self, Candidate, Members, Total},
         spill::{Digest, Estimate, Regions, Summary, Target},
     },
-    crate::{config::Snapshot, name, queue::Engines},
+    crate::{config::Snapshot, name, queue::Engines, rest::Turn},
     rand::{SeedableRng, rngs::StdRng},
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -356,6 +356,7 @@
         };
         replica.load.record_sent(now);
         replica.health.record_sent(now);
+        replica.rest.record_send(now);
         replica.prefill.add(now, tokens, prefill_rate);
         if let Some(prefix) = request.prefix {
             self.hints.record_held(now, prefix.hash, hash);
@@ -365,16 +366,32 @@
         }
     }
 
-    /// Whether an upstream is listed and not leaving.
-    pub fn accepts(&self, upstream: &name::Upstream) -> bool {
+    /// Whether an upstream is listed, not leaving and not at rest.
+    pub fn accepts(&self, now: Duration, upstream: &name::Upstream) -> bool {
         let pool = self.pool_by_upstream.get(upstream);
         let members = pool.and_then(|pool| self.pools.get(pool));
         members.is_some_and(|members| {
             let replica = members.position(upstream).map(|at| &members.replicas[at]);
-            replica.is_some_and(|replica| replica.serves(None, self.options.mutant))
+            replica.is_some_and(|replica| {
+                replica.serves(None, self.options.mutant) && replica.rest.is_over(now)
+            })
         })
     }
 
+    /// Records that an upstream has turned a request away and asks for rest. Returns how long it gets,
+    /// unless it has as much already.
+    pub fn record_rest(
+        &mut self,
+        now: Duration,
+        upstream: &name::Upstream,
+        asked: Duration,
+    ) -> Option<Duration> {
+        let own = affinity::hash(self.home.host.as_str().as_bytes());
+        let (replica, _) = self.replica_mut(upstream)?;
+        let turn = Turn::from_hash(affinity::weight(own, replica.hash));
+        replica.record_rest(now, asked, turn)
+    }
+
     /// Records that the head of a request's answer arrived.
     pub fn record_head(&mut self, now: Duration, upstream: &name::Upstream) {
         if let Some(members) = self.members_mut(upstream) {
@@ -395,6 +412,7 @@
             return;
         };
         replica.load.record_ended(now);
+        replica.rest.record_answer(now);
         replica.record_answer(took);
         if replica.health.record_success() {
             replica.begin_slow_start(now);
--- a/src/route/select.rs
+++ b/src/route/select.rs
@@ -82,7 +82,7 @@
         f64::from(slots) * self.replica_ratio
     }
 
-    /// The replicas that can take requests for `model`, with their indices. When too many are
+    /// The replicas that can take requests for `model` and are not at rest, with their indices. When too many are
     /// ejected, ejections are ignored, as the cause is then hardly the replicas themselves.
     pub(super) fn usable(
         &self,
@@ -90,7 +90,9 @@
         model: Option<&name::Model>,
         options: &Options,
     ) -> impl Iterator<Item = (usize, &Replica)> {
-        let is_serving = move |replica: &&Replica| replica.serves(model, options.mutant);
+        let is_serving = move |replica: &&Replica| {
+            replica.serves(model, options.mutant) && replica.has_rested(now)
+        };
         let is_ejected = move |replica: &&Replica| replica.standing(now) == Standing::Ejected;
         let serving_count = self.replicas.iter().filter(is_serving).count();
         let ejected_count = self
--- a/src/route/service.rs
+++ b/src/route/service.rs
@@ -279,6 +279,17 @@
             .with(|router, now| router.record_finished(now, &self.upstream, took));
     }
 
+    /// Ends the request as turned away by a replica that asks for rest, which is no fault.
+    pub fn rest(self, asked: Duration) {
+        let granted = self
+            .handle
+            .with(|router, now| router.record_rest(now, &self.upstream, asked));
+        if let Some(rest) = granted {
+            tracing::info!(event = "rest", upstream = %self.upstream, rest_ms = rest.as_millis() as u64,
+                is_cut = rest < asked);
+        }
+    }
+
     /// Ends the request as failed through the replica's fault.
     pub fn fail(mut self) {
         self.has_ended = true;
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -5,6 +5,8 @@
 mod cut;
 #[path = "gateway/endless.rs"]
 mod endless;
+#[path = "gateway/rest.rs"]
+mod rest;
 #[path = "gateway/silence.rs"]
 mod silence;
 
--- a/tests/proxy/rest.rs
+++ b/tests/proxy/rest.rs
@@ -2,10 +2,12 @@
 
 use {
     crate::common::{POOL, core, entry, forwardable, identity, job, ms, report},
-    greengagecleat::proxy::{
-        core::{Core, Grant, Placement},
-        fleet::Spare,
-        replica::Outcome,
+    greengagecleat::{
+        proxy::{
+            core::{Core, Grant, Placement},
+            fleet::Spare,
+            replica::Outcome,
+        },
         rest::{Rest, Turn},
     },
     std::time::Duration,
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -715,15 +715,15 @@
     assert!(
         [&stays, &leaves, &goes]
             .iter()
-            .all(|upstream| router.accepts(upstream))
+            .all(|upstream| router.accepts(SECOND, upstream))
     );
     let list = [
         listed("north", 0, State::Live),
         listed("north", 1, State::Leaving),
     ];
     router.set_upstreams(SECOND, &list);
-    assert!(router.accepts(&stays));
-    assert!(!router.accepts(&leaves) && !router.accepts(&goes));
+    assert!(router.accepts(SECOND, &stays));
+    assert!(!router.accepts(SECOND, &leaves) && !router.accepts(SECOND, &goes));
 }
 
 #[tokio::test]
