Take no build for the only one on knowledge from before a stream is taken up

It could happen here: a stream without a record goes on if one build alone was heard of, and what others had reported counted for 3.5 s.

Now a host of each region must have reported since the stream was taken up, the own region's too if another host of it is live, and the host must not have stood still in the last second; it waits up to 0.8 s for that. The tests of the decision pass the time of the question, and ask for as much as before.

--- a/src/proxy/core/mod.rs
+++ b/src/proxy/core/mod.rs
@@ -10,7 +10,7 @@
 mod relay;
 mod wait;
 
-pub use self::relay::CutOff;
+pub use self::{origin::Sole, relay::CutOff};
 
 use {
     super::{
@@ -206,6 +206,8 @@
     reach_told_at: Duration,
     /// Since when this host reaches no upstream.
     cut_off_since: Option<Duration>,
+    /// Whether this host's tasks have run without a pause.
+    step: origin::Step,
     rng: StdRng,
     started_at: Duration,
 }
@@ -237,6 +239,7 @@
             last_reach: reach::Report::default(),
             reach_told_at: Duration::ZERO,
             cut_off_since: None,
+            step: origin::Step::default(),
             rng: StdRng::seed_from_u64(setup.rng_seed),
             started_at: now,
             setup,
--- a/src/proxy/core/origin.rs
+++ b/src/proxy/core/origin.rs
@@ -27,6 +27,48 @@
 /// stream may be among the first.
 const ASKED_PER_REGION: usize = HOSTS_PER_REGION + 1;
 
+/// Time without a sign of this host's tasks after which it has stood still.
+const MAX_STEP: Duration = Duration::from_millis(500);
+/// Time after a standstill within which what arrived meanwhile is read.
+const CATCH_UP_TIME: Duration = Duration::from_secs(1);
+
+/// What is known of a stream's build from the builds that have served.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Sole {
+    /// Only this one has served.
+    Known(name::Build),
+    /// Only one was known when the other hosts were heard last.
+    Unconfirmed,
+    /// Several have served, or a region was not watched for long enough.
+    Unknown,
+}
+
+/// Whether this host's tasks have run without a pause.
+#[derive(Debug, Default)]
+pub(super) struct Step {
+    last_at: Option<Duration>,
+    paused_at: Option<Duration>,
+}
+
+impl Step {
+    fn record(&mut self, now: Duration) {
+        if self.is_pause(now) {
+            self.paused_at = Some(now);
+        }
+        self.last_at = Some(now);
+    }
+
+    fn is_pause(&self, now: Duration) -> bool {
+        let pause = self.last_at.map(|at| now.saturating_sub(at));
+        pause.is_some_and(|pause| pause >= MAX_STEP)
+    }
+
+    fn is_in_step(&self, now: Duration) -> bool {
+        let is_caught_up = |at: Duration| now.saturating_sub(at) >= CATCH_UP_TIME;
+        !self.is_pause(now) && self.paused_at.is_none_or(is_caught_up)
+    }
+}
+
 impl Core {
     /// The hosts to tell of streams that began here, each with the records that it is to hold.
     pub fn untold_streams(&mut self, now: Duration) -> Vec<(name::Host, Message)> {
@@ -85,9 +127,49 @@
     }
 
     /// The build that began any stream of a pool which a caller may still resume, if there was only
-    /// one in the whole fleet. `None` if there were more, or if a region was not watched for that
-    /// long by any host that is heard of.
-    pub fn only_build(&self, now: Duration, pool: &name::Pool) -> Option<name::Build> {
+    /// one in the whole fleet. To be asked about a stream that is taken up at `asked_at`.
+    ///
+    /// What this host knew before says nothing of a build that has joined since the others were heard
+    /// last, so a host of each region must have reported after that.
+    pub fn only_build(&self, now: Duration, asked_at: Duration, pool: &name::Pool) -> Sole {
+        let Some(build) = self.presumed_build(now, pool) else {
+            return Sole::Unknown;
+        };
+        if self.step.is_in_step(now) && self.is_confirmed(now, asked_at) {
+            Sole::Known(build)
+        } else {
+            Sole::Unconfirmed
+        }
+    }
+
+    /// Records that this host's tasks run.
+    pub fn record_step(&mut self, now: Duration) {
+        self.step.record(now);
+    }
+
+    /// Whether each region was heard of since a time. The own one needs no other host if none is live.
+    fn is_confirmed(&self, now: Duration, since: Duration) -> bool {
+        let lifetime = self.stream_lifetime();
+        let own = &self.setup.identity.region;
+        let regions: BTreeSet<_> = self.setup.domains.values().collect();
+        regions.into_iter().all(|region| {
+            let peers = self.fleet.peers();
+            let peers = peers.filter(|peer| {
+                let is_live = now.saturating_sub(peer.last_heard_at) < GONE_AFTER;
+                peer.identity.region == *region && is_live && !peer.is_leaving
+            });
+            let mut peers = peers.peekable();
+            (region == own && peers.peek().is_none())
+                || peers.any(|peer| {
+                    let is_watched = region == own || peer.builds.watched >= lifetime;
+                    peer.last_heard_at >= since && is_watched
+                })
+        })
+    }
+
+    /// The only build that this host has heard of, if a host of each region that is heard of has watched
+    /// that region for the life of a stream.
+    fn presumed_build(&self, now: Duration, pool: &name::Pool) -> Option<name::Build> {
         let lifetime = self.stream_lifetime();
         let own = (&self.setup.identity.region, &self.region_builds(now));
         let peers = self.fleet.peers();
--- a/src/proxy/host.rs
+++ b/src/proxy/host.rs
@@ -513,6 +513,7 @@
                 () = sleep(REPORT_POLL_INTERVAL) => {}
                 () = wait_for_phase(&mut phase, |phase| phase == Phase::Closed) => return,
             }
+            self.core().record_step(self.clock.now());
             self.send_reports();
             self.tell_origins();
             self.expire();
--- a/src/proxy/host/origin.rs
+++ b/src/proxy/host/origin.rs
@@ -7,6 +7,7 @@
         clock::Clock,
         link, name,
         proxy::{
+            core::Sole,
             dialect::Dialect,
             origin::{Key, Message, Record},
         },
@@ -20,13 +21,21 @@
         sync::{MutexGuard, PoisonError, atomic::Ordering},
         time::Duration,
     },
-    tokio::{sync::mpsc, time::timeout},
+    tokio::{
+        sync::mpsc,
+        time::{sleep, timeout},
+    },
 };
 
 /// How long to wait for the hosts that may know which build began a stream: more than a round trip
 /// between regions.
 const ORIGIN_TIMEOUT: Duration = Duration::from_millis(350);
 
+/// How long to wait for reports of all regions: more than their interval, in a small fleet.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(800);
+/// How often to look for them.
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(20);
+
 /// How the build of a stream was found.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
 pub(super) enum Source {
@@ -92,16 +101,16 @@
             Some(key) if own.is_none() => self.ask_for_origin(asked_at, key).await,
             _ => None,
         };
-        let now = self.clock.now();
         let is_own = own.is_some();
         let (source, build) = match own.or(told) {
             Some(build) if is_own => (Source::Record, Some(build)),
             Some(build) => (Source::Host, Some(build)),
-            None => match self.core().only_build(now, pool) {
+            None => match self.confirm_only_build(asked_at, pool).await {
                 Some(build) => (Source::List, Some(build)),
                 None => (Source::None, None),
             },
         };
+        let now = self.clock.now();
         self.resumed.get_or_create(&Labels { source }).inc();
         tracing::info!(event = "origin", request, resumes, %pool, %source,
             build = build.as_ref().map(name::Build::as_str),
@@ -109,6 +118,24 @@
         build
     }
 
+    /// The build that alone has served, once hosts of all regions have reported since `asked_at`.
+    async fn confirm_only_build(
+        &self,
+        asked_at: Duration,
+        pool: &name::Pool,
+    ) -> Option<name::Build> {
+        loop {
+            let now = self.clock.now();
+            let sole = self.core().only_build(now, asked_at, pool);
+            match sole {
+                Sole::Known(build) => return Some(build),
+                Sole::Unknown => return None,
+                Sole::Unconfirmed if now >= asked_at + CONFIRM_TIMEOUT => return None,
+                Sole::Unconfirmed => sleep(CONFIRM_INTERVAL).await,
+            }
+        }
+    }
+
     /// Asks the hosts that hold the record of a stream, until one has it, all have answered or
     /// [`ORIGIN_TIMEOUT`] has passed.
     async fn ask_for_origin(&self, now: Duration, key: Key) -> Option<name::Build> {
--- a/tests/proxy/origin.rs
+++ b/tests/proxy/origin.rs
@@ -6,7 +6,7 @@
     greengagecleat::{
         name,
         proxy::{
-            core::Core,
+            core::{Core, Sole},
             entry::Entry,
             fleet::{Builds, Report},
             origin::{Key, Ledger, MAX_TTL, Message, Record},
@@ -190,7 +190,10 @@
     let lifetime = core(1).table().unwrap().longest_stream();
     let only = |own, other, builds: &[&str]| {
         let (core, now) = watching(own, other, builds);
-        core.only_build(now, &POOL.into())
+        match core.only_build(now, now, &POOL.into()) {
+            Sole::Known(build) => Some(build),
+            Sole::Unconfirmed | Sole::Unknown => None,
+        }
     };
     let short = lifetime - ms(1);
     assert_eq!(only(lifetime, lifetime, &["b1"]), Some("b1".into()));
@@ -200,7 +203,8 @@
     assert_eq!(only(short, lifetime, &["b1"]), None);
     assert_eq!(only(lifetime, short, &["b1"]), None);
     let (core, now) = watching(lifetime, lifetime, &["b1"]);
-    assert_eq!(core.only_build(now + ms(3_600), &POOL.into()), None);
+    let late = now + ms(3_600);
+    assert_eq!(core.only_build(late, now, &POOL.into()), Sole::Unknown);
 }
 
 /// A build whose last upstream has left may still have streams that callers resume.
@@ -215,14 +219,16 @@
     core.catalog.upsert(now, other);
     core.catalog.remove(now, &"e9".into());
     core.catalog.expire(now + ms(2_200));
-    assert_eq!(core.only_build(now + ms(2_200), &POOL.into()), None);
+    let left = now + ms(2_200);
+    assert_eq!(core.only_build(left, now, &POOL.into()), Sole::Unknown);
     let later = now + ms(2_200) + lifetime + ms(1);
     let report = Report {
         builds: core_builds(&core, lifetime, later),
         ..common::report(identity("s1", "south", 2), 2)
     };
     core.receive_report(later, report);
-    assert_eq!(core.only_build(later, &POOL.into()), Some("b1".into()));
+    let only = core.only_build(later, later, &POOL.into());
+    assert_eq!(only, Sole::Known("b1".into()));
 }
 
 fn core_builds(core: &Core, lifetime: Duration, now: Duration) -> Builds {
@@ -265,3 +271,72 @@
         .tests(300)
         .quickcheck(holds as fn(Vec<(u8, u8, u16, bool)>) -> bool);
 }
+
+/// A host that was cut off from the others for a few seconds sent streams that another build had begun
+/// meanwhile to the only one that it knew.
+#[test]
+fn a_host_out_of_step_takes_no_build_for_the_only_one() {
+    let lifetime = core(1).table().unwrap().longest_stream();
+    let pool = POOL.into();
+    let told = |sequence, builds: &[&str]| {
+        let builds = builds.iter().map(|build| (*build).into()).collect();
+        let pools = BTreeMap::from([(POOL.into(), builds)]);
+        let watched = lifetime;
+        Report {
+            builds: Builds { watched, pools },
+            ..common::report(identity("s1", "south", 2), sequence)
+        }
+    };
+    let (mut core, now) = watching(lifetime, lifetime, &["b1"]);
+    let asked_at = now + ms(2_000);
+    assert_eq!(
+        core.only_build(asked_at, asked_at, &pool),
+        Sole::Unconfirmed
+    );
+    core.receive_report(asked_at + ms(100), told(2, &["b1"]));
+    let later = asked_at + ms(110);
+    assert_eq!(
+        core.only_build(later, asked_at, &pool),
+        Sole::Known("b1".into())
+    );
+    // Another host of the region is live, and has not been heard since.
+    core.receive_report(
+        asked_at - ms(10),
+        common::report(identity("n2", "north", 3), 1),
+    );
+    assert_eq!(core.only_build(later, asked_at, &pool), Sole::Unconfirmed);
+    core.receive_report(later, common::report(identity("n2", "north", 3), 2));
+    assert_eq!(
+        core.only_build(later, asked_at, &pool),
+        Sole::Known("b1".into())
+    );
+    core.receive_report(asked_at + ms(200), told(3, &["b1", "b2"]));
+    let later = asked_at + ms(210);
+    assert_eq!(core.only_build(later, asked_at, &pool), Sole::Unknown);
+}
+
+/// What had arrived while a host stood still was not read yet.
+#[test]
+fn a_host_that_stood_still_takes_no_build_for_the_only_one_at_once() {
+    let lifetime = core(1).table().unwrap().longest_stream();
+    let (mut core, now) = watching(lifetime, lifetime, &["b1"]);
+    let pool = POOL.into();
+    core.record_step(now);
+    assert_eq!(core.only_build(now, now, &pool), Sole::Known("b1".into()));
+    let later = now + ms(2_000);
+    assert_eq!(
+        core.only_build(later, now, &pool),
+        Sole::Unconfirmed,
+        "before it has noticed"
+    );
+    core.record_step(later);
+    assert_eq!(core.only_build(later, now, &pool), Sole::Unconfirmed);
+    for step in 1..=21 {
+        core.record_step(later + ms(50) * step);
+    }
+    let caught_up = later + ms(1_050);
+    assert_eq!(
+        core.only_build(caught_up, now, &pool),
+        Sole::Known("b1".into())
+    );
+}
