Show that half a head is never taken for an answer

It doesn't happen here: hyper's client fails such a head, and both request paths read answers through src/upstream. Between hosts answers come in messages of their own, so there is no such head. No mutant: the parser is the library's.

--- a/tests/upstream.rs
+++ b/tests/upstream.rs
@@ -9,7 +9,11 @@
     http::Request,
     http_body_util::Full,
     std::{future::pending, io, time::Duration},
-    tokio::{io::AsyncReadExt, net::TcpListener, time::timeout},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpListener,
+        time::timeout,
+    },
 };
 
 /// Bytes of a call that was given up reached its upstream later, when a partition was over.
@@ -60,3 +64,47 @@
     stream.read_to_end(&mut received).await.ok();
     assert_eq!(received, b"");
 }
+
+/// Answers a call on a connection, and a second one with the first bytes of a head.
+async fn answer_with_cut_head(listener: &TcpListener, is_kept: bool, cut: &[u8]) {
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let mut received = [0; 1_024];
+    if is_kept {
+        assert!(stream.read(&mut received).await.unwrap() > 0);
+        let whole = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+        stream.write_all(whole).await.unwrap();
+    }
+    assert!(stream.read(&mut received).await.unwrap() > 0);
+    stream.write_all(cut).await.unwrap();
+}
+
+/// Both request paths read answers through this client.
+#[tokio::test]
+async fn a_head_that_is_cut_short_is_no_answer_and_the_call_may_have_run() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let heads = [
+        &b"HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\ncontent-length: 4\r\n\r\n"[..],
+        &b"HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n\r\n"[..],
+    ];
+    for (head, is_kept) in heads.iter().flat_map(|head| [(head, false), (head, true)]) {
+        for bytes in 1..head.len() {
+            let client = Client::new(Network::Tcp);
+            let call = async || {
+                let request = Request::get("/").body(Full::default()).unwrap();
+                client.send(address, request, false).await
+            };
+            let calling = async {
+                if is_kept {
+                    let (_, body) = call().await.unwrap().into_parts();
+                    body.collect(16).await.unwrap();
+                }
+                call().await
+            };
+            let cut = answer_with_cut_head(&listener, is_kept, &head[..bytes]);
+            let (called, ()) = tokio::join!(calling, cut);
+            let failure = called.expect_err("half a head");
+            assert_eq!(failure.ran, Ran::Unknown, "{bytes} {is_kept}");
+        }
+    }
+}
