Answer requests that still run when a leaving host stops

Reported by other operators: in a planned stop, requests were cut at the end of the grace with no answer, among them some that may not be repeated (LOST). It could happen here to those that were taken in the first third of the grace with more time than it leaves: a stop dropped their connections.

Now they are answered with 504, which promises nothing, once the host closes, and the reserve before the exit lets it through.

--- a/src/proxy/host.rs
+++ b/src/proxy/host.rs
@@ -318,6 +318,12 @@
         Some((until.saturating_sub(self.clock.now()), self.grace))
     }
 
+    /// Returns once the host serves no more.
+    pub(super) async fn until_closed(&self) {
+        let mut phase = self.phase.clone();
+        wait_for_phase(&mut phase, |phase| phase == Phase::Closed).await;
+    }
+
     /// Number of requests being served.
     pub fn running(&self) -> usize {
         self.running.load(Ordering::Relaxed)
--- a/src/proxy/intake.rs
+++ b/src/proxy/intake.rs
@@ -17,7 +17,7 @@
     },
     crate::{
         clock::Clock,
-        failure::{Code, Failure},
+        failure::{Code, Failure, Ran},
         name, wire,
     },
     bytes::Bytes,
@@ -221,9 +221,15 @@
             Failure::not_run(Code::RateLimited, "over the customer's rate").retry_after(wait)
         })?;
     }
-    let served = host.serve(inbound, job).await;
+    let served = tokio::select! {
+        served = host.serve(inbound, job) => served,
+        () = host.until_closed() => {
+            let reason = "the host has stopped before the answer came";
+            Err(Failure::new(Code::Deadline, Ran::Unknown, reason))
+        }
+    };
     if let (Err(failure), Some(customer)) = (&served, &customer)
-        && failure.ran == crate::failure::Ran::No
+        && failure.ran == Ran::No
     {
         host.core().limiter.refund(&customer.name, units);
     }
