Refuse what may outlast a long grace after 2.5 s of it

Requests that a leaving host may not be able to answer were taken for 0.3 of the grace: 9 s of 30. One sent 3.2 s after the notice was passed on and cut; the test got 200 where the route runs once. What is taken early is for callers that still hold the host's address, which takes the same time whatever the grace.

--- a/src/proxy/intake.rs
+++ b/src/proxy/intake.rs
@@ -39,6 +39,8 @@
 /// A leaving host accepts any request while more than this share of its grace is left, and later only
 /// those that must end within the rest.
 const FREE_GRACE_SHARE: f64 = 0.7;
+/// The same as a time from the start of a long grace.
+const MAX_FREE_TIME: Duration = Duration::from_millis(2_500);
 /// Longest time for which a refusal waits for the rest of a body.
 const MAX_DISCARD_TIME: Duration = Duration::from_millis(300);
 
@@ -315,7 +317,9 @@
         return Ok(());
     };
     let ends_in_time = job.deadline <= host.clock.now() + time_left;
-    if time_left > grace.mul_f64(FREE_GRACE_SHARE) || ends_in_time {
+    let is_free = time_left > grace.mul_f64(FREE_GRACE_SHARE)
+        && grace.saturating_sub(time_left) < MAX_FREE_TIME;
+    if is_free || ends_in_time {
         return Ok(());
     }
     Err(Failure::not_run(Code::NotReady, "the host is shutting down").retry_after(Duration::ZERO))
