Need no word of a host of the region that has just fallen silent

One that is silent for 1.5 s no longer has to confirm what builds have served, and one that leaves may.

--- a/src/proxy/core/origin.rs
+++ b/src/proxy/core/origin.rs
@@ -6,7 +6,7 @@
     crate::{
         name,
         proxy::{
-            fleet::{Builds, GONE_AFTER},
+            fleet::{Builds, GONE_AFTER, Peer, SILENT_AFTER},
             origin::{Key, Message, Record},
         },
         route::affinity,
@@ -153,17 +153,18 @@
         let own = &self.setup.identity.region;
         let regions: BTreeSet<_> = self.setup.domains.values().collect();
         regions.into_iter().all(|region| {
-            let peers = self.fleet.peers();
-            let peers = peers.filter(|peer| {
-                let is_live = now.saturating_sub(peer.last_heard_at) < GONE_AFTER;
-                peer.identity.region == *region && is_live && !peer.is_leaving
+            let peers = || {
+                let peers = self.fleet.peers();
+                peers.filter(|peer| peer.identity.region == *region)
+            };
+            let is_confirmed = peers().any(|peer| {
+                let is_watched = region == own || peer.builds.watched >= lifetime;
+                peer.last_heard_at >= since && is_watched
             });
-            let mut peers = peers.peekable();
-            (region == own && peers.peek().is_none())
-                || peers.any(|peer| {
-                    let is_watched = region == own || peer.builds.watched >= lifetime;
-                    peer.last_heard_at >= since && is_watched
-                })
+            let is_live = |peer: &Peer| {
+                !peer.is_leaving && now.saturating_sub(peer.last_heard_at) < SILENT_AFTER
+            };
+            is_confirmed || (region == own && !peers().any(is_live))
         })
     }
 
--- a/src/proxy/core/wait.rs
+++ b/src/proxy/core/wait.rs
@@ -168,8 +168,8 @@
     }
 
     /// Delay after which a refused caller should try again: the time in which the least loaded
-    /// upstream prefills what it has, or until the first one has rested, plus jitter, because callers that return together would be
-    /// refused together.
+    /// upstream prefills what it has, or until the first one has rested, plus jitter, because callers
+    /// that return together would be refused together.
     pub fn retry_after(&mut self, now: Duration, pool: &name::Pool) -> Duration {
         let (tokens_per_ms, _) = place::learned_speed(&self.catalog, pool);
         let ahead_ms = self
