--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -6,7 +6,7 @@
         clock::Clock,
         failure::{Code, Failure, Ran},
         link::exchange::Head,
-        name, upstream,
+        name, rest, upstream,
     },
     bytes::Bytes,
     http::{HeaderMap, Request, Response, StatusCode, header},
@@ -72,19 +72,13 @@
     Ok(request)
 }
 
-/// How long an upstream that has turned a call away wants no other from this host: the seconds of a 503's
-/// `retry-after`. A date says when the resource is there again, not that the upstream needs rest.
+/// How long an upstream that has turned a call away wants no other from this host: the seconds of a
+/// 503's `retry-after`. A date says when the resource is there again, not that the upstream needs rest.
 pub(super) fn requested_rest<B>(response: &Response<B>) -> Option<Duration> {
     if response.status() != StatusCode::SERVICE_UNAVAILABLE {
         return None;
     }
-    let seconds = response.headers().get(header::RETRY_AFTER)?.to_str().ok()?;
-    let seconds = seconds.trim();
-    let is_number = seconds
-        .chars()
-        .all(|sign| sign.is_ascii_digit() || sign == '.');
-    let seconds = seconds.parse().ok().filter(|_| is_number)?;
-    Some(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
+    rest::parse_seconds(response.headers().get(header::RETRY_AFTER)?.to_str().ok()?)
 }
 
 /// Splits an upstream's response into the head that is relayed to the caller and the body.
--- a/src/rest.rs
+++ b/src/rest.rs
@@ -32,6 +32,17 @@
     }
 }
 
+/// Parses a number of seconds: digits with at most one point, without sign, exponent or the name of a
+/// number. What is longer than any time is the longest one.
+pub fn parse_seconds(text: &str) -> Option<Duration> {
+    let text = text.trim();
+    let is_decimal = text
+        .chars()
+        .all(|sign| sign.is_ascii_digit() || sign == '.');
+    let seconds = text.parse().ok().filter(|_| is_decimal)?;
+    Some(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
+}
+
 /// The rest of one upstream, as this host was asked for it.
 #[derive(Debug, Clone, Default)]
 pub struct Rest {
--- a/src/route/select.rs
+++ b/src/route/select.rs
@@ -82,8 +82,8 @@
         f64::from(slots) * self.replica_ratio
     }
 
-    /// The replicas that can take requests for `model` and are not at rest, with their indices. When too many are
-    /// ejected, ejections are ignored, as the cause is then hardly the replicas themselves.
+    /// The replicas that can take requests for `model` and are not at rest, with their indices. When
+    /// too many are ejected, ejections are ignored, as the cause is then hardly the replicas themselves.
     pub(super) fn usable(
         &self,
         now: Duration,
