Let a leaving host's requests be answered until the end of its grace

A host that closes early still answers what it has read. The answer of 504 waits for the end of the grace now, not for the host's last phase.

--- a/src/proxy/host.rs
+++ b/src/proxy/host.rs
@@ -318,10 +318,12 @@
         Some((until.saturating_sub(self.clock.now()), self.grace))
     }
 
-    /// Returns once the host serves no more.
-    pub(super) async fn until_closed(&self) {
+    /// Returns once the grace of a leaving host is over.
+    pub(super) async fn until_grace_ends(&self) {
         let mut phase = self.phase.clone();
-        wait_for_phase(&mut phase, |phase| phase == Phase::Closed).await;
+        wait_for_phase(&mut phase, |phase| phase != Phase::Running).await;
+        let left = self.grace_left().map_or(self.grace, |(left, _)| left);
+        sleep(left).await;
     }
 
     /// Number of requests being served.
--- a/src/proxy/intake.rs
+++ b/src/proxy/intake.rs
@@ -225,7 +225,7 @@
     }
     let served = tokio::select! {
         served = host.serve(inbound, job) => served,
-        () = host.until_closed() => {
+        () = host.until_grace_ends() => {
             let reason = "the host has stopped before the answer came";
             Err(Failure::new(Code::Deadline, Ran::Unknown, reason))
         }
