Review case 1: streams through a killed host are joined from the two services of a split route

The pool of a resumed stream whose prompt shares no part is drawn anew, and the build is looked for in that pool only.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -6,6 +6,7 @@
 mod http;
 mod joined;
 mod replica;
+mod split;
 mod store;
 mod trial;
 
@@ -26,6 +27,7 @@
         "drill" => drill::run(&trial),
         "joined" => joined::run(&trial, joined::Change::Timeout),
         "moved" => joined::run(&trial, joined::Change::Service),
+        "split" => split::run(&trial),
         _ => Err(std::io::Error::other("no such case")),
     };
     let recorded = trial.write_record();
