--- a/src/proxy/catalog.rs
+++ b/src/proxy/catalog.rs
@@ -29,6 +29,9 @@
 const RELIST_GRACE: Duration = Duration::from_millis(2_200);
 /// How long the last state of a removed upstream is remembered.
 const DEPARTED_TTL: Duration = Duration::from_secs(60);
+/// How long an evacuation that a restored store lacks stays in force, unless the operator writes it
+/// again or takes it back.
+const EVACUATION_HOLD: Duration = Duration::from_secs(60);
 /// Failure count, halved by each success, at which an upstream is ejected.
 const EJECTION_THRESHOLD: f64 = 1.9;
 /// Length of the first ejection.
@@ -153,6 +156,8 @@
     is_leaving: bool,
     rest: Rest,
     at: Duration,
+    /// Whether the store still shows that state, as one restored from an older copy does.
+    is_shown: bool,
 }
 
 /// The upstreams of one region.
@@ -163,6 +168,8 @@
     replicas: BTreeMap<name::Upstream, Replica>,
     departed: BTreeMap<name::Upstream, Departed>,
     evacuated: BTreeSet<name::Domain>,
+    /// Evacuations in force that the restored store lacks, with the time until which they are held.
+    held_evacuations: BTreeMap<name::Domain, Duration>,
     estimates: BTreeMap<name::Pool, Estimates>,
     /// Whether the platform cannot be reached.
     is_unreachable: bool,
@@ -193,6 +200,7 @@
             replicas: BTreeMap::new(),
             departed: BTreeMap::new(),
             evacuated: BTreeSet::new(),
+            held_evacuations: BTreeMap::new(),
             estimates: BTreeMap::new(),
             is_unreachable: false,
             reachable_since: None,
@@ -242,6 +250,15 @@
         }
     }
 
+    /// Records that the store was restored from an older copy, which may lack what upstreams wrote last:
+    /// they get the same time to be listed again as after an outage.
+    pub fn start_era(&mut self, now: Duration) {
+        self.reachable_since = Some(now);
+        if self.watched_since.is_some() {
+            self.watched_since = Some(now);
+        }
+    }
+
     /// For how long the list has been followed without a gap.
     pub fn watched(&self, now: Duration) -> Duration {
         self.watched_since
@@ -280,6 +297,9 @@
         if !self.is_unreachable {
             self.watched_since.get_or_insert(now);
         }
+        for departed in self.departed.values_mut() {
+            departed.is_shown = false;
+        }
         let present: BTreeSet<_> = entries.iter().map(|entry| entry.id.clone()).collect();
         let mut changes: Vec<_> = entries
             .into_iter()
@@ -400,8 +420,10 @@
     /// at rest when it was removed goes on so.
     fn list(&mut self, now: Duration, mut entry: Entry) -> Option<Change> {
         let id = entry.id.clone();
-        let departed = self.departed.get(&id);
-        if departed.is_some_and(|departed| entry.order() <= departed.order) {
+        if let Some(departed) = self.departed.get_mut(&id)
+            && entry.order() <= departed.order
+        {
+            departed.is_shown = true;
             return None;
         }
         let departed = self.departed.remove(&id);
@@ -417,6 +439,9 @@
     /// Removes an upstream that is no longer listed. While the platform is unreachable and shortly
     /// after, its entry may only have lapsed, so it is kept until it had time to be listed again.
     pub fn remove(&mut self, now: Duration, id: &name::Upstream) -> Option<Change> {
+        if let Some(departed) = self.departed.get_mut(id) {
+            departed.is_shown = false;
+        }
         let grace_end = self.reachable_since.map(|back| back + RELIST_GRACE);
         let replica = self.replicas.get_mut(id)?;
         if self.is_unreachable || grace_end.is_some_and(|grace_end| now < grace_end) {
@@ -461,13 +486,15 @@
         let entry = replica.entry;
         self.retire_build(now, &entry);
         self.departed.retain(|_, departed| {
-            now.saturating_sub(departed.at) < DEPARTED_TTL || !departed.rest.is_over(now)
+            let is_recent = now.saturating_sub(departed.at) < DEPARTED_TTL;
+            is_recent || departed.is_shown || !departed.rest.is_over(now)
         });
         let departed = Departed {
             order: entry.order(),
             is_leaving: entry.leaving,
             rest: replica.rest,
             at: now,
+            is_shown: false,
         };
         self.departed.insert(entry.id.clone(), departed);
         Some(Change::Gone(entry.id))
@@ -478,6 +505,55 @@
         std::mem::take(&mut self.ended)
     }
 
+    /// Records that a failure domain is evacuated.
+    pub fn evacuate(&mut self, now: Duration, domain: name::Domain) {
+        self.held_evacuations.remove(&domain);
+        let mut evacuated = self.evacuated.clone();
+        evacuated.insert(domain);
+        self.set_evacuated(now, evacuated);
+    }
+
+    /// Records that the evacuation of a failure domain was taken back.
+    pub fn restore(&mut self, now: Duration, domain: &name::Domain) {
+        self.held_evacuations.remove(domain);
+        let mut evacuated = self.evacuated.clone();
+        evacuated.remove(domain);
+        self.set_evacuated(now, evacuated);
+    }
+
+    /// Replaces the evacuations by all that the store lists. Those in force that are missing from the
+    /// first list of a restored store are held for a while. Returns the ones held since now.
+    pub fn list_evacuated(
+        &mut self,
+        now: Duration,
+        listed: BTreeSet<name::Domain>,
+        is_restored: bool,
+    ) -> Vec<name::Domain> {
+        let missing = self.evacuated.difference(&listed).cloned();
+        let held: Vec<_> = missing.filter(|_| is_restored).collect();
+        for domain in &held {
+            let until = now + EVACUATION_HOLD;
+            self.held_evacuations.insert(domain.clone(), until);
+        }
+        self.held_evacuations
+            .retain(|domain, _| !listed.contains(domain));
+        let held_before = self.held_evacuations.keys().cloned();
+        let evacuated = listed.into_iter().chain(held_before).collect();
+        self.set_evacuated(now, evacuated);
+        held
+    }
+
+    /// Ends the evacuations that were held for long enough. Returns those.
+    pub fn expire_evacuations(&mut self, now: Duration) -> Vec<name::Domain> {
+        let held = self.held_evacuations.iter();
+        let expired = held.filter(|(_, until)| now >= **until);
+        let expired: Vec<_> = expired.map(|(domain, _)| domain.clone()).collect();
+        for domain in &expired {
+            self.restore(now, domain);
+        }
+        expired
+    }
+
     /// Sets the failure domains that are evacuated. Upstreams of a domain whose evacuation ends may
     /// have become cold meanwhile and are treated as cold.
     pub fn set_evacuated(&mut self, now: Duration, domains: BTreeSet<name::Domain>) {
--- a/src/proxy/core/mod.rs
+++ b/src/proxy/core/mod.rs
@@ -24,6 +24,7 @@
         reach,
         reader::{self, Listing, Reading, Role},
         replica::{ASSUMED_COLD_TIME, Outcome, Replica, millis},
+        revision::Era,
         table::{Match, Pool, Table},
         throttle::{self, Notice, Share},
     },
@@ -34,7 +35,13 @@
         route::affinity,
     },
     rand::{RngExt, SeedableRng, rngs::StdRng},
-    std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration},
+    std::{
+        cmp::Ordering,
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        sync::Arc,
+        time::Duration,
+    },
 };
 
 /// Longest silence of an engine in the middle of an answer, in milliseconds. It covers several
@@ -138,6 +145,15 @@
     pub report_age: Duration,
 }
 
+/// Where in the store a configuration was read.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Provenance {
+    /// Era of the store.
+    pub era: Era,
+    /// Whether it was read as a change, so that it was written in that era.
+    pub is_change: bool,
+}
+
 /// What a report of another host has changed.
 #[derive(Debug)]
 pub struct Reception {
@@ -195,6 +211,13 @@
     pub quarantine: Quarantine,
     setup: Setup,
     table: Option<Arc<Table>>,
+    /// The newest era in which the store has shown that configuration.
+    table_era: Era,
+    /// Hashes of texts that the store showed for the same version before.
+    replaced_texts: BTreeSet<u64>,
+    /// Era of the last list of the operator's section, and the newest version that another host had
+    /// reported before it.
+    listed_version: Option<(Era, u64)>,
     reservations: BTreeMap<u64, Reservation>,
     last_ticket: u64,
     queue: BTreeMap<(u8, u64), Job>,
@@ -231,6 +254,9 @@
             origins: Ledger::default(),
             quarantine: Quarantine::default(),
             table: None,
+            table_era: Era::default(),
+            replaced_texts: BTreeSet::new(),
+            listed_version: None,
             reservations: BTreeMap::new(),
             last_ticket: 0,
             queue: BTreeMap::new(),
@@ -257,10 +283,28 @@
     }
 
     /// Installs a configuration if it is newer than the one in force. Returns whether it did.
-    pub fn configure(&mut self, now: Duration, table: Table) -> bool {
-        if self.version() >= table.version {
+    ///
+    /// One with the same version and another text is newer if a later era of the store shows it, unless
+    /// it was replaced before and only a copy may show it again.
+    pub fn configure(&mut self, now: Duration, table: Table, provenance: Provenance) -> bool {
+        let (version, digest) = (self.version(), self.digest());
+        if version > table.version {
             return false;
         }
+        if version < table.version {
+            self.replaced_texts.clear();
+        } else if digest == Some(table.digest) {
+            self.table_era = self.table_era.max(provenance.era);
+            return false;
+        } else {
+            let was_replaced = self.replaced_texts.contains(&table.digest);
+            let is_written = provenance.is_change || !was_replaced;
+            if provenance.era <= self.table_era || !is_written {
+                return false;
+            }
+            self.replaced_texts.extend(digest);
+        }
+        self.table_era = provenance.era;
         self.limiter.configure(now, table.customers());
         self.table = Some(Arc::new(table));
         true
@@ -271,6 +315,34 @@
         self.table.as_ref().map_or(0, |table| table.version)
     }
 
+    /// Hash of the text of the configuration in force; `None` before the first.
+    pub fn digest(&self) -> Option<u64> {
+        self.table.as_ref().map(|table| table.digest)
+    }
+
+    /// Records that the operator's section was listed in an era, after another host had reported this
+    /// version of the configuration.
+    pub fn record_list(&mut self, era: Era, reported_version: u64) {
+        self.listed_version = Some((era, reported_version));
+    }
+
+    /// Whether the store may have a version of the configuration that another host reports and this one
+    /// lacks. A restored store may lack it as well; it is not asked for it again and again.
+    pub fn lacks_version(&self, version: u64) -> bool {
+        let was_listed = |(era, listed)| era == self.reader_role.era() && version <= listed;
+        version > self.version() && !self.listed_version.is_some_and(was_listed)
+    }
+
+    /// Records an era that the store or another host names. Returns how it compares with the newest
+    /// one known until now.
+    pub fn observe_era(&mut self, now: Duration, era: Era) -> Ordering {
+        let order = self.reader_role.observe_era(era);
+        if order.is_gt() && self.reader_role.has_changed_era() {
+            self.catalog.start_era(now);
+        }
+        order
+    }
+
     /// Records a report of another host: its load, its spare capacity and what it has admitted.
     pub fn receive_report(&mut self, now: Duration, report: Report) -> Reception {
         let has_told = self.fleet.has_told_of_reach(&report.from.host);
@@ -282,6 +354,7 @@
         if reception.update == Update::Stale {
             return reception;
         }
+        self.observe_era(now, report.era);
         let host = &report.from.host;
         if report.leaving {
             self.limiter.remove_host(host);
@@ -372,7 +445,8 @@
             .peers()
             .map(|peer| (peer.identity.host.clone(), peer.identity.peers))
             .collect();
-        let version = self.version();
+        let (version, digest) = (self.version(), self.digest());
+        let era = self.reader_role.era();
         let mut reports = Vec::with_capacity(recipients.len());
         for recipient in recipients {
             let report = Report {
@@ -381,6 +455,8 @@
                 ready,
                 leaving,
                 version,
+                digest,
+                era,
                 hosts,
                 spent: spent.clone(),
                 tallies: if recipient.is_same_region {
@@ -452,6 +528,7 @@
         let reading = Reading {
             from: own.host.clone(),
             incarnation: own.incarnation,
+            era: announcement.era,
             operator: announcement.operator,
             upstreams: announcement.upstreams,
             listing,
@@ -465,8 +542,14 @@
         now: Duration,
         reading: Reading,
     ) -> (reader::Update, Vec<Change>) {
+        if reading.from != self.setup.identity.host {
+            self.observe_era(now, self.reader_role.reading_era(&reading));
+        }
         let update = self.reader_role.receive(now, &reading);
-        if update != reader::Update::Ignored {
+        if matches!(
+            update,
+            reader::Update::NewSource | reader::Update::SameSource
+        ) {
             self.catalog.set_reachable(now, true);
         }
         let listing = reading.listing.as_ref();
--- a/src/proxy/core/region.rs
+++ b/src/proxy/core/region.rs
@@ -100,8 +100,8 @@
         let may_be_local =
             job.matched.allows(own) && is_any_open && !self.is_out_of_reach(now, job);
         let time_limit_ms = millis(job.deadline.saturating_sub(job.arrived_at));
-        // A host with an older configuration would refuse the request without running it.
-        let is_behind = |peer: &Peer| peer.version < job.matched.version;
+        // A host with an older or another configuration would refuse the request without running it.
+        let is_behind = |peer: &Peer| !peer.covers(&job.matched);
         let is_avoided = |peer: &Peer| job.avoided_hosts.contains(&peer.identity.host);
         let mut best: Option<(f64, name::Region)> = None;
         for peer in self.relays(now) {
--- a/src/proxy/fleet.rs
+++ b/src/proxy/fleet.rs
@@ -13,6 +13,8 @@
         rate::Usage,
         reach,
         replica::Tally,
+        revision::Era,
+        table::{self, Match},
         throttle,
     },
     crate::{name, route::affinity},
@@ -81,6 +83,12 @@
     pub leaving: bool,
     /// Version of the sender's configuration; zero before the first.
     pub version: u64,
+    /// Hash of the text of that configuration.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub digest: Option<u64>,
+    /// The newest era of the platform's store that the sender has heard of.
+    #[serde(default, skip_serializing_if = "Era::is_unnamed")]
+    pub era: Era,
     /// Number of hosts in the fleet as the sender counts them, itself included.
     #[serde(default)]
     pub hosts: usize,
@@ -157,6 +165,8 @@
     pub is_leaving: bool,
     /// Version of the host's configuration.
     pub version: u64,
+    /// Hash of the text of that configuration.
+    pub digest: Option<u64>,
     /// Spare capacity of the host's region, less what was forwarded there since the report.
     pub spare: BTreeMap<name::Pool, Spare>,
     /// Upstreams that the host can't reach; of hosts of the same region only.
@@ -172,6 +182,14 @@
     last_reports_at: [Duration; 2],
 }
 
+impl Peer {
+    /// Whether the host's configuration allows it to take a request that was matched here.
+    pub fn covers(&self, matched: &Match) -> bool {
+        let needed = (matched.version, Some(matched.digest));
+        table::covers((self.version, self.digest), needed)
+    }
+}
+
 /// The hosts that this one knows, and the schedule of the reports to them.
 #[derive(Debug)]
 pub struct Fleet {
@@ -271,6 +289,7 @@
             is_ready: report.ready,
             is_leaving: report.leaving,
             version: report.version,
+            digest: report.digest,
             spare: report.spare.iter().cloned().collect(),
             reach: report.reach.clone(),
             builds: report.builds.clone(),
--- a/src/proxy/follow.rs
+++ b/src/proxy/follow.rs
@@ -1,6 +1,9 @@
 //! Keeps a host's view of the platform's store up to date: lists a section, then watches it from
 //! the listed revision on, and lists it again when the store no longer holds the changes since that
-//! revision.
+//! revision, or is in another era.
+//!
+//! The first list of an era is the present state, but it may be older than what was in force before:
+//! [`super::core::Core::configure`] and [`super::catalog::Catalog`] keep what binds nevertheless.
 //!
 //! The platform bills each call and upstreams publish their state all the time. So one host of a
 //! region reads for the others (see [`super::reader`]) and takes changes of upstreams in batches.
@@ -9,12 +12,19 @@
 
 use {
     super::{
-        catalog::News, dialect::Dialect, entry::Entry, host::Host, reader::Token,
-        server::wait_for_phase, table::Table,
+        catalog::News,
+        core::Provenance,
+        dialect::Dialect,
+        entry::Entry,
+        host::Host,
+        reader::Token,
+        revision::{Era, Revision},
+        server::wait_for_phase,
+        table::Table,
     },
-    crate::{Result, clock::Clock, entry::Phase, name},
+    crate::{Error, Result, clock::Clock, entry::Phase, name},
     rand::{RngExt, SeedableRng, rngs::StdRng},
-    std::{collections::BTreeSet, future::Future, time::Duration},
+    std::{cmp::Ordering, collections::BTreeSet, future::Future, net::SocketAddr, time::Duration},
     tokio::{
         sync::watch,
         time::{sleep, timeout},
@@ -79,7 +89,7 @@
 #[derive(Debug)]
 pub struct Batch {
     /// The revision after which the next watch starts.
-    pub revision: u64,
+    pub revision: Revision,
     /// The entries, oldest first.
     pub items: Vec<Item>,
 }
@@ -89,13 +99,16 @@
 pub enum Watched {
     /// The changes; empty if there were none within the wait.
     Changes(Batch),
-    /// The store no longer holds the changes since the revision, so the section must be listed
-    /// again.
-    Lost,
+    /// The store, which is in this era, holds no changes since the revision, so the section must be
+    /// listed again.
+    Lost(Era),
 }
 
 /// The platform's store, implemented by a platform adapter.
 pub trait Store: Clone + Send + Sync + 'static {
+    /// Address of the store, for errors.
+    fn address(&self) -> SocketAddr;
+
     /// Returns all entries of a section.
     fn list(&self, section: Section) -> impl Future<Output = Result<Batch>> + Send;
 
@@ -104,7 +117,7 @@
     fn watch(
         &self,
         section: Section,
-        after: u64,
+        after: Revision,
         wait: Duration,
     ) -> impl Future<Output = Result<Watched>> + Send;
 }
@@ -139,7 +152,7 @@
     store: S,
     section: Section,
     /// Revision after which to watch; `None` if the section must be listed.
-    after_revision: Option<u64>,
+    after_revision: Option<Revision>,
     /// Batches with changes so far.
     change_count: u64,
     consecutive_failures: u32,
@@ -153,7 +166,13 @@
             self.after_revision = None;
             return self.wait_for_reader(limit).await;
         }
-        let token = self.host.core().reader_role.begin_read(self.section);
+        let (token, reported_version, era) = {
+            let core = self.host.core();
+            let token = core.reader_role.begin_read(self.section);
+            (token, core.fleet.newest_version(), core.reader_role.era())
+        };
+        self.after_revision = self.after_revision.filter(|after| after.era() == era);
+        let is_list = self.after_revision.is_none();
         let result = match self.after_revision {
             None => timeout(CALL_TIMEOUT, self.store.list(self.section))
                 .await
@@ -173,11 +192,18 @@
         };
         self.host.count_store_call(!matches!(result, Ok(Ok(_))));
         match result {
-            Ok(Ok(Watched::Changes(batch))) => self.apply_batch(batch, token).await,
-            Ok(Ok(Watched::Lost)) => {
-                self.record_success();
-                tracing::info!(event = "store", section = ?self.section, state = "history lost");
-                self.after_revision = None;
+            Ok(Ok(Watched::Changes(batch))) => {
+                let era = batch.revision.era();
+                if self.observe_era(era).await && self.apply_batch(batch, token).await && is_list {
+                    self.record_list(era, reported_version);
+                }
+            }
+            Ok(Ok(Watched::Lost(era))) => {
+                if self.observe_era(era).await {
+                    self.record_success();
+                    tracing::info!(event = "store", section = ?self.section, state = "history lost");
+                    self.after_revision = None;
+                }
             }
             Ok(Err(error)) => self.back_off(&error.to_string()).await,
             Err(_) => self.back_off("call timed out").await,
@@ -203,28 +229,72 @@
                 sleep(READER_LAG).await;
                 let now = self.host.clock.now();
                 let mut core = self.host.core();
-                if core.fleet.newest_version() > core.version() {
+                if core.lacks_version(core.fleet.newest_version()) {
                     core.reader_role.invalidate(now, self.section);
                 }
             }
         }
     }
 
-    /// Applies the result of a list or watch, unless it is older than what this host knows.
-    async fn apply_batch(&mut self, batch: Batch, token: Token) {
+    /// Records the era that an answer names. Returns whether the answer can be used: one of an earlier
+    /// era than the newest known is as good as none.
+    async fn observe_era(&mut self, era: Era) -> bool {
+        let known = self.host.observe_era(era, "the store");
+        if era >= known {
+            return true;
+        }
+        self.after_revision = None;
+        let reason = if era.is_named() {
+            format!("the answer is of era {era}, before {known}")
+        } else {
+            format!("the answer names no era, after {known}")
+        };
+        let error = Error::Protocol {
+            step: "reading the store",
+            peer: self.store.address().to_string(),
+            reason,
+        };
+        self.back_off(&error.to_string()).await;
+        false
+    }
+
+    /// Records that the operator's section was listed in an era. The list has any version of the
+    /// configuration that another host had read in that era before.
+    fn record_list(&self, era: Era, reported_version: u64) {
+        if self.section == Section::Operator {
+            self.host.core().record_list(era, reported_version);
+        }
+    }
+
+    /// Applies the result of a list or watch of the present era, unless it is older than what this
+    /// host knows. Returns whether it did.
+    async fn apply_batch(&mut self, batch: Batch, token: Token) -> bool {
         self.record_success();
         let now = self.host.clock.now();
+        let revision = batch.revision;
+        if let Some(after) = self.after_revision
+            && after.era() != revision.era()
+        {
+            // The changes are those since a revision of another history.
+            self.after_revision = None;
+            return false;
+        }
         let is_full = self.after_revision.is_none();
         let known = self.host.core().reader_role.revision(self.section);
-        if batch.revision < known {
+        let known = known.filter(|known| revision.compare(*known) == Some(Ordering::Less));
+        if let Some(known) = known {
             tracing::info!(event = "store", section = ?self.section, state = "old answer",
-                revision = batch.revision, known);
-            return sleep(MIN_BACKOFF).await;
+                era = %revision.era(), revision = revision.number(), known = known.number());
+            sleep(MIN_BACKOFF).await;
+            return false;
         }
         let has_changes = !batch.items.is_empty();
-        let newest = self.after_revision.unwrap_or(0).max(batch.revision);
+        let newest = self
+            .after_revision
+            .filter(|after| after.compare(revision) == Some(Ordering::Greater))
+            .unwrap_or(revision);
         self.after_revision = Some(newest);
-        self.apply_items(batch.items, is_full);
+        self.apply_items(batch.items, is_full, revision.era());
         if has_changes && self.section == Section::Operator {
             self.change_count += 1;
         }
@@ -241,6 +311,7 @@
         if has_changes && self.section == Section::Upstreams {
             sleep(BATCH_INTERVAL).await;
         }
+        true
     }
 
     fn record_success(&mut self) {
@@ -268,25 +339,25 @@
         sleep(pause.min(MAX_BACKOFF).mul_f64(jitter)).await;
     }
 
-    /// Applies entries to the core. `is_full` says that they are the whole section, not changes.
-    fn apply_items(&mut self, items: Vec<Item>, is_full: bool) {
+    /// Applies entries of the present era to the core. `is_full` says that they are the whole
+    /// section, not changes.
+    fn apply_items(&mut self, items: Vec<Item>, is_full: bool, era: Era) {
         let now = self.host.clock.now();
         let mut news = Vec::new();
+        let mut evacuated = BTreeSet::new();
         let before = self.host.core().catalog.evacuated().clone();
-        let mut evacuated = if is_full {
-            BTreeSet::new()
-        } else {
-            before.clone()
+        let provenance = Provenance {
+            era,
+            is_change: !is_full,
         };
         for item in items {
             match item {
-                Item::Table(table) => self.host.configure(table),
-                Item::Evacuated(domain) => {
+                Item::Table(table) => self.host.configure(table, provenance),
+                Item::Evacuated(domain) if is_full => {
                     evacuated.insert(domain);
                 }
-                Item::Restored(domain) => {
-                    evacuated.remove(&domain);
-                }
+                Item::Evacuated(domain) => self.host.core().catalog.evacuate(now, domain),
+                Item::Restored(domain) => self.host.core().catalog.restore(now, &domain),
                 Item::Upstream(entry) => news.push(News::Entry(entry)),
                 Item::Removed(id) => news.push(News::Removed(id)),
                 Item::Unreadable {
@@ -302,9 +373,17 @@
         let changes = {
             let mut core = self.host.core();
             if self.section == Section::Operator {
-                if evacuated != before {
+                if is_full {
+                    let is_first = core.reader_role.is_of_earlier_era(Section::Operator);
+                    let held = core.catalog.list_evacuated(now, evacuated, is_first);
+                    if !held.is_empty() {
+                        tracing::warn!(event = "evacuation", %era, held = ?held,
+                            "the restored store lacks evacuations, which stay in force");
+                    }
+                }
+                let evacuated = core.catalog.evacuated();
+                if *evacuated != before {
                     tracing::info!(event = "evacuation", domains = ?evacuated);
-                    core.catalog.set_evacuated(now, evacuated);
                 }
                 Vec::new()
             } else if is_full {
--- a/src/proxy/host.rs
+++ b/src/proxy/host.rs
@@ -13,7 +13,7 @@
     super::{
         answer::{Answer, Inbound},
         catalog::Change,
-        core::{Core, Grant, Placement, Setup},
+        core::{Core, Grant, Placement, Provenance, Setup},
         dialect::Dialect,
         fleet::{self, Update},
         follow::Section,
@@ -21,6 +21,7 @@
         quarantine::Process,
         reader::{self, Reading},
         replica::Outcome,
+        revision::Era,
         sample::Sampler,
         server::wait_for_phase,
         table::Table,
@@ -121,6 +122,8 @@
     announcements: [Notify; 2],
     store_calls: Counter,
     store_failures: Counter,
+    /// Restorations of the store that this host has heard of.
+    store_restorations: Counter,
     grace: Duration,
     /// When shutdown began.
     leaving_since: OnceLock<Duration>,
@@ -177,6 +180,7 @@
         let rests = Counter::default();
         let store_calls = Counter::default();
         let store_failures = Counter::default();
+        let store_restorations = Counter::default();
         dependencies.metrics.register(|registry| {
             registry.register(
                 "store_calls",
@@ -188,6 +192,11 @@
                 "Calls to the platform's store that brought nothing",
                 store_failures.clone(),
             );
+            registry.register(
+                "store_restorations",
+                "Restorations of the platform's store from an older copy that this host has heard of",
+                store_restorations.clone(),
+            );
             registry.register(
                 "predicted_ratio",
                 "Time to the first byte over its prediction",
@@ -273,6 +282,7 @@
             announcements: Default::default(),
             store_calls,
             store_failures,
+            store_restorations,
             grace: dependencies.grace,
             leaving_since: OnceLock::new(),
             sampler: Mutex::new(sampler),
@@ -371,20 +381,54 @@
     }
 
     /// Installs a configuration unless the one in force is as new or newer.
-    pub fn configure(&self, table: Table) {
-        let (version, now) = (table.version, self.clock.now());
-        let before = self.core().version();
-        if self.core().configure(now, table) {
+    pub fn configure(&self, table: Table, provenance: Provenance) {
+        let (version, digest, now) = (table.version, table.digest, self.clock.now());
+        let (before, era) = (self.core().version(), provenance.era);
+        let is_installed = self.core().configure(now, table, provenance);
+        if is_installed {
             tracing::info!(
                 event = "configured",
                 version,
                 before,
+                %era,
                 "configuration installed"
             );
+        } else if self.core().digest() != Some(digest) {
+            tracing::warn!(
+                event = "configuration",
+                version,
+                in_force = before,
+                %era,
+                "the store shows a configuration that is not newer than the one in force"
+            );
         }
         self.place_waiting();
     }
 
+    /// Records an era that the store or another host names. Returns the newest one that is known now.
+    pub(super) fn observe_era(&self, era: Era, told_by: &str) -> Era {
+        let now = self.clock.now();
+        let before = self.core().reader_role.era();
+        self.core().observe_era(now, era);
+        self.log_era(before, told_by)
+    }
+
+    /// Logs that the newest known era is another one than `before`. Returns it.
+    fn log_era(&self, before: Era, told_by: &str) -> Era {
+        let (era, is_restored) = {
+            let core = self.core();
+            (core.reader_role.era(), core.reader_role.has_changed_era())
+        };
+        if era != before && is_restored {
+            self.store_restorations.inc();
+            tracing::warn!(event = "store", state = "restored", %era, %before, told_by,
+                "the store was restored from an older copy");
+        } else if era != before {
+            tracing::info!(event = "store", state = "era known", %era, told_by);
+        }
+        era
+    }
+
     /// Returns once another host has reported a newer configuration than the one in force.
     pub async fn wait_for_newer_configuration(&self) {
         self.newer_configuration.notified().await;
@@ -569,15 +613,32 @@
 
     /// Handles readings announced by other hosts of the region until the channel closes.
     pub async fn receive_readings(self, mut mailbox: mpsc::Receiver<link::Received<Box<Reading>>>) {
+        // The host whose readings were last found to be of an earlier era.
+        let mut outdated = None;
         while let Some(received) = mailbox.recv().await {
             let reading = *received.message;
             let reader = reading.from.clone();
             let now = self.clock.now();
-            let (update, changes) = self.core().receive_reading(now, reading);
+            let era = reading.era;
+            let (before, update, changes) = {
+                let mut core = self.core();
+                let before = core.reader_role.era();
+                let (update, changes) = core.receive_reading(now, reading);
+                (before, update, changes)
+            };
+            self.log_era(before, reader.as_str());
+            let is_earlier = update == reader::Update::EarlierEra;
+            if is_earlier && outdated.replace(reader.clone()).as_ref() != Some(&reader) {
+                tracing::warn!(event = "reader", host = %reader, %era, "its readings are of an earlier era");
+            }
             if update == reader::Update::NewSource {
                 tracing::info!(event = "reader", host = %reader, "relying on another host's readings");
             }
-            if update != reader::Update::Ignored {
+            if matches!(
+                update,
+                reader::Update::NewSource | reader::Update::SameSource
+            ) {
+                outdated = None;
                 self.announcements.iter().for_each(Notify::notify_one);
             }
             if !changes.is_empty() {
@@ -607,6 +668,9 @@
         let changes = {
             let mut core = self.core();
             core.limiter.expire(now);
+            for domain in core.catalog.expire_evacuations(now) {
+                tracing::warn!(event = "evacuation", %domain, "ended, as the restored store lacks it");
+            }
             let mut changes = core.catalog.expire(now);
             changes.extend(core.detect_silent(now));
             changes
@@ -630,10 +694,13 @@
             let report = *received.message;
             let (host, incarnation) = (report.from.host.clone(), report.from.incarnation);
             let (version, now) = (report.version, self.clock.now());
-            let (reception, own_version) = {
+            let (before, reception, lacks_version) = {
                 let mut core = self.core();
-                (core.receive_report(now, report), core.version())
+                let before = core.reader_role.era();
+                let reception = core.receive_report(now, report);
+                (before, reception, core.lacks_version(version))
             };
+            self.log_era(before, host.as_str());
             for (upstream, change) in reception.limits {
                 self.log_limit(&upstream, change);
             }
@@ -647,7 +714,7 @@
                 }
                 Update::Unchanged | Update::Stale => {}
             }
-            if version > own_version {
+            if lacks_version {
                 self.newer_configuration.notify_one();
             }
             if self.core().queue_len() > 0 {
--- a/src/proxy/intake.rs
+++ b/src/proxy/intake.rs
@@ -346,8 +346,8 @@
         let core = host.core();
         let table = core
             .table()
-            .filter(|table| table.version >= call.version)
-            .ok_or_else(|| not_ready("the configuration here is older"))?;
+            .filter(|table| table.covers(call.version, call.version_digest))
+            .ok_or_else(|| not_ready("the configuration here is older or another one"))?;
         table
             .match_forwarded(&call.route, call.customer.as_ref())
             .ok_or_else(|| not_ready("the configuration here no longer allows it"))?
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -25,6 +25,7 @@
 pub mod reach;
 pub mod reader;
 pub mod replica;
+pub mod revision;
 pub mod sample;
 mod send;
 pub mod server;
--- a/src/proxy/reader.rs
+++ b/src/proxy/reader.rs
@@ -3,12 +3,20 @@
 //! One host, the reader, reads for all and announces what it has read. The others read only while
 //! no fresh reading is announced or after they missed a change. A host that cannot tell reads for
 //! itself: two readers cost some extra calls, while no reader means that changes go unnoticed.
+//!
+//! A reading tells the era of the store in which it was made. The newest era that a host has heard of
+//! is the present one: readings and answers of an earlier era are not used, and what was read in one
+//! is read again.
 
 use {
-    super::{entry::Entry, follow::Section},
+    super::{
+        entry::Entry,
+        follow::Section,
+        revision::{Era, Revision},
+    },
     crate::name,
     serde::{Deserialize, Serialize},
-    std::{collections::BTreeMap, time::Duration},
+    std::{cmp::Ordering, collections::BTreeMap, time::Duration},
 };
 
 /// Age up to which another host's reading is relied on. A leaving upstream and a new configuration
@@ -43,6 +51,9 @@
     pub from: name::Host,
     /// Incarnation of that host.
     pub incarnation: u64,
+    /// Era of the store in which it has read both sections. Hosts of older builds name none.
+    #[serde(default, skip_serializing_if = "Era::is_unnamed")]
+    pub era: Era,
     /// State of the configuration and the evacuations.
     pub operator: Freshness,
     /// State of the upstreams.
@@ -54,7 +65,7 @@
 /// The upstreams of a region at one revision of the store.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Listing {
-    /// Revision of the store at which the entries were read.
+    /// Number of the store's revision, in the era of the reading, at which the entries were read.
     pub revision: u64,
     /// Every upstream, with its remaining cold time.
     pub entries: Vec<Entry>,
@@ -68,10 +79,11 @@
         }
     }
 
-    fn version(&self, section: Section) -> Version {
+    fn version(&self, section: Section, era: Era) -> Version {
         Version {
             reader: self.from.clone(),
             incarnation: self.incarnation,
+            era,
             generation: self.freshness(section).generation,
         }
     }
@@ -82,6 +94,7 @@
 struct Version {
     reader: name::Host,
     incarnation: u64,
+    era: Era,
     generation: u64,
 }
 
@@ -96,10 +109,12 @@
     fresh_until: Duration,
     /// Since when a state has been announced that this host does not have.
     behind_since: Option<Duration>,
-    /// When this host last read the section from the store.
+    /// Whether this host has ever read the section from the store.
+    has_read: bool,
+    /// When this host last read the section in the present era.
     read_at: Option<Duration>,
     /// Revision up to which this host knows the section.
-    revision: u64,
+    revision: Option<Revision>,
     /// Relevant changes that this host has seen.
     generation: u64,
 }
@@ -109,6 +124,10 @@
 #[derive(Debug)]
 pub struct Role {
     own_host: name::Host,
+    /// The newest era of the store that this host has heard of.
+    era: Era,
+    /// Whether the store was in an earlier era since this host has started.
+    has_changed_era: bool,
     sections: BTreeMap<Section, Progress>,
     /// The host whose readings this one relies on.
     source: Option<name::Host>,
@@ -118,18 +137,20 @@
     no_source_since: Duration,
     /// When this host last announced.
     announced_at: Option<Duration>,
-    /// Generation of the upstreams in that announcement.
-    announced_generation: Option<u64>,
+    /// Era and generation of the upstreams in that announcement.
+    announced_state: Option<(Era, u64)>,
 }
 
 /// The announcement that is due.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Announcement {
+    /// Era of the store in which both sections were read.
+    pub era: Era,
     /// State of the configuration and the evacuations.
     pub operator: Freshness,
     /// State of the upstreams.
     pub upstreams: Freshness,
-    /// Revision of the listing to send along; `None` if the upstreams have not changed.
+    /// Number of the revision of the listing to send along; `None` if the upstreams have not changed.
     pub listing: Option<u64>,
 }
 
@@ -138,6 +159,8 @@
 pub enum Update {
     /// Ignored: too old, or sent by a host that this one does not rely on.
     Ignored,
+    /// Ignored, as it is of an earlier era of the store.
+    EarlierEra,
     /// This host now relies on the sender.
     NewSource,
     /// This host already relied on the sender.
@@ -149,6 +172,8 @@
     pub fn new(now: Duration, own_host: name::Host) -> Self {
         Self {
             own_host,
+            era: Era::default(),
+            has_changed_era: false,
             sections: Section::ALL
                 .map(|section| (section, Progress::default()))
                 .into(),
@@ -156,7 +181,7 @@
             is_announcing: false,
             no_source_since: now,
             announced_at: None,
-            announced_generation: None,
+            announced_state: None,
         }
     }
 
@@ -164,23 +189,80 @@
         self.sections.entry(section).or_default()
     }
 
+    /// The newest era of the store that this host has heard of.
+    pub fn era(&self) -> Era {
+        self.era
+    }
+
+    /// Records that the store names an era. If it is newer than the one known, what was read in that
+    /// one has to be read again. Returns how it compares with the one known until now.
+    pub fn observe_era(&mut self, era: Era) -> Ordering {
+        let order = era.cmp(&self.era);
+        if order.is_gt() {
+            self.has_changed_era |= self.has_read_any();
+            self.era = era;
+            self.is_announcing = false;
+            for progress in self.sections.values_mut() {
+                progress.known_version = None;
+                progress.behind_since = None;
+                progress.read_at = None;
+            }
+        }
+        order
+    }
+
+    /// Whether this host has read a section or was told of one.
+    fn has_read_any(&self) -> bool {
+        let mut sections = self.sections.values();
+        self.era.is_named() || sections.any(|progress| progress.revision.is_some())
+    }
+
+    /// Whether the store was in an earlier era since this host has started.
+    pub fn has_changed_era(&self) -> bool {
+        self.has_changed_era
+    }
+
+    /// Whether what this host knows of a section is of an earlier era than the present one.
+    pub fn is_of_earlier_era(&self, section: Section) -> bool {
+        let revision = self.revision(section);
+        revision.is_some_and(|revision| revision.era() < self.era)
+    }
+
+    /// The era of a reading. A host of an older build names none; its readings count as of the
+    /// present era until there was another.
+    pub fn reading_era(&self, reading: &Reading) -> Era {
+        if reading.era.is_named() || self.has_changed_era {
+            reading.era
+        } else {
+            self.era
+        }
+    }
+
     /// Handles a reading announced by another host of the region. Of two readers, the one whose
     /// name sorts first is relied on and the other stops announcing.
     pub fn receive(&mut self, now: Duration, reading: &Reading) -> Update {
+        if reading.from == self.own_host {
+            return Update::Ignored;
+        }
+        let era = self.reading_era(reading);
+        if self.observe_era(era).is_lt() {
+            return Update::EarlierEra;
+        }
         let is_outranked = self.is_announcing && reading.from > self.own_host;
         let prefers_other = self
             .source
             .as_ref()
             .is_some_and(|source| *source < reading.from)
-            && self.has_fresh_source(now);
+            && self.has_fresh_source(now)
+            && self.has_present_source();
         let is_fresh = Section::ALL
             .iter()
             .all(|section| reading.freshness(*section).age < MAX_READING_AGE);
-        if is_outranked || prefers_other || !is_fresh || reading.from == self.own_host {
+        if is_outranked || prefers_other || !is_fresh {
             return Update::Ignored;
         }
         for (section, progress) in &mut self.sections {
-            let version = reading.version(*section);
+            let version = reading.version(*section, era);
             progress.fresh_until =
                 (now + MAX_READING_AGE).saturating_sub(reading.freshness(*section).age);
             if progress.known_version.as_ref() == Some(&version) {
@@ -206,17 +288,31 @@
         self.source.is_some() && self.sections.values().all(is_fresh)
     }
 
+    /// Whether what the source has announced is of the present era.
+    fn has_present_source(&self) -> bool {
+        let mut sections = self.sections.values();
+        sections.all(|progress| {
+            let version = progress.announced_version.as_ref();
+            version.is_some_and(|version| version.era == self.era)
+        })
+    }
+
     /// Accepts a listing unless it is older than what this host knows. Returns whether it was
     /// accepted.
     pub fn accept_listing(&mut self, reading: &Reading, listing: &Listing) -> bool {
-        let version = reading.version(Section::Upstreams);
+        let era = self.reading_era(reading);
+        let version = reading.version(Section::Upstreams, era);
+        if era != self.era {
+            return false;
+        }
+        let revision = Revision::new(era, listing.revision);
         let progress = self.progress(Section::Upstreams);
-        if progress.announced_version.as_ref() != Some(&version)
-            || listing.revision < progress.revision
-        {
+        let known = progress.revision;
+        let is_older = known.is_some_and(|known| revision.compare(known) == Some(Ordering::Less));
+        if is_older || progress.announced_version.as_ref() != Some(&version) {
             return false;
         }
-        progress.revision = listing.revision;
+        progress.revision = Some(revision);
         progress.known_version = Some(version);
         progress.behind_since = None;
         true
@@ -226,8 +322,7 @@
     /// must read now.
     pub fn time_until_read(&self, now: Duration, section: Section) -> Option<Duration> {
         let progress = self.sections.get(&section)?;
-        progress.read_at?;
-        if self.is_announcing || !self.has_fresh_source(now) {
+        if !progress.has_read || self.is_announcing || !self.has_fresh_source(now) {
             return None;
         }
         let fresh = progress.fresh_until;
@@ -248,11 +343,25 @@
     }
 
     /// Records that a call of this host has read a section up to `revision`, whether or not there
-    /// were relevant changes.
-    pub fn finish_read(&mut self, now: Duration, section: Section, token: Token, revision: u64) {
+    /// were relevant changes. A revision of an earlier era changes nothing.
+    pub fn finish_read(
+        &mut self,
+        now: Duration,
+        section: Section,
+        token: Token,
+        revision: Revision,
+    ) {
+        if self.observe_era(revision.era()).is_lt() {
+            return;
+        }
         let progress = self.progress(section);
+        progress.has_read = true;
         progress.read_at = Some(now);
-        progress.revision = progress.revision.max(revision);
+        let known = progress.revision;
+        let is_older = known.is_some_and(|known| revision.compare(known) == Some(Ordering::Less));
+        if !is_older {
+            progress.revision = Some(revision);
+        }
         if let Some(version) = token.0 {
             let is_current = progress.announced_version.as_ref() == Some(&version);
             progress.known_version = Some(version);
@@ -267,10 +376,9 @@
         self.progress(section).generation = generation;
     }
 
-    /// Revision up to which a section is known.
-    pub fn revision(&self, section: Section) -> u64 {
-        let progress = self.sections.get(&section);
-        progress.map_or(0, |progress| progress.revision)
+    /// Revision up to which a section is known; `None` before the first reading.
+    pub fn revision(&self, section: Section) -> Option<Revision> {
+        self.sections.get(&section)?.revision
     }
 
     /// Marks a section as wrong, so that this host reads it again soon.
@@ -297,7 +405,8 @@
             self.is_announcing = false;
             return None;
         };
-        let has_changed = self.announced_generation != Some(upstreams.generation);
+        let state = Some((self.era, upstreams.generation));
+        let has_changed = self.announced_state != state;
         let is_due = self
             .announced_at
             .is_none_or(|at| now >= at + ANNOUNCE_INTERVAL);
@@ -307,12 +416,15 @@
         self.is_announcing = true;
         self.source = None;
         self.announced_at = Some(now);
-        self.announced_generation = Some(upstreams.generation);
-        let revision = self.progress(Section::Upstreams).revision;
+        self.announced_state = state;
+        let revision = self.revision(Section::Upstreams);
         Some(Announcement {
+            era: self.era,
             operator,
             upstreams,
-            listing: has_changed.then_some(revision),
+            listing: revision
+                .filter(|_| has_changed)
+                .map(|revision| revision.number()),
         })
     }
 
--- a/src/proxy/replica.rs
+++ b/src/proxy/replica.rs
@@ -187,6 +187,8 @@
         if entry.order() < self.entry.order() {
             return false;
         }
+        // The last entry that could be read tells nothing of the one written since.
+        let is_unreadable = self.is_unreadable && entry.order() == self.entry.order();
         let restarted = entry.incarnation != self.entry.incarnation;
         if restarted {
             *self = Self {
@@ -204,7 +206,7 @@
         }
         self.removal_at = None;
         self.has_lapsed = false;
-        self.is_unreadable = false;
+        self.is_unreadable = is_unreadable;
         restarted
     }
 
--- a/src/proxy/send.rs
+++ b/src/proxy/send.rs
@@ -379,6 +379,7 @@
         hosts: vec![host.identity.host.clone()],
         hops: 0,
         version: job.matched.version,
+        version_digest: Some(job.matched.digest),
         elapsed: now.saturating_sub(job.arrived_at),
         build: job.build.clone(),
     };
--- a/src/proxy/table.rs
+++ b/src/proxy/table.rs
@@ -15,6 +15,8 @@
 pub struct Table {
     /// Increases with each change; a lower version never replaces a higher one.
     pub version: u64,
+    /// Hash of the published text. A store that was restored may show one version with two texts.
+    pub digest: u64,
     routes: BTreeMap<String, Vec<Arc<Route>>>,
     pools: BTreeMap<name::Pool, Arc<Pool>>,
     customers: BTreeMap<name::Customer, Arc<Customer>>,
@@ -138,6 +140,8 @@
 pub struct Rows {
     /// Version of the configuration.
     pub version: u64,
+    /// Hash of the published text.
+    pub digest: u64,
     /// All routes.
     pub routes: Vec<Route>,
     /// All pools.
@@ -172,13 +176,21 @@
     pub priority: u8,
     /// Version of the configuration that was used.
     pub version: u64,
+    /// Hash of its text.
+    pub digest: u64,
 }
 
 impl Table {
+    /// Whether this configuration is at least as new as a version, and has its text if that is known.
+    pub fn covers(&self, version: u64, digest: Option<u64>) -> bool {
+        covers((self.version, Some(self.digest)), (version, digest))
+    }
+
     /// Builds the indexes of one version.
     pub fn new(rows: Rows) -> Self {
         let mut table = Self {
             version: rows.version,
+            digest: rows.digest,
             limits: rows.limits,
             ..Self::default()
         };
@@ -304,6 +316,7 @@
             customer: customer.cloned(),
             home_regions,
             version: self.version,
+            digest: self.digest,
         })
     }
 }
@@ -325,3 +338,10 @@
         }
     }
 }
+
+/// Whether the configuration that a host has, by its version and the hash of its text, is at least as
+/// new as another one. Of two texts with the same version, none is the newer one.
+pub fn covers(own: (u64, Option<u64>), other: (u64, Option<u64>)) -> bool {
+    let is_same_text = || own.1.is_none() || other.1.is_none() || own.1 == other.1;
+    own.0 > other.0 || own.0 == other.0 && is_same_text()
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -104,6 +104,9 @@
     /// Version of the configuration by which it was admitted; 0 if configurations have none.
     #[serde(default)]
     pub version: u64,
+    /// Hash of the text of that configuration.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub version_digest: Option<u64>,
     /// Time from the arrival of the caller's request until the call is sent.
     #[serde(default)]
     pub elapsed: Duration,
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -95,6 +95,7 @@
         hosts: Vec::new(),
         hops: 1,
         version: 0,
+        version_digest: None,
         elapsed: Duration::ZERO,
         build: None,
     }
--- a/tests/proxy/cold.rs
+++ b/tests/proxy/cold.rs
@@ -6,7 +6,7 @@
     greengagecleat::{
         name,
         proxy::{
-            core::{Core, Placement},
+            core::{Core, Placement, Provenance},
             entry::Entry,
             fleet::Report,
             replica::Outcome,
@@ -235,7 +235,7 @@
         let mut rows = rows(1);
         rows.pools[0].cold_per_s = COLD_PER_S;
         rows.customers[0].0.rate = 0.0;
-        assert!(core.configure(now, Table::new(rows)));
+        assert!(core.configure(now, Table::new(rows), Provenance::default()));
         let cold_for = self.cold_at.map_or(ms(0), |at| at + COLD_TIME - now);
         core.catalog.replace_all(now, entries(cold_for));
         host.core = Some(core);
--- a/tests/proxy/common.rs
+++ b/tests/proxy/common.rs
@@ -6,13 +6,14 @@
         name,
         proxy::{
             cache,
-            core::{Core, Retries, Setup},
+            core::{Core, Provenance, Retries, Setup},
             dialect::Part,
             entry::Entry,
             fingerprint::Fingerprint,
             fleet::{Builds, Identity, Report},
             place::Job,
             quarantine, reach,
+            revision::Era,
             table::{Customer, Engine, Kind, Limits, Match, Pool, Route, Rows, Table},
         },
     },
@@ -80,6 +81,7 @@
 pub(crate) fn rows(version: u64) -> Rows {
     Rows {
         version,
+        digest: version,
         routes: vec![
             route("digest", "/digest/", Kind::Resumable, POOL),
             route("post", "/post/", Kind::NonIdempotent, PLAIN),
@@ -124,6 +126,8 @@
         ready: true,
         leaving: false,
         version: 1,
+        digest: None,
+        era: Era::default(),
         hosts: 1,
         spent: Vec::new(),
         tallies: Vec::new(),
@@ -160,7 +164,7 @@
 /// A host of the region `north` with this many engines and one plain service.
 pub(crate) fn core(engines: usize) -> Core {
     let mut core = Core::new(ms(0), setup("n1", "north", 1));
-    assert!(core.configure(ms(0), Table::new(rows(1))));
+    assert!(core.configure(ms(0), Table::new(rows(1)), Provenance::default()));
     let mut entries: Vec<_> = (0..engines)
         .map(|n| entry(&format!("e{n}"), "north-a", POOL, 1))
         .collect();
--- a/tests/proxy/core.rs
+++ b/tests/proxy/core.rs
@@ -5,7 +5,7 @@
     crate::common::{self, POOL, core, forwardable, identity, job, ms, plain_job},
     greengagecleat::proxy::{
         catalog::Change,
-        core::{Core, Placement},
+        core::{Core, Placement, Provenance},
         fleet::{Report, Spare},
         replica::Outcome,
         table::Table,
@@ -51,9 +51,9 @@
 #[test]
 fn a_configuration_never_goes_back() {
     let mut core = core(1);
-    assert!(core.configure(ms(1), Table::new(common::rows(5))));
-    assert!(!core.configure(ms(2), Table::new(common::rows(4))));
-    assert!(!core.configure(ms(3), Table::new(common::rows(5))));
+    assert!(core.configure(ms(1), Table::new(common::rows(5)), Provenance::default()));
+    assert!(!core.configure(ms(2), Table::new(common::rows(4)), Provenance::default()));
+    assert!(!core.configure(ms(3), Table::new(common::rows(5)), Provenance::default()));
     assert_eq!(core.version(), 5);
 }
 
@@ -84,7 +84,7 @@
     let mut core = core(1);
     let mut rows = common::rows(2);
     rows.routes[0].home_regions = ["north".into()].into();
-    core.configure(ms(0), Table::new(rows));
+    core.configure(ms(0), Table::new(rows), Provenance::default());
     report_with_version(&mut core, ms(0), 1, idle_spare(), 2);
     fill_region(&mut core, ms(0));
     let next = job(&core, ms(1), 1, 30_000);
@@ -96,7 +96,7 @@
     let mut core = core(2);
     let mut rows = common::rows(2);
     rows.routes[0].home_regions = ["south".into()].into();
-    core.configure(ms(0), Table::new(rows));
+    core.configure(ms(0), Table::new(rows), Provenance::default());
     let busy = Spare {
         wait_ms: 900.0,
         tokens: 0.0,
@@ -242,7 +242,7 @@
 #[test]
 fn a_host_with_an_older_configuration_is_not_asked() {
     let mut core = core(1);
-    assert!(core.configure(ms(0), Table::new(common::rows(2))));
+    assert!(core.configure(ms(0), Table::new(common::rows(2)), Provenance::default()));
     report_from_south(&mut core, ms(0), 1, idle_spare());
     fill_region(&mut core, ms(0));
     let next = forwardable(&job(&core, ms(1), 1, 30_000));
--- /dev/null
+++ b/tests/proxy/era.rs
@@ -0,0 +1,307 @@
+//! What a host takes from a store that was restored from an older copy, and what stays in force
+//! though the copy doesn't show it.
+
+use {
+    crate::common::{POOL, core, entry, ms, report, rows},
+    greengagecleat::{
+        name,
+        proxy::{
+            catalog::{Catalog, News},
+            core::{Core, Provenance},
+            fleet::Identity,
+            follow::Section,
+            reader::{Freshness, Listing, Reading, Update},
+            revision::{Era, Revision},
+            table::{Rows, Table, covers},
+        },
+    },
+    std::collections::BTreeSet,
+};
+
+fn table(version: u64, digest: u64) -> Table {
+    Table::new(Rows {
+        digest,
+        ..rows(version)
+    })
+}
+
+fn listed(era: u64) -> Provenance {
+    Provenance {
+        era: Era::new(era),
+        is_change: false,
+    }
+}
+
+fn changed(era: u64) -> Provenance {
+    Provenance {
+        is_change: true,
+        ..listed(era)
+    }
+}
+
+fn eligible(catalog: &Catalog) -> Vec<String> {
+    let pool = POOL.into();
+    let eligible = catalog.eligible(&pool);
+    eligible
+        .map(|replica| replica.entry.id.to_string())
+        .collect()
+}
+
+fn entries(sequence: u64) -> Vec<News> {
+    let news = |id| News::Entry(entry(id, "north-a", POOL, sequence));
+    ["e0", "e1"].map(news).into()
+}
+
+/// A core that has read both sections in the first era, with two upstreams.
+fn core_in_first_era() -> Core {
+    let mut core = core(0);
+    core.observe_era(ms(0), Era::new(1));
+    core.configure(ms(0), table(8, 8), listed(1));
+    core.catalog.replace_listed(ms(0), entries(5));
+    for section in Section::ALL {
+        read(&mut core, 0, section, 1, 100);
+    }
+    core
+}
+
+fn read(core: &mut Core, at: u64, section: Section, era: u64, number: u64) {
+    let token = core.reader_role.begin_read(section);
+    let revision = Revision::new(Era::new(era), number);
+    core.reader_role
+        .finish_read(ms(at), section, token, revision);
+}
+
+fn reading(from: &str, era: Era) -> Reading {
+    let freshness = Freshness {
+        generation: 1,
+        age: ms(0),
+    };
+    Reading {
+        from: from.into(),
+        incarnation: 1,
+        era,
+        operator: freshness,
+        upstreams: freshness,
+        listing: Some(Listing {
+            revision: 40,
+            entries: vec![entry("e0", "north-a", POOL, 6)],
+        }),
+    }
+}
+
+#[test]
+fn revisions_of_different_eras_have_no_order() {
+    let revision = |era, number| Revision::new(Era::new(era), number);
+    assert!(revision(1, 5).compare(revision(1, 6)).unwrap().is_lt());
+    assert_eq!(revision(2, 5).compare(revision(1, 6)), None);
+    assert_eq!(revision(2, 6).compare(revision(1, 6)), None);
+    assert!(Era::default() < Era::new(0));
+}
+
+/// The operator writes a version again, with the same text or with another one.
+#[test]
+fn a_configuration_never_goes_back_and_a_rewritten_one_is_taken() {
+    let mut core = core_in_first_era();
+    assert!(
+        !core.configure(ms(10), table(5, 5), listed(2)),
+        "the copy's"
+    );
+    assert!(!core.configure(ms(20), table(8, 8), changed(2)));
+    assert!(
+        !core.configure(ms(30), table(8, 9), changed(2)),
+        "one era has one text"
+    );
+    let mut core = core_in_first_era();
+    assert!(
+        core.configure(ms(20), table(8, 9), listed(2)),
+        "written in the new era"
+    );
+    assert!(
+        !core.configure(ms(30), table(8, 8), listed(3)),
+        "the first era's copy"
+    );
+    assert_eq!(core.digest(), Some(9));
+    assert!(core.configure(ms(40), table(8, 8), changed(3)));
+    assert!(core.configure(ms(50), table(9, 1), listed(3)));
+    assert_eq!(core.version(), 9);
+}
+
+/// A request that was matched by one text is not handled by another one with the same version.
+#[test]
+fn hosts_with_two_texts_of_one_version_do_not_forward_to_each_other() {
+    assert!(covers((8, Some(1)), (8, Some(1))));
+    assert!(!covers((8, Some(1)), (8, Some(2))));
+    assert!(covers((9, Some(1)), (8, Some(2))));
+    assert!(!covers((7, Some(1)), (8, Some(1))));
+    assert!(
+        covers((8, None), (8, Some(2))),
+        "an older build tells no text"
+    );
+}
+
+/// While the restored store lacks a version, each report of it made a host list the store again.
+#[test]
+fn a_version_that_the_restored_store_lacks_is_asked_for_once() {
+    let mut core = core_in_first_era();
+    assert!(core.lacks_version(9));
+    core.record_list(Era::new(1), 9);
+    assert!(!core.lacks_version(9));
+    assert!(core.lacks_version(10), "reported after the list");
+    core.observe_era(ms(10), Era::new(2));
+    assert!(core.lacks_version(9), "the new era may have it");
+}
+
+#[test]
+fn an_upstream_that_left_stays_away_though_the_copy_shows_it() {
+    let mut core = core_in_first_era();
+    let mut leaving = entry("e0", "north-a", POOL, 6);
+    leaving.leaving = true;
+    core.catalog.upsert(ms(10), leaving);
+    core.catalog.remove(ms(20), &"e1".into());
+    core.observe_era(ms(5_000), Era::new(2));
+    core.catalog.replace_listed(ms(5_000), entries(4));
+    assert!(eligible(&core.catalog).is_empty());
+    core.catalog.expire(ms(200_000));
+    // Others that are removed meanwhile don't make it forgotten.
+    core.catalog
+        .upsert(ms(200_000), entry("e2", "north-a", POOL, 1));
+    core.catalog.remove(ms(200_010), &"e2".into());
+    core.catalog
+        .upsert(ms(200_020), entry("e1", "north-a", POOL, 5));
+    assert!(
+        eligible(&core.catalog).is_empty(),
+        "what the copy still shows"
+    );
+    core.catalog
+        .upsert(ms(200_030), entry("e1", "north-a", POOL, 7));
+    assert_eq!(eligible(&core.catalog), ["e1"], "it has written again");
+}
+
+#[test]
+fn an_upstream_that_the_copy_lacks_keeps_its_record_until_it_writes_again() {
+    let mut core = core_in_first_era();
+    core.catalog
+        .get_mut(&"e0".into())
+        .unwrap()
+        .own_tally
+        .running = 3;
+    core.observe_era(ms(5_000), Era::new(2));
+    core.catalog.replace_listed(ms(5_000), Vec::new());
+    assert_eq!(eligible(&core.catalog), ["e0", "e1"]);
+    core.catalog
+        .upsert(ms(6_500), entry("e0", "north-a", POOL, 6));
+    let gone = core.catalog.expire(ms(7_300));
+    assert_eq!(gone.len(), 1, "{gone:?}");
+    assert_eq!(eligible(&core.catalog), ["e0"]);
+    let kept = core.catalog.get(&"e0".into()).unwrap();
+    assert_eq!(kept.own_tally.running, 3);
+}
+
+#[test]
+fn an_entry_that_could_not_be_read_is_not_replaced_by_the_copys() {
+    let mut core = core_in_first_era();
+    let unreadable = vec![News::Unreadable("e0".into())];
+    core.catalog.apply(ms(10), unreadable);
+    core.observe_era(ms(5_000), Era::new(2));
+    core.catalog.replace_listed(ms(5_000), entries(5));
+    assert_eq!(eligible(&core.catalog), ["e1"]);
+    core.catalog.replace_listed(ms(6_000), entries(6));
+    assert_eq!(eligible(&core.catalog), ["e0", "e1"]);
+}
+
+#[test]
+fn an_evacuation_that_the_copy_lacks_stays_until_the_operator_ends_it() {
+    let domain = || name::Domain::from("north-a");
+    let evacuated = || BTreeSet::from([domain()]);
+    let lacks = |catalog: &mut Catalog, at| catalog.list_evacuated(ms(at), BTreeSet::new(), true);
+    let mut core = core_in_first_era();
+    let catalog = &mut core.catalog;
+    catalog.list_evacuated(ms(0), evacuated(), false);
+    assert_eq!(lacks(catalog, 1_000), [domain()]);
+    catalog.list_evacuated(ms(2_000), BTreeSet::new(), false);
+    assert!(eligible(catalog).is_empty(), "nor is it in a second list");
+    // Written again, it is one like any other.
+    catalog.list_evacuated(ms(3_000), evacuated(), false);
+    catalog.list_evacuated(ms(4_000), BTreeSet::new(), false);
+    assert_eq!(eligible(catalog).len(), 2);
+
+    catalog.evacuate(ms(5_000), domain());
+    lacks(catalog, 6_000);
+    catalog.restore(ms(7_000), &domain());
+    assert_eq!(eligible(catalog).len(), 2, "taken back");
+
+    catalog.evacuate(ms(8_000), domain());
+    lacks(catalog, 9_000);
+    assert_eq!(lacks(catalog, 20_000), [domain()], "restored once more");
+    assert!(catalog.expire_evacuations(ms(69_000)).is_empty());
+    assert_eq!(catalog.expire_evacuations(ms(80_000)), [domain()]);
+    assert_eq!(eligible(catalog).len(), 2);
+}
+
+/// Hosts that have heard of the new era and hosts that haven't.
+#[test]
+fn a_reading_of_an_earlier_era_is_not_used_and_one_of_a_later_era_is() {
+    let mut core = core_in_first_era();
+    let (update, _) = core.receive_reading(ms(10), reading("a", Era::new(2)));
+    assert_eq!(update, Update::NewSource);
+    let revision = core.reader_role.revision(Section::Upstreams);
+    assert_eq!(revision, Some(Revision::new(Era::new(2), 40)));
+    assert_eq!(core.catalog.get(&"e0".into()).unwrap().entry.sequence, 6);
+    let operator = core.reader_role.time_until_read(ms(10), Section::Operator);
+    assert_eq!(operator, None, "each host reads the configuration itself");
+    for era in [Era::new(1), Era::default()] {
+        let (update, changes) = core.receive_reading(ms(20), reading("A", era));
+        assert_eq!((update, changes), (Update::EarlierEra, Vec::new()));
+    }
+    // A source of the era before is not preferred to one of the present era.
+    let (update, _) = core.receive_reading(ms(30), reading("b", Era::new(3)));
+    assert_eq!(update, Update::NewSource);
+}
+
+/// Hosts of an older build name no era in what they announce.
+#[test]
+fn a_reading_without_an_era_is_used_until_the_store_is_restored() {
+    let mut core = core_in_first_era();
+    let mut unnamed = reading("a", Era::default());
+    unnamed.listing.as_mut().unwrap().revision = 101;
+    let (update, _) = core.receive_reading(ms(10), unnamed.clone());
+    assert_eq!(update, Update::NewSource);
+    assert_eq!(core.catalog.get(&"e0".into()).unwrap().entry.sequence, 6);
+    core.observe_era(ms(20), Era::new(2));
+    let (update, _) = core.receive_reading(ms(30), unnamed);
+    assert_eq!(update, Update::EarlierEra);
+}
+
+/// A region that doesn't reach the store hears of the era from a host of another one.
+#[test]
+fn an_era_that_another_host_reports_makes_this_host_read_again() {
+    let mut core = core_in_first_era();
+    read(&mut core, 10, Section::Operator, 1, 110);
+    assert!(core.announce(ms(10)).is_some());
+    let from = Identity {
+        host: "z".into(),
+        region: "south".into(),
+        ..report_identity()
+    };
+    let mut told = report(from, 1);
+    told.era = Era::new(2);
+    core.receive_report(ms(20), told);
+    assert_eq!(core.reader_role.era(), Era::new(2));
+    assert!(
+        core.announce(ms(30)).is_none(),
+        "what it has is of the era before"
+    );
+    // An answer of the old era that comes late on another connection.
+    read(&mut core, 40, Section::Operator, 1, 120);
+    assert!(core.announce(ms(50)).is_none());
+    for section in Section::ALL {
+        read(&mut core, 60, section, 2, 30);
+    }
+    let (reading, _) = core.announce(ms(70)).unwrap();
+    assert_eq!(reading.era, Era::new(2));
+    assert_eq!(reading.listing.unwrap().revision, 30, "sent anew");
+}
+
+fn report_identity() -> Identity {
+    crate::common::identity("z", "south", 9)
+}
--- a/tests/proxy/leaving.rs
+++ b/tests/proxy/leaving.rs
@@ -4,7 +4,7 @@
     crate::common::{POOL, core, entry, forwardable, identity, job, ms, report, rows, setup},
     greengagecleat::proxy::{
         catalog::Change,
-        core::{Core, Grant, Placement},
+        core::{Core, Grant, Placement, Provenance},
         fleet::{Recipient, Report, Spare},
         replica::Outcome,
         table::Table,
@@ -103,7 +103,7 @@
 fn the_hosts_of_the_region_learn_it_from_reports() {
     let mut first = told();
     let mut second = Core::new(ms(0), setup("n2", "north", 2));
-    second.configure(ms(0), Table::new(rows(1)));
+    second.configure(ms(0), Table::new(rows(1)), Provenance::default());
     let listed = ["e0", "e1"].map(|id| entry(id, "north-a", POOL, 1));
     second.catalog.replace_all(ms(0), listed.into());
     let mut sent = first.due_reports(ms(12), true, false);
--- a/tests/proxy/reader.rs
+++ b/tests/proxy/reader.rs
@@ -9,6 +9,7 @@
             entry::Entry,
             follow::Section,
             reader::{Freshness, Listing, MAX_READING_AGE, Reading, Role, Token, Update},
+            revision::{Era, Revision},
         },
     },
     quickcheck::{Gen, QuickCheck},
@@ -59,6 +60,8 @@
     loss: f64,
     nodes: Vec<Node>,
     store: [u64; 2],
+    /// Era and number of the store's revision, which a restoration sets back.
+    revision: (u64, u64),
     changed_at: [Duration; 2],
     calls: u32,
     /// When which host was behind in a section for longer than [`MAX_DELAY`].
@@ -81,6 +84,7 @@
             loss,
             nodes: (0..hosts).map(node).collect(),
             store: [1; 2],
+            revision: (1, 10),
             changed_at: [ms(0); 2],
             calls: 0,
             late: Vec::new(),
@@ -89,9 +93,20 @@
 
     fn change(&mut self, section: Section) {
         self.store[section as usize] += 1;
+        self.revision.1 += 1;
         self.changed_at[section as usize] = self.now;
     }
 
+    /// Sets the revision back and writes other contents.
+    fn restore(&mut self) {
+        let (era, number) = self.revision;
+        let lost = self.rng.random_range(0..=number);
+        self.revision = (era + 1, number - lost);
+        for section in SECTIONS {
+            self.change(section);
+        }
+    }
+
     fn step(&mut self) {
         self.now += TICK;
         let mut announcements: Vec<(usize, Announced)> = Vec::new();
@@ -112,6 +127,7 @@
             let reading = Reading {
                 from: name::Host::from(format!("h{host:02}")),
                 incarnation: 1,
+                era: announced.era,
                 operator: announced.operator,
                 upstreams: announced.upstreams,
                 listing: announced.listing.map(|revision| Listing {
@@ -143,6 +159,7 @@
     /// if the host should read.
     fn read(&mut self, host: usize, section: Section) {
         let (now, store) = (self.now, self.store[section as usize]);
+        let (era, number) = self.revision;
         let is_cut_off = now < self.nodes[host].cut_off_until;
         let node = &mut self.nodes[host];
         if is_cut_off {
@@ -162,7 +179,8 @@
                 };
             }
             *known = store;
-            node.role.finish_read(now, section, token, store);
+            let revision = Revision::new(Era::new(era), number);
+            node.role.finish_read(now, section, token, revision);
             node.role.set_generation(section, store);
         }
         let is_idle = call.token.is_none() && now >= call.idle_until;
@@ -193,11 +211,17 @@
     }
 }
 
+/// A revision of a store that names no era.
+fn at(number: u64) -> Revision {
+    Revision::new(Era::default(), number)
+}
+
 fn reading(from: &str, generation: u64, age: Duration) -> Reading {
     let freshness = Freshness { generation, age };
     Reading {
         from: from.into(),
         incarnation: 1,
+        era: Era::default(),
         operator: freshness,
         upstreams: freshness,
         listing: None,
@@ -209,7 +233,7 @@
     let mut role = Role::new(ms(0), name.into());
     for section in SECTIONS {
         let token = role.begin_read(section);
-        role.finish_read(ms(0), section, token, 5);
+        role.finish_read(ms(0), section, token, at(5));
     }
     role
 }
@@ -228,6 +252,20 @@
     assert_eq!(region.late, []);
 }
 
+/// When the store is restored, one host of a region lists the upstreams, and each host the
+/// configuration, as it does after each of its changes.
+#[test]
+fn a_region_of_many_hosts_does_not_storm_a_restored_store() {
+    let mut region = Region::new(25, 0.0, 1);
+    region.run(Duration::from_secs(5));
+    region.calls = 0;
+    region.restore();
+    region.run(Duration::from_secs(3));
+    // The reader goes on with a call per second for each section.
+    assert!(region.calls <= 25 + 1 + 2 * 3 + 2, "{} calls", region.calls);
+    assert_eq!(region.late, []);
+}
+
 #[test]
 fn a_lost_announcement_costs_each_host_one_call() {
     let mut region = Region::new(5, 0.0, 1);
@@ -252,11 +290,12 @@
                 region.rng.random_range(0..6),
                 ms(region.rng.random_range(0..6_000)),
             );
-            match region.rng.random_range(0..8) {
+            match region.rng.random_range(0..9) {
                 0 => region.nodes[at].asleep_until = region.now + span,
                 1 => region.nodes[at].cut_off_until = region.now + span,
                 2 | 3 => region.change(Section::Upstreams),
                 4 => region.change(Section::Operator),
+                5 => region.restore(),
                 _ => {}
             }
             region.run(ms(500));
@@ -282,7 +321,7 @@
         Update::NewSource
     );
     let token = role.begin_read(Section::Operator);
-    role.finish_read(ms(30), Section::Operator, token, 6);
+    role.finish_read(ms(30), Section::Operator, token, at(6));
     assert!(role.time_until_read(ms(40), Section::Operator).is_some());
     assert_eq!(
         role.time_until_read(ms(20) + MAX_READING_AGE, Section::Operator),
@@ -297,14 +336,14 @@
     assert_eq!(role.time_until_read(ms(10), Section::Operator), None);
     let token = role.begin_read(Section::Operator);
     role.receive(ms(15), &reading("a", 2, ms(0)));
-    role.finish_read(ms(20), Section::Operator, token, 6);
+    role.finish_read(ms(20), Section::Operator, token, at(6));
     assert_eq!(
         role.time_until_read(ms(20), Section::Operator),
         None,
         "the call had begun before the announcement"
     );
     let token = role.begin_read(Section::Operator);
-    role.finish_read(ms(30), Section::Operator, token, 7);
+    role.finish_read(ms(30), Section::Operator, token, at(7));
     assert!(role.time_until_read(ms(30), Section::Operator).is_some());
 }
 
--- a/tests/proxy/region.rs
+++ b/tests/proxy/region.rs
@@ -11,7 +11,7 @@
         name,
         proxy::{
             cache,
-            core::{Core, Placement},
+            core::{Core, Placement, Provenance},
             dialect::Part,
             fingerprint::Fingerprint,
             fleet::Report,
@@ -136,7 +136,7 @@
             setup.domains = [("north-a".into(), "north".into())].into();
             setup.rng_seed = n as u64;
             let mut core = Core::new(ms(0), setup);
-            assert!(core.configure(ms(0), Table::new(peak_rows())));
+            assert!(core.configure(ms(0), Table::new(peak_rows()), Provenance::default()));
             let listed = ids.iter().map(|id| entry(id, "north-a", POOL, 1));
             core.catalog.replace_all(ms(0), listed.collect());
             core
