Bound the bytes that a host holds of all answers together

What callers saw: a faulty replica sent bytes that were no answer, without end. Each answer was bounded by itself (256 KiB collected, 1 MiB of one event, held twice), the sum was not: with many requests at once a host's memory passed that of its machine, and all of its requests ended with it.

Change: `memory::Ledger` counts what is held of answers: while they are collected, until a slow caller has taken the last byte, and of events that are not complete. An answer whose head states more than can be held fails at once. Interim responses before a head end after 64 KiB instead of 256. Bodies pass between hosts in pieces of 16 KiB. Bodies of requests have a ledger of their own; what doesn't fit is refused with 503 and has not run. Metrics: answer_bytes_held, answers_revoked, request_bytes_held, requests_revoked.

--- a/src/attempt/sse.rs
+++ b/src/attempt/sse.rs
@@ -89,6 +89,16 @@
         !self.buffer.is_empty()
     }
 
+    /// Bytes of memory that the buffer takes.
+    pub fn capacity(&self) -> usize {
+        self.buffer.capacity()
+    }
+
+    /// What the buffer holds of an incomplete event.
+    pub fn into_rest(self) -> Bytes {
+        self.buffer.freeze()
+    }
+
     /// The length of the first complete event in the buffer.
     fn event_end(&mut self) -> Option<usize> {
         let mut at = self.scanned;
--- a/src/link/server.rs
+++ b/src/link/server.rs
@@ -23,6 +23,8 @@
 const MAX_IDLE: Duration = Duration::from_secs(60);
 /// Longest time to write one piece of an answer, when the peer or its caller reads nothing.
 const MAX_STALL: Duration = Duration::from_secs(60);
+/// Largest piece of a body in one message, which both ends encode or decode as a whole.
+const MAX_PIECE_BYTES: usize = 16 * 1024;
 
 /// Answers the calls that peers forward.
 pub trait Handler: Clone + Send + Sync + 'static {
@@ -165,9 +167,12 @@
     socket.send(&head).await.ok()?;
     loop {
         match unless_closed(socket, handler.next(&mut body)).await? {
-            Ok(Some(bytes)) => {
-                let piece = wire::Answer::Data { id, bytes };
-                timeout(MAX_STALL, socket.send(&piece)).await.ok()?.ok()?;
+            Ok(Some(mut bytes)) => {
+                while !bytes.is_empty() {
+                    let bytes = bytes.split_to(bytes.len().min(MAX_PIECE_BYTES));
+                    let piece = wire::Answer::Data { id, bytes };
+                    timeout(MAX_STALL, socket.send(&piece)).await.ok()?.ok()?;
+                }
             }
             Ok(None) => return socket.send(&wire::Answer::End { id }).await.ok(),
             Err(failure) => return socket.send(&wire::Answer::Fail { id, failure }).await.ok(),
--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -10,6 +10,7 @@
         cache,
         dialect::{Dialect, Metadata},
         host::{Guard, Head, Host},
+        memory::{Lease, Revoked},
         origin::{self, Key, Record},
         place::Job,
         race::{
@@ -32,7 +33,7 @@
     bytes::{Bytes, BytesMut},
     futures::stream::{FuturesUnordered, StreamExt},
     http::{HeaderMap, Method, StatusCode, header},
-    std::{pin::pin, sync::Arc, time::Duration},
+    std::{future::Future, pin::pin, sync::Arc, time::Duration},
     tokio::{
         sync::mpsc,
         time::{sleep, timeout},
@@ -106,6 +107,8 @@
     framing: Option<upstream::Framing>,
     tries: Tries,
     relay: Relay,
+    /// What is held of an event that is not complete.
+    lease: Lease,
     /// The last event that was delivered.
     last_event_id: Option<u64>,
     /// Time for which the upstream was waited for since the last event that was delivered.
@@ -157,6 +160,7 @@
         };
         Ok(Self {
             relay,
+            lease: host.answer_memory.lease(opened.upstream.as_str()),
             last_event_id: resume,
             waited: Duration::ZERO,
             heard_at: host.clock.now(),
@@ -298,19 +302,24 @@
         let Some(source) = &mut self.source else {
             return Ok(None);
         };
+        let lease = &mut self.lease;
+        let revoked = async {
+            lease.revoked().await;
+            upstream_failed(&Revoked.to_string())
+        };
         // A piece that is there already is returned however short the limit is.
         if now >= self.job.deadline + LATE_DELIVERY {
             return Err(stalled());
         }
         let piece = match source {
             Source::Upstream(body, reservation) => {
-                let piece = timeout(time_left, body.next()).await;
+                let piece = timeout(time_left, unless_revoked(revoked, body.next())).await;
                 if let Ok(Ok(_)) = piece {
                     reservation.record_progress();
                 }
                 piece
             }
-            Source::Peer(body) => timeout(time_left, body.next()).await,
+            Source::Peer(body) => timeout(time_left, unless_revoked(revoked, body.next())).await,
         };
         if let Ok(Ok(_)) = piece {
             self.heard_at = self.host.clock.now();
@@ -429,18 +438,27 @@
             from = %self.upstream, from_build = self.build.as_ref().map(name::Build::as_str),
             upstream = %opened.upstream, build = opened.build.as_ref().map(name::Build::as_str), "stream resumed at another upstream");
         self.give_up_source();
-        self.relay = Relay::Events(Splitter::new());
+        self.discard_partial_event();
         self.waited = Duration::ZERO;
         self.heard_at = self.host.clock.now();
         self.first = opened.first;
         self.source = opened.source;
         self.upstream = opened.upstream;
+        self.lease = self.host.answer_memory.lease(self.upstream.as_str());
         self.peer = opened.peer;
         self.build = opened.build;
         self.framing = opened.framing;
         Ok(())
     }
 
+    /// Drops what is held of an event that is not complete.
+    fn discard_partial_event(&mut self) {
+        if let Relay::Events(splitter) = &mut self.relay {
+            *splitter = Splitter::new();
+            self.lease = self.host.answer_memory.lease(self.upstream.as_str());
+        }
+    }
+
     /// Closes the source as one that has failed.
     fn give_up_source(&mut self) {
         if let Some(Source::Upstream(_, reservation)) = &mut self.source {
@@ -463,6 +481,9 @@
         let events = splitter
             .push(&bytes)
             .map_err(|error| upstream_failed(&error.to_string()))?;
+        self.lease
+            .resize(splitter.capacity())
+            .map_err(|revoked| upstream_failed(&revoked.to_string()))?;
         let mut complete = BytesMut::new();
         for event in events {
             if let Some(id) = event.id() {
@@ -512,6 +533,7 @@
             Target::Upstream(self.upstream.clone()).exclude_from(&mut self.job);
         }
         self.give_up_source();
+        self.discard_partial_event();
         let now = self.host.clock.now();
         if let Some(obstacle) = self.resume_obstacle(now) {
             return Err((failure, obstacle.to_owned()));
@@ -588,6 +610,19 @@
     }
 }
 
+/// Reads a piece, unless the lease of what is held is revoked before.
+async fn unless_revoked(
+    revoked: impl Future<Output = Failure>,
+    piece: impl Future<Output = Result<Option<Bytes>, Failure>>,
+) -> Result<Option<Bytes>, Failure> {
+    tokio::select! {
+        biased;
+        failure = revoked => Err(failure),
+        piece = piece => piece,
+    }
+}
+
+/// The length of a body that its head states.
 fn content_length(headers: &HeaderMap) -> Option<usize> {
     let length = headers.get(header::CONTENT_LENGTH)?;
     length.to_str().ok()?.parse().ok()
--- a/src/proxy/host.rs
+++ b/src/proxy/host.rs
@@ -17,6 +17,7 @@
         dialect::Dialect,
         fleet::{self, Update},
         follow::Section,
+        memory::Ledger,
         place::Job,
         quarantine::Process,
         reader::{self, Reading},
@@ -81,6 +82,10 @@
     pub(super) clock: C,
     pub(super) upstreams: upstream::Client,
     pub(super) exchanges: exchange::Client,
+    /// Bytes that are held of answers.
+    pub(super) answer_memory: Ledger,
+    /// Bytes that are held of requests.
+    pub(super) request_memory: Ledger,
     /// Name, location and addresses of this host.
     pub identity: fleet::Identity,
     /// Counters and histograms exported by this host.
@@ -151,6 +156,8 @@
     pub phase: watch::Receiver<Phase>,
     /// How long the host may keep serving after it starts to leave.
     pub grace: Duration,
+    /// Most bytes that are held of all answers together, and of all requests.
+    pub memory_limit: usize,
     /// Counters and histograms that the host registers its own with.
     pub metrics: Metrics,
 }
@@ -178,10 +185,32 @@
         let cut_off = Gauge::default();
         let relayed = Counter::default();
         let rests = Counter::default();
+        let answer_memory = Ledger::new(dependencies.memory_limit);
+        let request_memory = Ledger::new(dependencies.memory_limit);
         let store_calls = Counter::default();
         let store_failures = Counter::default();
         let store_restorations = Counter::default();
         dependencies.metrics.register(|registry| {
+            registry.register(
+                "answer_bytes_held",
+                "Bytes of answers that are held until they can be passed on",
+                answer_memory.held(),
+            );
+            registry.register(
+                "answers_revoked",
+                "Answers that were broken off as too many bytes were held",
+                answer_memory.revoked(),
+            );
+            registry.register(
+                "request_bytes_held",
+                "Bytes of requests' bodies that are held",
+                request_memory.held(),
+            );
+            registry.register(
+                "requests_revoked",
+                "Requests that were refused as too many bytes were held",
+                request_memory.revoked(),
+            );
             registry.register(
                 "store_calls",
                 "Calls to the platform's store",
@@ -260,6 +289,8 @@
             clock: dependencies.clock,
             upstreams: dependencies.upstreams,
             exchanges: dependencies.exchanges,
+            answer_memory,
+            request_memory,
             link: dependencies.link,
             metrics: dependencies.metrics,
             waiters: Mutex::default(),
--- a/src/proxy/intake.rs
+++ b/src/proxy/intake.rs
@@ -11,6 +11,7 @@
         fingerprint::Fingerprint,
         headers,
         host::{Host, count_failure},
+        memory::{Buffer, Lease, Revoked},
         place::Job,
         quarantine,
         table::{Denial, Limits, Match},
@@ -24,7 +25,7 @@
     futures::stream::{self, Stream},
     http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header},
     http_body::{Body, Frame},
-    http_body_util::{BodyExt, Either, Full, Limited, StreamBody},
+    http_body_util::{BodyExt, Either, Full, StreamBody},
     std::{
         error::Error,
         fmt::Display,
@@ -41,6 +42,8 @@
 const FREE_GRACE_SHARE: f64 = 0.7;
 /// The same as a time from the start of a long grace.
 const MAX_FREE_TIME: Duration = Duration::from_millis(2_500);
+/// When a caller should retry whose body can't be held.
+const RETRY_AFTER_WITHOUT_MEMORY: Duration = Duration::from_millis(500);
 /// Longest time for which a refusal waits for the rest of a body.
 const MAX_DISCARD_TIME: Duration = Duration::from_millis(300);
 
@@ -197,8 +200,11 @@
     let limits = limits(host);
     let caller_timeout = metadata.timeout.unwrap_or(Duration::MAX);
     let deadline = arrived_at + caller_timeout.min(matched.route.timeout);
+    let customer = matched.customer.as_ref();
+    let source = customer.map_or("-", |customer| customer.name.as_str());
     let body = read_body(
         body,
+        host.request_memory.lease(source),
         limits.max_body_bytes,
         caller_timeout.min(limits.arrival_timeout),
     )
@@ -381,7 +387,8 @@
 
 /// Reads the complete body of a request, up to `limit` bytes and for at most `time_limit`.
 async fn read_body(
-    body: Pin<&mut (impl Body<Data = Bytes, Error: Display> + Send)>,
+    mut body: Pin<&mut (impl Body<Data = Bytes, Error: Display> + Send)>,
+    lease: Lease,
     limit: usize,
     time_limit: Duration,
 ) -> Result<Bytes, Failure> {
@@ -392,17 +399,37 @@
     if body.size_hint().lower() > limit as u64 {
         return Err(too_large());
     }
-    let body = body.map_err(|error| error.to_string());
-    let collected = timeout(time_limit, Limited::new(body, limit).collect()).await;
-    match collected {
-        Ok(Ok(whole)) => Ok(whole.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(too_large()),
-        Ok(Err(error)) => Err(Failure::not_run(Code::BodyIncomplete, error.to_string())),
-        Err(_) => Err(Failure::not_run(
-            Code::BodyIncomplete,
-            "the body did not arrive in time",
-        )),
-    }
+    let collecting = async {
+        let mut buffer = Buffer::new(lease);
+        loop {
+            let piece = tokio::select! {
+                biased;
+                () = buffer.revoked() => return Err(no_memory()),
+                piece = body.frame() => piece,
+            };
+            let Some(piece) = piece else {
+                return Ok(buffer.into_bytes());
+            };
+            let incomplete =
+                |error: &dyn Display| Failure::not_run(Code::BodyIncomplete, error.to_string());
+            let Ok(bytes) = piece.map_err(|error| incomplete(&error))?.into_data() else {
+                continue;
+            };
+            if buffer.len() + bytes.len() > limit {
+                return Err(too_large());
+            }
+            buffer.push(&bytes).map_err(|_| no_memory())?;
+        }
+    };
+    timeout(time_limit, collecting).await.unwrap_or_else(|_| {
+        let reason = "the body did not arrive in time";
+        Err(Failure::not_run(Code::BodyIncomplete, reason))
+    })
+}
+
+/// The failure of a request whose body can't be held beside the others.
+fn no_memory() -> Failure {
+    Failure::not_run(Code::NoCapacity, Revoked.to_string()).retry_after(RETRY_AFTER_WITHOUT_MEMORY)
 }
 
 /// Reads the rest of a refused request's body, up to `limit` bytes and for at most `time_limit`.
--- a/src/proxy/send.rs
+++ b/src/proxy/send.rs
@@ -8,6 +8,7 @@
         dialect::{Dialect, Field, Instructions, Reply},
         headers,
         host::{Head, Host, Reservation},
+        memory::{Buffer, Lease, Revoked},
         place::Job,
         quarantine::{Suspect, Withheld},
         race::Patience,
@@ -21,7 +22,7 @@
         link::exchange,
         name, upstream, wire,
     },
-    bytes::{Bytes, BytesMut},
+    bytes::Bytes,
     http::{Request, StatusCode, header},
     http_body_util::Full,
     std::{future::Future, time::Duration},
@@ -203,9 +204,13 @@
     if job.matched.route.kind == Kind::Resumable {
         headers.remove(header::CONTENT_LENGTH);
     }
+    if !is_stream && body.min_length() > MAX_COLLECTED_BYTES as u64 {
+        return Err(too_large());
+    }
     let framing = body.framing();
     let first = patience.watch(limit, body.next()).await?;
     reservation.record_first_byte();
+    let lease = host.answer_memory.lease(upstream.as_str());
     let head = Head {
         status: head.status,
         headers,
@@ -215,7 +220,7 @@
             return Err(upstream_failed("the stream ended before its first event"));
         }
         let first = match job.matched.route.kind {
-            Kind::Resumable => complete_event(first, &mut body, limit, patience).await?,
+            Kind::Resumable => complete_event(first, &mut body, lease, limit, patience).await?,
             Kind::Stream | Kind::Idempotent | Kind::NonIdempotent => first,
         };
         let rest = first.is_some().then_some(body);
@@ -226,7 +231,7 @@
             framing,
         });
     }
-    let collected = collect(first, &mut body, limit, remaining, patience).await?;
+    let collected = collect(first, &mut body, lease, limit, remaining, patience).await?;
     reservation.outcome = if matches!(reply.rest, Field::Value(_)) {
         Outcome::Full
     } else if head.status.is_server_error() {
@@ -296,30 +301,54 @@
     }
 }
 
+fn too_large() -> Failure {
+    upstream_failed("the answer is larger than can be held")
+}
+
+/// Reads the next piece of an answer of which others are held under a lease.
+async fn next_piece(
+    body: &mut impl Pieces,
+    revoked: impl Future<Output = ()>,
+    limit: Duration,
+    patience: &Patience,
+) -> Result<Option<Bytes>, Failure> {
+    tokio::select! {
+        biased;
+        () = revoked => Err(upstream_failed(&Revoked.to_string())),
+        piece = patience.watch(limit, body.next()) => piece,
+    }
+}
+
 /// Reads on until the first event of a stream is complete, so that no other attempt is cancelled for
 /// one that has passed nothing on yet.
 async fn complete_event(
     first: Option<Bytes>,
     body: &mut impl Pieces,
+    mut lease: Lease,
     limit: Duration,
     patience: &Patience,
 ) -> Result<Option<Bytes>, Failure> {
-    let Some(first) = first else {
+    if first.is_none() {
         return Ok(None);
-    };
+    }
     let mut splitter = Splitter::new();
-    let mut pieces = BytesMut::new();
-    let mut next = Some(first);
+    let mut next = first;
     while let Some(bytes) = next {
-        pieces.extend_from_slice(&bytes);
-        let events = splitter.push(&bytes);
-        if !events
-            .map_err(|error| upstream_failed(&error.to_string()))?
-            .is_empty()
-        {
-            return Ok(Some(pieces.freeze()));
+        let events = splitter
+            .push(&bytes)
+            .map_err(|error| upstream_failed(&error.to_string()))?;
+        if !events.is_empty() {
+            let mut pieces = Vec::new();
+            for event in events {
+                pieces.extend_from_slice(&event.bytes);
+            }
+            pieces.extend_from_slice(&splitter.into_rest());
+            return Ok(Some(lease.attach(pieces)));
         }
-        next = patience.watch(limit, body.next()).await?;
+        lease
+            .resize(splitter.capacity())
+            .map_err(|revoked| upstream_failed(&revoked.to_string()))?;
+        next = next_piece(body, lease.revoked(), limit, patience).await?;
     }
     Err(upstream_failed("the stream ended within an event"))
 }
@@ -329,22 +358,24 @@
 async fn collect(
     first: Option<Bytes>,
     body: &mut impl Pieces,
+    lease: Lease,
     limit: Duration,
     remaining: Duration,
     patience: &Patience,
 ) -> Result<Bytes, Failure> {
-    let Some(first) = first else {
-        return Ok(Bytes::new());
-    };
+    let mut buffer = Buffer::new(lease);
     let collecting = async {
-        let mut collected = BytesMut::from(first);
-        while let Some(bytes) = patience.watch(limit, body.next()).await? {
-            collected.extend_from_slice(&bytes);
-            if collected.len() > MAX_COLLECTED_BYTES {
-                return Err(upstream_failed("the answer is larger than can be held"));
+        let mut next = first;
+        while let Some(bytes) = next {
+            if buffer.len() + bytes.len() > MAX_COLLECTED_BYTES {
+                return Err(too_large());
             }
+            buffer
+                .push(&bytes)
+                .map_err(|revoked| upstream_failed(&revoked.to_string()))?;
+            next = next_piece(body, buffer.revoked(), limit, patience).await?;
         }
-        Ok(collected.freeze())
+        Ok(buffer.into_bytes())
     };
     let whole_limit = remaining.mul_f64(COLLECT_SHARE).max(limit);
     patience.watch(whole_limit, collecting).await
@@ -404,15 +435,16 @@
         .map_err(|_| upstream_failed("the peer's status is not valid"))?;
     let first = patience.watch(limit, body.next()).await?;
     let is_stream = status.is_success() && job.matched.route.kind.is_stream();
+    let lease = host.answer_memory.lease(remote.host.as_str());
     let (first, source) = if is_stream {
         let first = match job.matched.route.kind {
-            Kind::Resumable => complete_event(first, &mut body, limit, patience).await?,
+            Kind::Resumable => complete_event(first, &mut body, lease, limit, patience).await?,
             Kind::Stream | Kind::Idempotent | Kind::NonIdempotent => first,
         };
         let source = first.is_some().then(|| Source::Peer(Box::new(body)));
         (first, source)
     } else {
-        let collected = collect(first, &mut body, limit, remaining, patience).await?;
+        let collected = collect(first, &mut body, lease, limit, remaining, patience).await?;
         (Some(collected), None)
     };
     Ok(Opened {
--- a/src/upstream/metered.rs
+++ b/src/upstream/metered.rs
@@ -1,5 +1,5 @@
-//! A connection that fails when its peer sends too much without a piece of a body coming of it:
-//! the framing of chunks and trailers may go on without end.
+//! A connection that fails when its peer sends too much without a head or a piece of a body coming of
+//! it: interim responses, the framing of chunks and trailers may go on without end.
 
 use {
     crate::net::Stream,
@@ -16,20 +16,43 @@
 };
 
 /// Most bytes that are read between two pieces of a body.
-const MAX_BYTES: usize = 256 * 1024;
+const MAX_BODY_BYTES: usize = 256 * 1024;
+/// Most bytes that are read before the end of a head, with interim responses before it and what of the
+/// body comes with it.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
 
-/// Bytes that were read since the last piece of a body.
+/// Bytes that were read since the last piece of an answer, and their limit.
 #[derive(Debug, Clone, Default)]
-pub(super) struct Meter(Arc<AtomicUsize>);
+pub(super) struct Meter(Arc<Count>);
+
+#[derive(Debug, Default)]
+struct Count {
+    bytes: AtomicUsize,
+    limit: AtomicUsize,
+}
 
 impl Meter {
-    /// Begins to count anew, as a request was sent or a piece of a body has come.
+    /// Begins to count anew, as a request is sent.
+    pub(super) fn begin_head(&self) {
+        self.0.limit.store(MAX_HEAD_BYTES, Ordering::Relaxed);
+        self.reset();
+    }
+
+    /// Begins to count anew, as the head has come.
+    pub(super) fn begin_body(&self) {
+        self.0.limit.store(MAX_BODY_BYTES, Ordering::Relaxed);
+        self.reset();
+    }
+
+    /// Begins to count anew, as a piece of a body has come.
     pub(super) fn reset(&self) {
-        self.0.store(0, Ordering::Relaxed);
+        self.0.bytes.store(0, Ordering::Relaxed);
     }
 
     fn add(&self, bytes: usize) -> io::Result<()> {
-        if self.0.fetch_add(bytes, Ordering::Relaxed) + bytes > MAX_BYTES {
+        let count = &self.0;
+        let before = count.bytes.fetch_add(bytes, Ordering::Relaxed);
+        if before + bytes > count.limit.load(Ordering::Relaxed) {
             return Err(io::Error::other("too many bytes without an answer"));
         }
         Ok(())
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -217,10 +217,11 @@
         mut sender: Sender,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Body>, SendError> {
-        sender.meter.reset();
+        sender.meter.begin_head();
         match sender.requests.try_send_request(request).await {
             Ok(response) => {
                 let framing = framing(&response);
+                sender.meter.begin_body();
                 Ok(response.map(|incoming| Body {
                     incoming,
                     framing,
@@ -278,6 +279,11 @@
         self.framing
     }
 
+    /// Least number of bytes that are still to come, as far as the head states a length.
+    pub fn min_length(&self) -> u64 {
+        self.incoming.size_hint().lower()
+    }
+
     /// The next piece, or `None` at the end of a complete body.
     pub async fn next(&mut self) -> Result<Option<Bytes>, Failure> {
         loop {
