--- a/src/proxy/intake.rs
+++ b/src/proxy/intake.rs
@@ -410,9 +410,9 @@
             let Some(piece) = piece else {
                 return Ok(buffer.into_bytes());
             };
-            let incomplete =
-                |error: &dyn Display| Failure::not_run(Code::BodyIncomplete, error.to_string());
-            let Ok(bytes) = piece.map_err(|error| incomplete(&error))?.into_data() else {
+            let piece =
+                piece.map_err(|error| Failure::not_run(Code::BodyIncomplete, error.to_string()))?;
+            let Ok(bytes) = piece.into_data() else {
                 continue;
             };
             if buffer.len() + bytes.len() > limit {
--- a/src/proxy/memory.rs
+++ b/src/proxy/memory.rs
@@ -136,10 +136,8 @@
             let revocable = leases.values().filter(|lease| lease.revocation.is_some());
             revocable.map(|lease| lease.bytes).sum()
         };
-        let source = self
-            .sources
-            .values_mut()
-            .max_by_key(|leases| of_source(leases));
+        let sources = self.sources.values_mut();
+        let source = sources.max_by_key(|leases| of_source(leases));
         let leases = source.into_iter().flat_map(BTreeMap::values_mut);
         let revocable = leases.filter(|lease| lease.revocation.is_some());
         let Some(lease) = revocable.max_by_key(|lease| lease.bytes) else {
