--- a/src/proxy/memory.rs
+++ b/src/proxy/memory.rs
@@ -69,8 +69,9 @@
 #[derive(Debug, Default)]
 struct State {
     last_number: u64,
-    /// Bytes of all leases, and of those that were revoked and have not been dropped yet.
+    /// Bytes of all leases.
     held: usize,
+    /// Bytes of those that were revoked and have not been dropped yet.
     revoked: usize,
     /// Leases by source and number.
     sources: BTreeMap<Arc<str>, BTreeMap<u64, Holding>>,
