--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -10,7 +10,7 @@
         cache,
         dialect::{Dialect, Metadata},
         host::{Guard, Head, Host},
-        memory::{Lease, Revoked},
+        memory::Lease,
         origin::{self, Key, Record},
         place::Job,
         race::{
@@ -33,7 +33,7 @@
     bytes::{Bytes, BytesMut},
     futures::stream::{FuturesUnordered, StreamExt},
     http::{HeaderMap, Method, StatusCode, header},
-    std::{future::Future, pin::pin, sync::Arc, time::Duration},
+    std::{pin::pin, sync::Arc, time::Duration},
     tokio::{
         sync::mpsc,
         time::{sleep, timeout},
@@ -302,25 +302,21 @@
         let Some(source) = &mut self.source else {
             return Ok(None);
         };
-        let lease = &mut self.lease;
-        let revoked = async {
-            lease.revoked().await;
-            upstream_failed(&Revoked.to_string())
-        };
         // A piece that is there already is returned however short the limit is.
         if now >= self.job.deadline + LATE_DELIVERY {
             return Err(stalled());
         }
         let piece = match source {
             Source::Upstream(body, reservation) => {
-                let piece = timeout(time_left, unless_revoked(revoked, body.next())).await;
-                if let Ok(Ok(_)) = piece {
+                let piece = timeout(time_left, self.lease.unless_revoked(body.next())).await;
+                if let Ok(Ok(Ok(_))) = piece {
                     reservation.record_progress();
                 }
                 piece
             }
-            Source::Peer(body) => timeout(time_left, unless_revoked(revoked, body.next())).await,
+            Source::Peer(body) => timeout(time_left, self.lease.unless_revoked(body.next())).await,
         };
+        let piece = piece.map(|piece| piece.map_err(upstream_failed).flatten());
         if let Ok(Ok(_)) = piece {
             self.heard_at = self.host.clock.now();
         }
@@ -438,13 +434,12 @@
             from = %self.upstream, from_build = self.build.as_ref().map(name::Build::as_str),
             upstream = %opened.upstream, build = opened.build.as_ref().map(name::Build::as_str), "stream resumed at another upstream");
         self.give_up_source();
-        self.discard_partial_event();
         self.waited = Duration::ZERO;
         self.heard_at = self.host.clock.now();
         self.first = opened.first;
         self.source = opened.source;
         self.upstream = opened.upstream;
-        self.lease = self.host.answer_memory.lease(self.upstream.as_str());
+        self.discard_partial_event();
         self.peer = opened.peer;
         self.build = opened.build;
         self.framing = opened.framing;
@@ -478,12 +473,10 @@
             }
             Relay::Events(splitter) => splitter,
         };
-        let events = splitter
-            .push(&bytes)
-            .map_err(|error| upstream_failed(&error.to_string()))?;
+        let events = splitter.push(&bytes).map_err(upstream_failed)?;
         self.lease
             .resize(splitter.capacity())
-            .map_err(|revoked| upstream_failed(&revoked.to_string()))?;
+            .map_err(upstream_failed)?;
         let mut complete = BytesMut::new();
         for event in events {
             if let Some(id) = event.id() {
@@ -603,25 +596,13 @@
             .framing
             .map_or_else(|| "link".into(), |framing| framing.to_string());
         tracing::info!(event = "answered", request = self.inbound.id(), outcome,
-            route = %self.job.matched.route.name, version = self.job.matched.version,
+            route = %self.job.matched.route.name, version = self.job.matched.edition.version,
             status = self.head.status.as_u16(), upstream = %self.upstream, framing, within_event, first_ms, total_ms,
             bytes = self.byte_count, runs = self.tries.runs, predicted_ms = self.tries.predicted_ms as u64,
             placed_ms = self.tries.placed_after.as_millis() as u64);
     }
 }
 
-/// Reads a piece, unless the lease of what is held is revoked before.
-async fn unless_revoked(
-    revoked: impl Future<Output = Failure>,
-    piece: impl Future<Output = Result<Option<Bytes>, Failure>>,
-) -> Result<Option<Bytes>, Failure> {
-    tokio::select! {
-        biased;
-        failure = revoked => Err(failure),
-        piece = piece => piece,
-    }
-}
-
 /// The length of a body that its head states.
 fn content_length(headers: &HeaderMap) -> Option<usize> {
     let length = headers.get(header::CONTENT_LENGTH)?;
--- a/src/proxy/core/mod.rs
+++ b/src/proxy/core/mod.rs
@@ -336,11 +336,17 @@
     /// Records an era that the store or another host names. Returns how it compares with the newest
     /// one known until now.
     pub fn observe_era(&mut self, now: Duration, era: Era) -> Ordering {
+        let before = self.reader_role.era();
         let order = self.reader_role.observe_era(era);
-        if order.is_gt() && self.reader_role.has_changed_era() {
+        self.follow_era(now, before);
+        order
+    }
+
+    /// Begins a new era in what is known of the upstreams, if the reader's is another one than before.
+    fn follow_era(&mut self, now: Duration, before: Era) {
+        if self.reader_role.era() != before && self.reader_role.has_changed_era() {
             self.catalog.start_era(now);
         }
-        order
     }
 
     /// Records a report of another host: its load, its spare capacity and what it has admitted.
@@ -542,14 +548,10 @@
         now: Duration,
         reading: Reading,
     ) -> (reader::Update, Vec<Change>) {
-        if reading.from != self.setup.identity.host {
-            self.observe_era(now, self.reader_role.reading_era(&reading));
-        }
+        let era_before = self.reader_role.era();
         let update = self.reader_role.receive(now, &reading);
-        if matches!(
-            update,
-            reader::Update::NewSource | reader::Update::SameSource
-        ) {
+        self.follow_era(now, era_before);
+        if update.is_relied_on() {
             self.catalog.set_reachable(now, true);
         }
         let listing = reading.listing.as_ref();
--- a/src/proxy/fleet.rs
+++ b/src/proxy/fleet.rs
@@ -14,7 +14,7 @@
         reach,
         replica::Tally,
         revision::Era,
-        table::{self, Match},
+        table::Edition,
         throttle,
     },
     crate::{name, route::affinity},
@@ -163,10 +163,8 @@
     pub is_ready: bool,
     /// Whether the host is shutting down.
     pub is_leaving: bool,
-    /// Version of the host's configuration.
-    pub version: u64,
-    /// Hash of the text of that configuration.
-    pub digest: Option<u64>,
+    /// The host's configuration.
+    pub edition: Edition,
     /// Spare capacity of the host's region, less what was forwarded there since the report.
     pub spare: BTreeMap<name::Pool, Spare>,
     /// Upstreams that the host can't reach; of hosts of the same region only.
@@ -182,14 +180,6 @@
     last_reports_at: [Duration; 2],
 }
 
-impl Peer {
-    /// Whether the host's configuration allows it to take a request that was matched here.
-    pub fn covers(&self, matched: &Match) -> bool {
-        let needed = (matched.version, Some(matched.digest));
-        table::covers((self.version, self.digest), needed)
-    }
-}
-
 /// The hosts that this one knows, and the schedule of the reports to them.
 #[derive(Debug)]
 pub struct Fleet {
@@ -288,8 +278,10 @@
             last_heard_at: now,
             is_ready: report.ready,
             is_leaving: report.leaving,
-            version: report.version,
-            digest: report.digest,
+            edition: Edition {
+                version: report.version,
+                digest: report.digest,
+            },
             spare: report.spare.iter().cloned().collect(),
             reach: report.reach.clone(),
             builds: report.builds.clone(),
@@ -496,7 +488,7 @@
 
     /// The newest version of the configuration that another host has; zero if none is known.
     pub fn newest_version(&self) -> u64 {
-        let versions = self.peers.values().map(|peer| peer.version);
+        let versions = self.peers.values().map(|peer| peer.edition.version);
         versions.max().unwrap_or(0)
     }
 
--- a/src/proxy/follow.rs
+++ b/src/proxy/follow.rs
@@ -24,7 +24,7 @@
     },
     crate::{Error, Result, clock::Clock, entry::Phase, name},
     rand::{RngExt, SeedableRng, rngs::StdRng},
-    std::{cmp::Ordering, collections::BTreeSet, future::Future, net::SocketAddr, time::Duration},
+    std::{collections::BTreeSet, future::Future, net::SocketAddr, time::Duration},
     tokio::{
         sync::watch,
         time::{sleep, timeout},
@@ -244,10 +244,10 @@
             return true;
         }
         self.after_revision = None;
-        let reason = if era.is_named() {
-            format!("the answer is of era {era}, before {known}")
-        } else {
+        let reason = if era.is_unnamed() {
             format!("the answer names no era, after {known}")
+        } else {
+            format!("the answer is of era {era}, before {known}")
         };
         let error = Error::Protocol {
             step: "reading the store",
@@ -281,19 +281,14 @@
         }
         let is_full = self.after_revision.is_none();
         let known = self.host.core().reader_role.revision(self.section);
-        let known = known.filter(|known| revision.compare(*known) == Some(Ordering::Less));
-        if let Some(known) = known {
+        if let Some(known) = known.filter(|known| revision.is_before(*known)) {
             tracing::info!(event = "store", section = ?self.section, state = "old answer",
                 era = %revision.era(), revision = revision.number(), known = known.number());
             sleep(MIN_BACKOFF).await;
             return false;
         }
         let has_changes = !batch.items.is_empty();
-        let newest = self
-            .after_revision
-            .filter(|after| after.compare(revision) == Some(Ordering::Greater))
-            .unwrap_or(revision);
-        self.after_revision = Some(newest);
+        self.after_revision = Some(revision);
         self.apply_items(batch.items, is_full, revision.era());
         if has_changes && self.section == Section::Operator {
             self.change_count += 1;
@@ -301,7 +296,7 @@
         {
             let mut core = self.host.core();
             core.reader_role
-                .finish_read(now, self.section, token, newest);
+                .finish_read(now, self.section, token, revision);
             if self.section == Section::Operator {
                 core.reader_role
                     .set_generation(self.section, self.change_count);
--- a/src/proxy/host.rs
+++ b/src/proxy/host.rs
@@ -665,10 +665,7 @@
             if update == reader::Update::NewSource {
                 tracing::info!(event = "reader", host = %reader, "relying on another host's readings");
             }
-            if matches!(
-                update,
-                reader::Update::NewSource | reader::Update::SameSource
-            ) {
+            if update.is_relied_on() {
                 outdated = None;
                 self.announcements.iter().for_each(Notify::notify_one);
             }
@@ -919,7 +916,7 @@
         )
     });
     let (hosts, remote_hosts) = core.peer_counts(now);
-    tracing::info!(event = "unplaced", request, pool = %job.pool, version = job.matched.version,
+    tracing::info!(event = "unplaced", request, pool = %job.pool, version = job.matched.edition.version,
         build = job.build.as_ref().map(name::Build::as_str),
         upstreams, open, resting, waiting = core.queue_len(), hosts, hosts_away = remote_hosts, may_leave = job.may_forward,
         waited_ms = now.saturating_sub(job.arrived_at).as_millis() as u64);
--- a/src/proxy/intake.rs
+++ b/src/proxy/intake.rs
@@ -14,7 +14,7 @@
         memory::{Buffer, Lease, Revoked},
         place::Job,
         quarantine,
-        table::{Denial, Limits, Match},
+        table::{Denial, Edition, Limits, Match},
     },
     crate::{
         clock::Clock,
@@ -350,9 +350,13 @@
     let metadata = host.dialect.parse_request(&head);
     let matched = {
         let core = host.core();
+        let needed = Edition {
+            version: call.version,
+            digest: call.version_digest,
+        };
         let table = core
             .table()
-            .filter(|table| table.covers(call.version, call.version_digest))
+            .filter(|table| table.edition().covers(needed))
             .ok_or_else(|| not_ready("the configuration here is older or another one"))?;
         table
             .match_forwarded(&call.route, call.customer.as_ref())
@@ -402,12 +406,8 @@
     let collecting = async {
         let mut buffer = Buffer::new(lease);
         loop {
-            let piece = tokio::select! {
-                biased;
-                () = buffer.revoked() => return Err(no_memory()),
-                piece = body.frame() => piece,
-            };
-            let Some(piece) = piece else {
+            let piece = buffer.unless_revoked(body.frame()).await;
+            let Some(piece) = piece.map_err(no_memory)? else {
                 return Ok(buffer.into_bytes());
             };
             let piece =
@@ -418,7 +418,7 @@
             if buffer.len() + bytes.len() > limit {
                 return Err(too_large());
             }
-            buffer.push(&bytes).map_err(|_| no_memory())?;
+            buffer.push(&bytes).map_err(no_memory)?;
         }
     };
     timeout(time_limit, collecting).await.unwrap_or_else(|_| {
@@ -428,8 +428,8 @@
 }
 
 /// The failure of a request whose body can't be held beside the others.
-fn no_memory() -> Failure {
-    Failure::not_run(Code::NoCapacity, Revoked.to_string()).retry_after(RETRY_AFTER_WITHOUT_MEMORY)
+fn no_memory(revoked: Revoked) -> Failure {
+    Failure::not_run(Code::NoCapacity, revoked.to_string()).retry_after(RETRY_AFTER_WITHOUT_MEMORY)
 }
 
 /// Reads the rest of a refused request's body, up to `limit` bytes and for at most `time_limit`.
--- a/src/proxy/memory.rs
+++ b/src/proxy/memory.rs
@@ -12,7 +12,7 @@
     std::{
         collections::BTreeMap,
         fs,
-        future::pending,
+        future::{Future, pending},
         io,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
     },
@@ -31,11 +31,7 @@
 const MEMORY_INFO: &str = "/proc/meminfo";
 
 /// The machine's memory in bytes, as the system tells it.
-///
-/// # Errors
-///
-/// The system's page can't be read, or doesn't tell it.
-pub fn system_memory() -> io::Result<u64> {
+fn system_memory() -> io::Result<u64> {
     let page = fs::read_to_string(MEMORY_INFO)?;
     let line = page.lines().find_map(|line| line.strip_prefix("MemTotal:"));
     let kibibytes = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
@@ -44,6 +40,17 @@
         .ok_or_else(|| io::Error::new(io::ErrorKind::InvalidData, "no MemTotal"))
 }
 
+/// The limit of one ledger on this machine, in bytes: the least one if the system doesn't tell its memory.
+pub fn system_limit() -> usize {
+    let memory = system_memory().unwrap_or_else(|error| {
+        tracing::warn!(event = "memory", %error, "the machine's memory is not known");
+        0
+    });
+    let limit = limit(memory);
+    tracing::info!(event = "memory", memory, limit);
+    limit
+}
+
 /// The limit of one ledger on a machine with this memory, in bytes.
 pub fn limit(memory: u64) -> usize {
     (memory / MEMORY_SHARE).clamp(LIMIT_RANGE.0, LIMIT_RANGE.1) as usize
@@ -73,17 +80,34 @@
     held: usize,
     /// Bytes of those that were revoked and have not been dropped yet.
     revoked: usize,
-    /// Leases by source and number.
-    sources: BTreeMap<Arc<str>, BTreeMap<u64, Holding>>,
+    /// What is held, by the number of its lease.
+    holdings: BTreeMap<u64, Holding>,
 }
 
 /// The bytes of one lease.
 #[derive(Debug)]
 struct Holding {
+    source: Arc<str>,
     bytes: usize,
-    /// Tells the holder that the lease is revoked; `None` if it can't be, or was.
-    revocation: Option<oneshot::Sender<()>>,
-    is_revoked: bool,
+    status: Status,
+}
+
+/// Whether a lease can be revoked, which its holder is told of.
+#[derive(Debug)]
+enum Status {
+    Revocable(oneshot::Sender<()>),
+    Attached,
+    Revoked,
+}
+
+impl Holding {
+    fn is_revocable(&self) -> bool {
+        matches!(self.status, Status::Revocable(_))
+    }
+
+    fn is_revoked(&self) -> bool {
+        matches!(self.status, Status::Revoked)
+    }
 }
 
 impl Ledger {
@@ -133,24 +157,28 @@
 impl State {
     /// Revokes the largest lease of the source that holds most. Returns whether there was one.
     fn revoke_one(&mut self) -> bool {
-        let of_source = |leases: &BTreeMap<u64, Holding>| -> usize {
-            let revocable = leases.values().filter(|lease| lease.revocation.is_some());
-            revocable.map(|lease| lease.bytes).sum()
+        let revocable = || {
+            self.holdings
+                .iter()
+                .filter(|(_, lease)| lease.is_revocable())
         };
-        let sources = self.sources.values_mut();
-        let source = sources.max_by_key(|leases| of_source(leases));
-        let leases = source.into_iter().flat_map(BTreeMap::values_mut);
-        let revocable = leases.filter(|lease| lease.revocation.is_some());
-        let Some(lease) = revocable.max_by_key(|lease| lease.bytes) else {
+        let mut totals: BTreeMap<&str, usize> = BTreeMap::new();
+        for (_, lease) in revocable() {
+            *totals.entry(&lease.source).or_default() += lease.bytes;
+        }
+        let source = totals.into_iter().max_by_key(|(_, bytes)| *bytes);
+        let of_source =
+            revocable().filter(|(_, lease)| source.is_some_and(|(name, _)| name == &*lease.source));
+        let largest = of_source.max_by_key(|(_, lease)| lease.bytes);
+        let largest = largest.map(|(number, _)| *number);
+        let Some(lease) = largest.and_then(|number| self.holdings.get_mut(&number)) else {
             return false;
         };
-        lease.is_revoked = true;
         self.revoked += lease.bytes;
-        // Its holder may have ended.
-        lease
-            .revocation
-            .take()
-            .map(|revocation| revocation.send(()).ok());
+        if let Status::Revocable(holder) = std::mem::replace(&mut lease.status, Status::Revoked) {
+            // It may have ended.
+            holder.send(()).ok();
+        }
         true
     }
 }
@@ -181,53 +209,63 @@
             state.last_number += 1;
             state.last_number
         });
-        let source = state.sources.entry(self.source.clone()).or_default();
-        let holding = source.entry(number).or_insert_with(|| {
+        let holding = state.holdings.entry(number).or_insert_with(|| {
             let (sender, receiver) = oneshot::channel();
             self.revocation = Some(receiver);
             Holding {
+                source: self.source.clone(),
                 bytes: 0,
-                revocation: Some(sender),
-                is_revoked: false,
+                status: Status::Revocable(sender),
             }
         });
-        if holding.is_revoked {
+        if holding.is_revoked() {
             return Err(Revoked);
         }
         let before = std::mem::replace(&mut holding.bytes, bytes);
         state.held = state.held - before + bytes;
         ledger.enforce(&mut state);
-        let source = state.sources.get(&self.source);
-        let own = source.and_then(|leases| leases.get(&number));
-        let is_revoked = own.is_some_and(|holding| holding.is_revoked);
-        if is_revoked { Err(Revoked) } else { Ok(()) }
+        let own = state.holdings.get(&number);
+        if own.is_some_and(Holding::is_revoked) {
+            Err(Revoked)
+        } else {
+            Ok(())
+        }
     }
 
-    /// Returns once the lease is revoked.
-    pub async fn revoked(&mut self) {
-        let revoked = match &mut self.revocation {
-            Some(revocation) => revocation.await.is_ok(),
-            None => false,
+    /// Waits for some work, unless the lease is revoked before its end.
+    ///
+    /// # Errors
+    ///
+    /// The lease is revoked.
+    pub async fn unless_revoked<T>(&mut self, work: impl Future<Output = T>) -> Result<T, Revoked> {
+        let revoked = async {
+            if let Some(revocation) = &mut self.revocation
+                && revocation.await.is_ok()
+            {
+                return;
+            }
+            pending().await
         };
-        if !revoked {
-            pending::<()>().await;
+        tokio::select! {
+            biased;
+            () = revoked => {
+                self.revocation = None;
+                Err(Revoked)
+            }
+            output = work => Ok(output),
         }
-        self.revocation = None;
     }
 
     /// Attaches the lease to complete bytes, which are counted until the last copy is dropped. It can't
     /// be revoked any more.
     pub fn attach(self, bytes: Vec<u8>) -> Bytes {
-        if self.number.is_none() {
+        let Some(number) = self.number else {
             return bytes.into();
-        }
+        };
+        if let Some(holding) = self.ledger.state().holdings.get_mut(&number)
+            && holding.is_revocable()
         {
-            let mut state = self.ledger.state();
-            let source = state.sources.get_mut(&self.source);
-            let number = self.number.unwrap_or_default();
-            if let Some(holding) = source.and_then(|leases| leases.get_mut(&number)) {
-                holding.revocation = None;
-            }
+            holding.status = Status::Attached;
         }
         Bytes::from_owner(Held {
             bytes,
@@ -242,18 +280,9 @@
             return;
         };
         let mut state = self.ledger.state();
-        let source = state.sources.get_mut(&self.source);
-        let Some(leases) = source else {
-            return;
-        };
-        let holding = leases.remove(&number);
-        let is_empty = leases.is_empty();
-        if is_empty {
-            state.sources.remove(&self.source);
-        }
-        if let Some(holding) = holding {
+        if let Some(holding) = state.holdings.remove(&number) {
             state.held -= holding.bytes;
-            if holding.is_revoked {
+            if holding.is_revoked() {
                 state.revoked -= holding.bytes;
             }
         }
@@ -307,9 +336,13 @@
         self.bytes.is_empty()
     }
 
-    /// Returns once the lease is revoked.
-    pub async fn revoked(&mut self) {
-        self.lease.revoked().await;
+    /// See [`Lease::unless_revoked`].
+    ///
+    /// # Errors
+    ///
+    /// The lease is revoked.
+    pub async fn unless_revoked<T>(&mut self, work: impl Future<Output = T>) -> Result<T, Revoked> {
+        self.lease.unless_revoked(work).await
     }
 
     /// The bytes collected, which stay counted; see [`Lease::attach`].
--- a/src/proxy/reader.rs
+++ b/src/proxy/reader.rs
@@ -167,6 +167,13 @@
     SameSource,
 }
 
+impl Update {
+    /// Whether this host relies on the reading.
+    pub fn is_relied_on(self) -> bool {
+        matches!(self, Self::NewSource | Self::SameSource)
+    }
+}
+
 impl Role {
     /// Creates the role of a host that has read nothing yet.
     pub fn new(now: Duration, own_host: name::Host) -> Self {
@@ -214,7 +221,7 @@
     /// Whether this host has read a section or was told of one.
     fn has_read_any(&self) -> bool {
         let mut sections = self.sections.values();
-        self.era.is_named() || sections.any(|progress| progress.revision.is_some())
+        !self.era.is_unnamed() || sections.any(|progress| progress.revision.is_some())
     }
 
     /// Whether the store was in an earlier era since this host has started.
@@ -230,11 +237,11 @@
 
     /// The era of a reading. A host of an older build names none; its readings count as of the
     /// present era until there was another.
-    pub fn reading_era(&self, reading: &Reading) -> Era {
-        if reading.era.is_named() || self.has_changed_era {
-            reading.era
-        } else {
+    fn reading_era(&self, reading: &Reading) -> Era {
+        if reading.era.is_unnamed() && !self.has_changed_era {
             self.era
+        } else {
+            reading.era
         }
     }
 
@@ -307,8 +314,9 @@
         }
         let revision = Revision::new(era, listing.revision);
         let progress = self.progress(Section::Upstreams);
-        let known = progress.revision;
-        let is_older = known.is_some_and(|known| revision.compare(known) == Some(Ordering::Less));
+        let is_older = progress
+            .revision
+            .is_some_and(|known| revision.is_before(known));
         if is_older || progress.announced_version.as_ref() != Some(&version) {
             return false;
         }
@@ -357,11 +365,8 @@
         let progress = self.progress(section);
         progress.has_read = true;
         progress.read_at = Some(now);
-        let known = progress.revision;
-        let is_older = known.is_some_and(|known| revision.compare(known) == Some(Ordering::Less));
-        if !is_older {
-            progress.revision = Some(revision);
-        }
+        let newer = progress.revision.filter(|known| revision.is_before(*known));
+        progress.revision = newer.or(Some(revision));
         if let Some(version) = token.0 {
             let is_current = progress.announced_version.as_ref() == Some(&version);
             progress.known_version = Some(version);
--- a/src/proxy/revision.rs
+++ b/src/proxy/revision.rs
@@ -21,12 +21,7 @@
         Self(Some(number))
     }
 
-    /// Whether the store named it.
-    pub fn is_named(self) -> bool {
-        self.0.is_some()
-    }
-
-    /// Whether it is the default, which need not be sent.
+    /// Whether it is that of a store that names none. Such an era need not be sent.
     pub fn is_unnamed(&self) -> bool {
         self.0.is_none()
     }
@@ -68,4 +63,9 @@
     pub fn compare(self, other: Self) -> Option<Ordering> {
         (self.era == other.era).then(|| self.number.cmp(&other.number))
     }
+
+    /// Whether it was given out before another one of its era.
+    pub fn is_before(self, other: Self) -> bool {
+        self.compare(other) == Some(Ordering::Less)
+    }
 }
--- a/src/proxy/send.rs
+++ b/src/proxy/send.rs
@@ -8,7 +8,7 @@
         dialect::{Dialect, Field, Instructions, Reply},
         headers,
         host::{Head, Host, Reservation},
-        memory::{Buffer, Lease, Revoked},
+        memory::{Buffer, Lease},
         place::Job,
         quarantine::{Suspect, Withheld},
         race::Patience,
@@ -305,20 +305,6 @@
     upstream_failed("the answer is larger than can be held")
 }
 
-/// Reads the next piece of an answer of which others are held under a lease.
-async fn next_piece(
-    body: &mut impl Pieces,
-    revoked: impl Future<Output = ()>,
-    limit: Duration,
-    patience: &Patience,
-) -> Result<Option<Bytes>, Failure> {
-    tokio::select! {
-        biased;
-        () = revoked => Err(upstream_failed(&Revoked.to_string())),
-        piece = patience.watch(limit, body.next()) => piece,
-    }
-}
-
 /// Reads on until the first event of a stream is complete, so that no other attempt is cancelled for
 /// one that has passed nothing on yet.
 async fn complete_event(
@@ -334,9 +320,7 @@
     let mut splitter = Splitter::new();
     let mut next = first;
     while let Some(bytes) = next {
-        let events = splitter
-            .push(&bytes)
-            .map_err(|error| upstream_failed(&error.to_string()))?;
+        let events = splitter.push(&bytes).map_err(upstream_failed)?;
         if !events.is_empty() {
             let mut pieces = Vec::new();
             for event in events {
@@ -345,10 +329,12 @@
             pieces.extend_from_slice(&splitter.into_rest());
             return Ok(Some(lease.attach(pieces)));
         }
-        lease
-            .resize(splitter.capacity())
-            .map_err(|revoked| upstream_failed(&revoked.to_string()))?;
-        next = next_piece(body, lease.revoked(), limit, patience).await?;
+        lease.resize(splitter.capacity()).map_err(upstream_failed)?;
+        let piece = patience.watch(limit, body.next());
+        next = lease
+            .unless_revoked(piece)
+            .await
+            .map_err(upstream_failed)??;
     }
     Err(upstream_failed("the stream ended within an event"))
 }
@@ -370,10 +356,12 @@
             if buffer.len() + bytes.len() > MAX_COLLECTED_BYTES {
                 return Err(too_large());
             }
-            buffer
-                .push(&bytes)
-                .map_err(|revoked| upstream_failed(&revoked.to_string()))?;
-            next = next_piece(body, buffer.revoked(), limit, patience).await?;
+            buffer.push(&bytes).map_err(upstream_failed)?;
+            let piece = patience.watch(limit, body.next());
+            next = buffer
+                .unless_revoked(piece)
+                .await
+                .map_err(upstream_failed)??;
         }
         Ok(buffer.into_bytes())
     };
@@ -409,8 +397,8 @@
         visited: vec![host.identity.region.clone()],
         hosts: vec![host.identity.host.clone()],
         hops: 0,
-        version: job.matched.version,
-        version_digest: Some(job.matched.digest),
+        version: job.matched.edition.version,
+        version_digest: job.matched.edition.digest,
         elapsed: now.saturating_sub(job.arrived_at),
         build: job.build.clone(),
     };
@@ -420,7 +408,7 @@
     host.metrics.forwarded.inc();
     tracing::info!(event = "forwarded", request = inbound.id(), host = %remote.host, region = %remote.region,
         predicted_ms = remote.predicted_ms as u64, report_age_ms = remote.report_age.as_millis() as u64,
-        version = job.matched.version);
+        version = job.matched.edition.version);
     let is_repeatable = job.matched.route.kind.is_repeatable();
     let remaining = job.deadline.saturating_sub(now);
     let limit = late_after(remote.predicted_ms);
@@ -465,8 +453,8 @@
 }
 
 /// A failure of an upstream after which the request may have run.
-pub(super) fn upstream_failed(reason: &str) -> Failure {
-    Failure::new(Code::UpstreamFailed, Ran::Unknown, reason)
+pub(super) fn upstream_failed(reason: impl ToString) -> Failure {
+    Failure::new(Code::UpstreamFailed, Ran::Unknown, reason.to_string())
 }
 
 /// Logs why a request is withheld and returns the failure with a retry time.
--- a/src/proxy/table.rs
+++ b/src/proxy/table.rs
@@ -135,6 +135,26 @@
     }
 }
 
+/// Identifies a configuration.
+#[derive(Debug, Clone, Copy)]
+pub struct Edition {
+    /// Its version; zero before the first.
+    pub version: u64,
+    /// Hash of its text; `None` if that is not known, as hosts of older builds don't tell it.
+    pub digest: Option<u64>,
+}
+
+impl Edition {
+    /// Whether it is at least as new as another one. Of two texts with the same version, none is newer.
+    pub fn covers(self, other: Self) -> bool {
+        let is_same_text = || {
+            let texts = self.digest.zip(other.digest);
+            texts.is_none_or(|(own, other)| own == other)
+        };
+        self.version > other.version || self.version == other.version && is_same_text()
+    }
+}
+
 /// The rows of a configuration before [`Table::new`] indexes them.
 #[derive(Debug, Default)]
 pub struct Rows {
@@ -174,16 +194,17 @@
     pub home_regions: BTreeSet<name::Region>,
     /// Priority of the request, 0 the most urgent.
     pub priority: u8,
-    /// Version of the configuration that was used.
-    pub version: u64,
-    /// Hash of its text.
-    pub digest: u64,
+    /// The configuration that was used.
+    pub edition: Edition,
 }
 
 impl Table {
-    /// Whether this configuration is at least as new as a version, and has its text if that is known.
-    pub fn covers(&self, version: u64, digest: Option<u64>) -> bool {
-        covers((self.version, Some(self.digest)), (version, digest))
+    /// Identifies the configuration.
+    pub fn edition(&self) -> Edition {
+        Edition {
+            version: self.version,
+            digest: Some(self.digest),
+        }
     }
 
     /// Builds the indexes of one version.
@@ -315,8 +336,7 @@
             priority: customer_priority.unwrap_or(route.priority),
             customer: customer.cloned(),
             home_regions,
-            version: self.version,
-            digest: self.digest,
+            edition: self.edition(),
         })
     }
 }
@@ -338,10 +358,3 @@
         }
     }
 }
-
-/// Whether the configuration that a host has, by its version and the hash of its text, is at least as
-/// new as another one. Of two texts with the same version, none is the newer one.
-pub fn covers(own: (u64, Option<u64>), other: (u64, Option<u64>)) -> bool {
-    let is_same_text = || own.1.is_none() || other.1.is_none() || own.1 == other.1;
-    own.0 > other.0 || own.0 == other.0 && is_same_text()
-}
--- a/tests/proxy/era.rs
+++ b/tests/proxy/era.rs
@@ -2,18 +2,17 @@
 //! though the copy doesn't show it.
 
 use {
-    crate::common::{POOL, core, entry, ms, report, rows, setup},
+    crate::common::{POOL, core, entry, identity, ms, report, rows, setup},
     greengagecleat::{
         name,
         proxy::{
             catalog::{Catalog, News},
             core::{Core, Provenance},
             entry::Entry,
-            fleet::Identity,
             follow::Section,
             reader::{Freshness, Listing, Reading, Update},
             revision::{Era, Revision},
-            table::{Rows, Table, covers},
+            table::{Edition, Rows, Table},
         },
     },
     quickcheck::{Gen, QuickCheck},
@@ -134,6 +133,10 @@
 /// A request that was matched by one text is not handled by another one with the same version.
 #[test]
 fn hosts_with_two_texts_of_one_version_do_not_forward_to_each_other() {
+    let covers = |own, other| {
+        let edition = |(version, digest)| Edition { version, digest };
+        edition(own).covers(edition(other))
+    };
     assert!(covers((8, Some(1)), (8, Some(1))));
     assert!(!covers((8, Some(1)), (8, Some(2))));
     assert!(covers((9, Some(1)), (8, Some(2))));
@@ -283,12 +286,7 @@
     let mut core = core_in_first_era();
     read(&mut core, 10, Section::Operator, 1, 110);
     assert!(core.announce(ms(10)).is_some());
-    let from = Identity {
-        host: "z".into(),
-        region: "south".into(),
-        ..report_identity()
-    };
-    let mut told = report(from, 1);
+    let mut told = report(identity("z", "south", 9), 1);
     told.era = Era::new(2);
     core.receive_report(ms(20), told);
     assert_eq!(core.reader_role.era(), Era::new(2));
@@ -307,10 +305,6 @@
     assert_eq!(reading.listing.unwrap().revision, 30, "sent anew");
 }
 
-fn report_identity() -> Identity {
-    crate::common::identity("z", "south", 9)
-}
-
 /// Age up to which the model's store is restored from a copy, in milliseconds: "some seconds".
 const MAX_COPY_AGE: u64 = 20_000;
 /// Upstreams of the model.
--- a/tests/proxy/memory.rs
+++ b/tests/proxy/memory.rs
@@ -1,20 +1,17 @@
 //! The limit on the bytes that all answers of a host hold together.
 
 use {
-    greengagecleat::proxy::memory::{Buffer, Ledger, Revoked, limit},
+    greengagecleat::proxy::memory::{Buffer, Lease, Ledger, Revoked, limit},
     quickcheck::quickcheck,
-    std::time::Duration,
-    tokio::time::timeout,
+    std::future::ready,
 };
 
 const KIB: usize = 1 << 10;
 const LIMIT: usize = 1 << 20;
 
 /// Whether a lease is told now that it is revoked.
-async fn is_told(lease: &mut greengagecleat::proxy::memory::Lease) -> bool {
-    timeout(Duration::from_millis(1), lease.revoked())
-        .await
-        .is_ok()
+async fn is_told(lease: &mut Lease) -> bool {
+    lease.unless_revoked(ready(())).await == Err(Revoked)
 }
 
 /// A sound upstream's answer is larger than each of those without end, but they hold more together.
@@ -85,24 +82,19 @@
     /// What is not revoked never exceeds the limit, and nothing stays counted.
     fn the_leases_that_are_not_revoked_are_within_the_limit(steps: Vec<(u8, u16, bool)>) -> bool {
         let ledger = Ledger::new(LIMIT);
-        let mut leases: Vec<_> = (0..12).map(|n| Some(ledger.lease(["a", "b", "c"][n % 3]))).collect();
+        let mut leases: Vec<_> = (0..12).map(|n| ledger.lease(["a", "b", "c"][n % 3])).collect();
         let mut sizes = vec![0; leases.len()];
         for (at, size, drops) in steps {
             let at = usize::from(at) % leases.len();
             let size = usize::from(size) * 8;
-            if drops {
-                leases[at] = Some(ledger.lease("d"));
+            sizes[at] = size;
+            if drops || leases[at].resize(size).is_err() {
+                leases[at] = ledger.lease("d");
                 sizes[at] = 0;
-            } else if let Some(lease) = &mut leases[at] {
-                sizes[at] = size;
-                if lease.resize(size).is_err() {
-                    leases[at] = Some(ledger.lease("d"));
-                    sizes[at] = 0;
-                }
             }
             let live = leases.iter_mut().zip(&sizes).filter_map(|(lease, size)| {
                 // A second call tells whether it was revoked for another one.
-                lease.as_mut()?.resize(*size).is_ok().then_some(*size)
+                lease.resize(*size).is_ok().then_some(*size)
             });
             if live.filter(|size| *size > 16 * KIB).sum::<usize>() > LIMIT {
                 return false;
