Log on which connection an upstream turned a request away

An answer that says "not run", or that bears another id, could not be told apart from one to an earlier call on its connection. Two lines name the connection and the place of the call on it, and a metric counts connections. No decision is changed.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -158,6 +158,7 @@
         queue.register(&metrics);
         kernel.spawn("queue", queue.clone().run(stopped.clone()));
         let upstreams = upstream::Client::new(upstream_network.clone());
+        upstreams.register(&metrics);
         let (digest_mailbox, digest_inbox) = mpsc::channel(DIGEST_MAILBOX_CAPACITY);
         kernel.spawn(
             "load",
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -552,11 +552,11 @@
     }
 
     /// Reports the head of an answer to the exchange.
-    fn check_head<B>(
+    fn check_head(
         &mut self,
         attempt: u32,
         offset: u64,
-        response: &http::Response<B>,
+        response: &Response<upstream::Body>,
     ) -> Vec<Action> {
         let status = response.status().as_u16();
         if offset > 0 && status != 200 {
@@ -580,6 +580,16 @@
             .any(|action| matches!(action, Action::Drop { .. }))
         {
             self.gateway.dependencies().metrics.crossed.inc();
+            let exchange = response.body().exchange();
+            tracing::info!(
+                request = self.call.request_id,
+                attempt,
+                status,
+                answered = id,
+                connection = exchange.connection,
+                position = exchange.position,
+                "crossed"
+            );
             self.record_failure("the upstream answered another request".into());
         } else if !self.exchange.is_receiving(attempt) {
             self.record_failure(format!("the upstream answered with status {status}"));
--- a/src/proxy/host.rs
+++ b/src/proxy/host.rs
@@ -190,6 +190,7 @@
         let store_calls = Counter::default();
         let store_failures = Counter::default();
         let store_restorations = Counter::default();
+        dependencies.upstreams.register(&dependencies.metrics);
         dependencies.metrics.register(|registry| {
             registry.register(
                 "answer_bytes_held",
--- a/src/proxy/send.rs
+++ b/src/proxy/send.rs
@@ -167,12 +167,17 @@
     if reply.leaving == Field::Value(true) {
         reservation.record_leaving();
     }
-    let is_reused = head.extensions.get::<upstream::Reused>().is_some();
+    let exchange = body.exchange();
     let is_own = match &reply.id {
         Some(_) => reply.id == inbound.metadata.id,
         // It may be an earlier refusal that was written once more.
-        None => !(reply.has_not_run && is_reused && inbound.metadata.id.is_some()),
+        None => !reply.has_not_run || exchange.is_first() || inbound.metadata.id.is_none(),
     };
+    if !is_own || reply.has_not_run {
+        let event = if is_own { "turned away" } else { "crossed" };
+        tracing::info!(event, request = inbound.id(), %upstream, status = head.status.as_u16(),
+            answered = reply.id.as_deref(), connection = exchange.connection, position = exchange.position);
+    }
     if !is_own {
         host.metrics.crossed.inc();
         return Err(upstream_failed("the upstream answered another request"));
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -9,6 +9,7 @@
     self::metered::{Connection, Meter},
     crate::{
         failure::{Code, Failure, Ran},
+        metric::Metrics,
         net::Network,
     },
     bytes::{Bytes, BytesMut},
@@ -20,6 +21,7 @@
         client::conn::http1::{self, SendRequest},
     },
     hyper_util::rt::TokioIo,
+    prometheus_client::metrics::counter::Counter,
     std::{
         collections::BTreeMap,
         future::{Future, pending},
@@ -69,6 +71,8 @@
     requests: SendRequest<Full<Bytes>>,
     /// What its receiving half has read.
     meter: Meter,
+    /// The next exchange on the connection.
+    next: Exchange,
 }
 
 /// Sends calls and pools idle connections. Clones share the pool.
@@ -77,6 +81,8 @@
     network: Network,
     limits: IdleLimits,
     idle: Arc<Mutex<BTreeMap<SocketAddr, Vec<IdleConnection>>>>,
+    /// Connections opened so far.
+    opened: Counter,
 }
 
 #[derive(Debug)]
@@ -99,16 +105,29 @@
     Close,
 }
 
-/// Extension of an answer on a connection that had carried another call before: bytes left over from
-/// that one may have been read as the answer.
+/// A call on a connection and its answer. After the first one, an answer too many to an earlier call may
+/// have been read as the answer.
 #[derive(Debug, Clone, Copy)]
-pub struct Reused;
+pub struct Exchange {
+    /// Number of the connection, unique within its client.
+    pub connection: u64,
+    /// Number of calls that the connection had carried before.
+    pub position: u32,
+}
+
+impl Exchange {
+    /// Whether the connection had carried no call before.
+    pub fn is_first(&self) -> bool {
+        self.position == 0
+    }
+}
 
 /// The body of an upstream's answer. Dropping it before its end closes the connection, which
 /// cancels the work.
 #[derive(Debug)]
 pub struct Body {
     incoming: Incoming,
+    exchange: Exchange,
     framing: Framing,
     sender: Option<Sender>,
     address: SocketAddr,
@@ -127,9 +146,21 @@
             network,
             limits,
             idle: Arc::default(),
+            opened: Counter::default(),
         }
     }
 
+    /// Registers the client's metrics.
+    pub fn register(&self, metrics: &Metrics) {
+        metrics.register(|registry| {
+            registry.register(
+                "upstream_connections",
+                "Connections opened to upstreams for calls",
+                self.opened.clone(),
+            );
+        });
+    }
+
     /// Sends a request to the upstream at `address` and waits for the head of the answer.
     ///
     /// `is_repeatable` says whether the call may be sent again after a failure. If not, it uses
@@ -169,10 +200,7 @@
         while let Some(sender) = self.checkout(address, limit) {
             check()?;
             match self.send_on(address, sender, request).await {
-                Ok(mut response) => {
-                    response.extensions_mut().insert(Reused);
-                    return Ok(response);
-                }
+                Ok(response) => return Ok(response),
                 Err(SendError {
                     request: Some(unsent),
                     ..
@@ -181,7 +209,7 @@
             }
         }
         let sender = tokio::select! {
-            sender = connect(&self.network, address) => sender?,
+            sender = self.connect(address) => sender?,
             () = abandoned => {
                 let reason = "the upstream can't be reached";
                 return Err(Failure::not_run(Code::Unreachable, reason));
@@ -218,12 +246,15 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Body>, SendError> {
         sender.meter.begin_head();
+        let exchange = sender.next;
+        sender.next.position = exchange.position.saturating_add(1);
         match sender.requests.try_send_request(request).await {
             Ok(response) => {
                 let framing = framing(&response);
                 sender.meter.begin_body();
                 Ok(response.map(|incoming| Body {
                     incoming,
+                    exchange,
                     framing,
                     sender: Some(sender),
                     address,
@@ -243,6 +274,48 @@
         }
     }
 
+    async fn connect(&self, address: SocketAddr) -> Result<Sender, Failure> {
+        let unreachable = |reason: String| {
+            Failure::not_run(
+                Code::Unreachable,
+                format!("connecting to the upstream: {reason}"),
+            )
+        };
+        let stream = timeout(CONNECT_TIMEOUT, self.network.connect(address))
+            .await
+            .map_err(|_| unreachable("timed out".into()))?
+            .map_err(|error| unreachable(error.to_string()))?;
+        // A request that is given up must not arrive later, as after a partition.
+        if let Err(error) = stream.set_reset_on_close() {
+            tracing::warn!(%address, %error, "the connection is closed without a reset");
+        }
+        if let Err(error) = stream.set_acknowledgement_timeout(ACKNOWLEDGEMENT_TIMEOUT) {
+            tracing::warn!(%address, %error, "bytes on the connection may arrive late");
+        }
+        let meter = Meter::default();
+        let stream = Connection::new(stream, meter.clone());
+        let (requests, connection) = http1::Builder::new()
+            .max_headers(MAX_HEADERS)
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| unreachable(error.to_string()))?;
+        tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                tracing::debug!(%address, %error, "upstream connection ended");
+            }
+        });
+        let next = Exchange {
+            connection: self.opened.inc(),
+            position: 0,
+        };
+        Ok(Sender {
+            requests,
+            meter,
+            next,
+        })
+    }
+
     fn checkout(&self, address: SocketAddr, limit: Duration) -> Option<Sender> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let senders = idle.get_mut(&address)?;
@@ -274,6 +347,11 @@
 }
 
 impl Body {
+    /// The exchange that the answer belongs to, or was read in.
+    pub fn exchange(&self) -> Exchange {
+        self.exchange
+    }
+
     /// How the end of the body is marked.
     pub fn framing(&self) -> Framing {
         self.framing
@@ -339,40 +417,6 @@
     }
 }
 
-async fn connect(network: &Network, address: SocketAddr) -> Result<Sender, Failure> {
-    let unreachable = |reason: String| {
-        Failure::not_run(
-            Code::Unreachable,
-            format!("connecting to the upstream: {reason}"),
-        )
-    };
-    let stream = timeout(CONNECT_TIMEOUT, network.connect(address))
-        .await
-        .map_err(|_| unreachable("timed out".into()))?
-        .map_err(|error| unreachable(error.to_string()))?;
-    // A request that is given up must not arrive later, as after a partition.
-    if let Err(error) = stream.set_reset_on_close() {
-        tracing::warn!(%address, %error, "the connection is closed without a reset");
-    }
-    if let Err(error) = stream.set_acknowledgement_timeout(ACKNOWLEDGEMENT_TIMEOUT) {
-        tracing::warn!(%address, %error, "bytes on the connection may arrive late");
-    }
-    let meter = Meter::default();
-    let stream = Connection::new(stream, meter.clone());
-    let (requests, connection) = http1::Builder::new()
-        .max_headers(MAX_HEADERS)
-        .max_buf_size(READ_BUFFER_BYTES)
-        .handshake(TokioIo::new(stream))
-        .await
-        .map_err(|error| unreachable(error.to_string()))?;
-    tokio::spawn(async move {
-        if let Err(error) = connection.await {
-            tracing::debug!(%address, %error, "upstream connection ended");
-        }
-    });
-    Ok(Sender { requests, meter })
-}
-
 fn upstream_failed(error: &hyper::Error) -> Failure {
     Failure::new(
         Code::UpstreamFailed,
