Send no request twice on one connection

Callers saw 503, which promises that their request has not run, for requests that an upstream ran. Cause: a request that was turned away comes again under the same id, as when it is forwarded twice to the same host. The upstream wrote the refusal a second time where the answer to the second send was due on the same connection; its id agrees and told nothing. Change: a connection carries each id once, on both request paths; without an id a new one is used. An id within a connection then names one send. An answer without an id counts only on a new connection.

--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -33,10 +33,14 @@
         let request = upstream_request(call, address, offset)?;
         let router = &self.dependencies().router;
         let may_send = || router.with(|router, now| router.accepts(now, upstream));
+        let call = upstream::Call {
+            address,
+            request,
+            id: Some(&call.request_id),
+            is_repeatable: call.is_repeatable(),
+        };
         let upstreams = &self.dependencies().upstreams;
-        upstreams
-            .send_unless(address, request, call.is_repeatable(), pending(), may_send)
-            .await
+        upstreams.send_unless(call, pending(), may_send).await
     }
 
     /// Time left until the call's deadline. Fails if it has passed.
--- a/src/proxy/send.rs
+++ b/src/proxy/send.rs
@@ -148,9 +148,13 @@
     let abandoned = host.until_lost(&upstream);
     let ticket = reservation.grant.ticket;
     let may_send = || host.confirm_send(ticket);
-    let sending = host
-        .upstreams
-        .send_unless(address, request, is_repeatable, abandoned, may_send);
+    let call = upstream::Call {
+        address,
+        request,
+        id: inbound.metadata.id.as_deref(),
+        is_repeatable,
+    };
+    let sending = host.upstreams.send_unless(call, abandoned, may_send);
     let response = patience
         .watch(limit, sending)
         .await
@@ -170,8 +174,8 @@
     let exchange = body.exchange();
     let is_own = match &reply.id {
         Some(_) => reply.id == inbound.metadata.id,
-        // It may be an earlier refusal that was written once more.
-        None => !reply.has_not_run || exchange.is_first() || inbound.metadata.id.is_none(),
+        // It may be an earlier answer that was written once more.
+        None => exchange.is_first(),
     };
     if !is_own || reply.has_not_run {
         let event = if is_own { "turned away" } else { "crossed" };
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -2,11 +2,19 @@
 //!
 //! A failure says whether the call ran: it is `ran: "no"` only if no byte of the request was sent,
 //! and `ran: "unknown"` otherwise.
+//!
+//! A connection carries each request once. An upstream may write an answer a second time, where that
+//! to a later call is due; so the id in an answer tells which call it answers only while no two calls on
+//! the connection have the same.
 
+mod carried;
 mod metered;
 
 use {
-    self::metered::{Connection, Meter},
+    self::{
+        carried::{Carried, Key},
+        metered::{Connection, Meter},
+    },
     crate::{
         failure::{Code, Failure, Ran},
         metric::Metrics,
@@ -73,6 +81,22 @@
     meter: Meter,
     /// The next exchange on the connection.
     next: Exchange,
+    carried: Carried,
+}
+
+/// A request to an upstream.
+#[derive(Debug)]
+pub struct Call<'a> {
+    /// Address of the upstream.
+    pub address: SocketAddr,
+    /// The request as it is sent.
+    pub request: Request<Full<Bytes>>,
+    /// Id of the request, which its answer repeats. It is sent on no connection that has carried the same
+    /// id before; without an id, on a new one only.
+    pub id: Option<&'a str>,
+    /// Whether it may be sent again after a failure. If not, it uses only connections idle for less than
+    /// [`IdleLimits::max_idle_unrepeatable`], or a new one.
+    pub is_repeatable: bool,
 }
 
 /// Sends calls and pools idle connections. Clones share the pool.
@@ -87,7 +111,7 @@
 
 #[derive(Debug)]
 struct IdleConnection {
-    sender: Sender,
+    sender: Box<Sender>,
     idle_since: Instant,
 }
 
@@ -129,7 +153,7 @@
     incoming: Incoming,
     exchange: Exchange,
     framing: Framing,
-    sender: Option<Sender>,
+    sender: Option<Box<Sender>>,
     address: SocketAddr,
     client: Client,
 }
@@ -161,28 +185,49 @@
         });
     }
 
-    /// Sends a request to the upstream at `address` and waits for the head of the answer.
+    /// Sends a request to the upstream at `address` and waits for the head of the answer. Answers are not
+    /// matched to their requests: an answer too many to an earlier one may be taken for this one's.
     ///
-    /// `is_repeatable` says whether the call may be sent again after a failure. If not, it uses
-    /// only connections idle for less than [`IdleLimits::max_idle_unrepeatable`], or a new one.
+    /// `is_repeatable` as in [`Call`].
     pub async fn send(
         &self,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         is_repeatable: bool,
     ) -> Result<Response<Body>, Failure> {
-        self.send_unless(address, request, is_repeatable, pending(), || true)
+        let limit = self.max_idle(is_repeatable);
+        let next = || self.checkout(address, limit, |_| true);
+        self.send_on_first(address, request, None, next, pending(), || true)
             .await
     }
 
-    /// Like [`Self::send`], but gives up opening a connection once `abandoned` is ready, and asks
-    /// `may_send` before a byte is sent. The call has not run if either ends it; the failure is
-    /// [`Code::NotReady`] where `may_send` does.
+    /// Sends a call and waits for the head of the answer. Gives up opening a connection once `abandoned`
+    /// is ready, and asks `may_send` before a byte is sent. The call has not run if either ends it; the
+    /// failure is [`Code::NotReady`] where `may_send` does.
     pub async fn send_unless(
+        &self,
+        call: Call<'_>,
+        abandoned: impl Future<Output = ()>,
+        may_send: impl Fn() -> bool,
+    ) -> Result<Response<Body>, Failure> {
+        let limit = self.max_idle(call.is_repeatable);
+        let key = call.id.map(Key::new);
+        let next = || {
+            let key = key?;
+            self.checkout(call.address, limit, |carried| !carried.contains(key))
+        };
+        self.send_on_first(call.address, call.request, key, next, abandoned, may_send)
+            .await
+    }
+
+    /// Sends a request on the first of the idle connections that `next` returns which is still open, or on
+    /// a new one.
+    async fn send_on_first(
         &self,
         address: SocketAddr,
-        request: Request<Full<Bytes>>,
-        is_repeatable: bool,
+        mut request: Request<Full<Bytes>>,
+        key: Option<Key>,
+        next: impl Fn() -> Option<Box<Sender>>,
         abandoned: impl Future<Output = ()>,
         may_send: impl Fn() -> bool,
     ) -> Result<Response<Body>, Failure> {
@@ -191,15 +236,9 @@
                 || Failure::not_run(Code::NotReady, "the upstream may get no request any more");
             may_send().then_some(()).ok_or_else(withdrawn)
         };
-        let limit = if is_repeatable {
-            self.limits.max_idle
-        } else {
-            self.limits.max_idle_unrepeatable
-        };
-        let mut request = request;
-        while let Some(sender) = self.checkout(address, limit) {
+        while let Some(sender) = next() {
             check()?;
-            match self.send_on(address, sender, request).await {
+            match self.send_on(address, sender, request, key).await {
                 Ok(response) => return Ok(response),
                 Err(SendError {
                     request: Some(unsent),
@@ -216,11 +255,19 @@
             }
         };
         check()?;
-        self.send_on(address, sender, request)
+        self.send_on(address, Box::new(sender), request, key)
             .await
             .map_err(|error| error.failure)
     }
 
+    fn max_idle(&self, is_repeatable: bool) -> Duration {
+        if is_repeatable {
+            self.limits.max_idle
+        } else {
+            self.limits.max_idle_unrepeatable
+        }
+    }
+
     /// Whether a connection to an address can be opened within a time. It is closed again.
     pub async fn can_connect(&self, address: SocketAddr, limit: Duration) -> bool {
         let connected = timeout(limit, self.network.connect(address)).await;
@@ -242,10 +289,12 @@
     async fn send_on(
         &self,
         address: SocketAddr,
-        mut sender: Sender,
+        mut sender: Box<Sender>,
         request: Request<Full<Bytes>>,
+        key: Option<Key>,
     ) -> Result<Response<Body>, SendError> {
         sender.meter.begin_head();
+        key.into_iter().for_each(|key| sender.carried.insert(key));
         let exchange = sender.next;
         sender.next.position = exchange.position.saturating_add(1);
         match sender.requests.try_send_request(request).await {
@@ -313,22 +362,30 @@
             requests,
             meter,
             next,
+            carried: Carried::default(),
         })
     }
 
-    fn checkout(&self, address: SocketAddr, limit: Duration) -> Option<Sender> {
+    /// Takes the connection to an address that was used last, of those idle for less than `limit` whose
+    /// earlier requests `allows` accepts.
+    fn checkout(
+        &self,
+        address: SocketAddr,
+        limit: Duration,
+        allows: impl Fn(&Carried) -> bool,
+    ) -> Option<Box<Sender>> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let senders = idle.get_mut(&address)?;
         senders.retain(|idle| {
             idle.idle_since.elapsed() < self.limits.max_idle && !idle.sender.requests.is_closed()
         });
-        if senders.last()?.idle_since.elapsed() >= limit {
-            return None;
-        }
-        senders.pop().map(|idle| idle.sender)
+        let index = senders
+            .iter()
+            .rposition(|idle| idle.idle_since.elapsed() < limit && allows(&idle.sender.carried))?;
+        Some(senders.remove(index).sender)
     }
 
-    fn add_idle(&self, address: SocketAddr, sender: Sender) {
+    fn add_idle(&self, address: SocketAddr, sender: Box<Sender>) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let senders = idle.entry(address).or_default();
         if senders.len() < self.limits.max_per_upstream {
@@ -401,7 +458,7 @@
         let Some(sender) = self.sender.take() else {
             return;
         };
-        if !sender.requests.is_closed() {
+        if !sender.requests.is_closed() && !sender.carried.is_full() {
             self.client.add_idle(self.address, sender);
         }
     }
--- a/tests/upstream.rs
+++ b/tests/upstream.rs
@@ -4,14 +4,14 @@
     greengagecleat::{
         failure::{Code, Ran},
         net::Network,
-        upstream::Client,
+        upstream::{Call, Client},
     },
     http::Request,
     http_body_util::Full,
     std::{future::pending, io, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
-        net::TcpListener,
+        net::{TcpListener, TcpStream},
         time::timeout,
     },
 };
@@ -55,7 +55,13 @@
     let address = listener.local_addr().unwrap();
     let request = Request::get("/").body(Full::default()).unwrap();
     let client = Client::new(Network::Tcp);
-    let sending = client.send_unless(address, request, true, pending(), || false);
+    let call = Call {
+        address,
+        request,
+        id: Some("a"),
+        is_repeatable: true,
+    };
+    let sending = client.send_unless(call, pending(), || false);
     let failure = sending.await.expect_err("it may not be sent");
     assert_eq!((failure.code, failure.ran), (Code::NotReady, Ran::No));
     let (mut stream, _) = listener.accept().await.unwrap();
@@ -65,6 +71,57 @@
     assert_eq!(received, b"");
 }
 
+/// Answers calls until the connection is closed.
+async fn answer_all(mut stream: TcpStream) {
+    let mut received = [0; 1_024];
+    while let Ok(1..) = stream.read(&mut received).await {
+        let whole = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+        if stream.write_all(whole).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// An upstream wrote the answer to a call a second time, where that to the same call, sent again on the
+/// same connection, was due.
+#[tokio::test]
+async fn a_connection_carries_each_request_once() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(answer_all(stream));
+        }
+    });
+    let client = Client::new(Network::Tcp);
+    let exchange = async |id: Option<&str>| {
+        let call = Call {
+            address,
+            request: Request::get("/").body(Full::default()).unwrap(),
+            id,
+            is_repeatable: false,
+        };
+        let response = client.send_unless(call, pending(), || true).await.unwrap();
+        let exchange = response.body().exchange();
+        response.into_body().collect(16).await.unwrap();
+        (exchange.connection, exchange.position)
+    };
+    assert_eq!(exchange(Some("a")).await, (0, 0));
+    assert_eq!(exchange(Some("b")).await, (0, 1));
+    assert_eq!(exchange(Some("a")).await, (1, 0), "a was on the first one");
+    assert_eq!(exchange(Some("A")).await, (1, 1), "case tells ids apart");
+    assert_eq!(exchange(Some("b")).await, (1, 2));
+    assert_eq!(exchange(Some("b")).await, (2, 0), "b was on both");
+    assert_eq!(exchange(None).await, (3, 0), "without an id");
+    assert_eq!(exchange(None).await, (4, 0), "without an id, again");
+    let ids: Vec<_> = (0..1_400).map(|number| number.to_string()).collect();
+    for id in &ids {
+        exchange(Some(id)).await;
+    }
+    let (connection, _) = exchange(Some("last")).await;
+    assert_eq!(connection, 5, "the others have carried their most");
+}
+
 /// Answers a call on a connection, and a second one with the first bytes of a head.
 async fn answer_with_cut_head(listener: &TcpListener, is_kept: bool, cut: &[u8]) {
     let (mut stream, _) = listener.accept().await.unwrap();
