Take no answer without an id on a connection in use again

Callers of the gateway got 503 or 429 for calls that an upstream ran, or the answer to another caller's call. Cause: an answer without an id was taken for the call's own, also on a kept connection, where it may be an earlier answer that the upstream wrote once more. Change: such an answer counts only on a connection that has carried nothing before, as in src/proxy. The connection is closed after it, so that an upstream that repeats no ids gets each call on a new connection rather than every second answer dropped.

--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -456,7 +456,7 @@
         let Some(mut sent) = flights.sent.remove(&attempt) else {
             return Step::Actions(Vec::new());
         };
-        let response = match response {
+        let mut response = match response {
             Ok(response) => response,
             Err(failure) => {
                 sent.in_flight.fail();
@@ -469,6 +469,9 @@
             }
         };
         sent.in_flight.record_head();
+        if !response.headers().contains_key(send::REQUEST_HEADER) {
+            response.body_mut().close_at_end();
+        }
         let rest = send::requested_rest(&response);
         let actions = self.check_head(attempt, flights.offset(attempt), &response);
         if !self.exchange.is_receiving(attempt) {
@@ -563,15 +566,16 @@
             self.record_failure(format!("the upstream answered with status {status}"));
             return self.step(Event::Broken { attempt });
         }
-        let answered_id = response.headers().get(send::REQUEST_HEADER);
-        let id = match answered_id {
-            Some(id) => String::from_utf8_lossy(id.as_bytes()).into_owned(),
-            None => self.call.request_id.clone(),
+        let exchange = response.body().exchange();
+        let answered_id = match response.headers().get(send::REQUEST_HEADER) {
+            Some(id) => Some(String::from_utf8_lossy(id.as_bytes()).into_owned()),
+            // On a connection in use again it may be an earlier answer that was written once more.
+            None => exchange.is_first().then(|| self.call.request_id.clone()),
         };
         let actions = self.step(Event::Head {
             attempt,
             status,
-            id: Some(Id::from(id.as_str())),
+            id: answered_id.as_deref().map(Id::from),
             ran: None,
             retry_after: send::requested_rest(response),
         });
@@ -580,12 +584,11 @@
             .any(|action| matches!(action, Action::Drop { .. }))
         {
             self.gateway.dependencies().metrics.crossed.inc();
-            let exchange = response.body().exchange();
             tracing::info!(
                 request = self.call.request_id,
                 attempt,
                 status,
-                answered = id,
+                answered = answered_id,
                 connection = exchange.connection,
                 position = exchange.position,
                 "crossed"
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -153,6 +153,8 @@
     incoming: Incoming,
     exchange: Exchange,
     framing: Framing,
+    /// Whether the connection is closed at the end.
+    is_last: bool,
     sender: Option<Box<Sender>>,
     address: SocketAddr,
     client: Client,
@@ -305,6 +307,7 @@
                     incoming,
                     exchange,
                     framing,
+                    is_last: false,
                     sender: Some(sender),
                     address,
                     client: self.clone(),
@@ -409,6 +412,12 @@
         self.exchange
     }
 
+    /// Closes the connection at the end of the body, rather than use it again. For an answer that
+    /// doesn't say what it answers.
+    pub fn close_at_end(&mut self) {
+        self.is_last = true;
+    }
+
     /// How the end of the body is marked.
     pub fn framing(&self) -> Framing {
         self.framing
@@ -458,7 +467,7 @@
         let Some(sender) = self.sender.take() else {
             return;
         };
-        if !sender.requests.is_closed() && !sender.carried.is_full() {
+        if !self.is_last && !sender.requests.is_closed() && !sender.carried.is_full() {
             self.client.add_idle(self.address, sender);
         }
     }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -1,6 +1,8 @@
 //! Calls through entry hosts, with stand-ins for upstreams and platform on loopback.
 
 mod common;
+#[path = "gateway/copy.rs"]
+mod copy;
 #[path = "gateway/cut.rs"]
 mod cut;
 #[path = "gateway/endless.rs"]
