Grant no rest for the copy of a refusal

Callers got 503 for up to the rest that an upstream had asked for once and had already had. Cause: a refusal with another call's id is not used as the answer, but the rest that it asks for was granted before the id was looked at. Evidence: the new test failed before: the next call got 503 although the upstream served. Change: the id is looked at first, and only the call's own refusal asks for rest.

--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -472,8 +472,10 @@
         if !response.headers().contains_key(send::REQUEST_HEADER) {
             response.body_mut().close_at_end();
         }
-        let rest = send::requested_rest(&response);
-        let actions = self.check_head(attempt, flights.offset(attempt), &response);
+        let answered_id = self.answered_id(&response);
+        let is_own = answered_id.as_deref() == Some(&*self.call.request_id);
+        let rest = send::requested_rest(&response).filter(|_| is_own);
+        let actions = self.check_head(attempt, flights.offset(attempt), &response, answered_id);
         if !self.exchange.is_receiving(attempt) {
             end_refused(sent.in_flight, rest);
             self.release_slots_if(is_only);
@@ -554,24 +556,31 @@
         actions
     }
 
+    /// The id of the call that an answer belongs to, if it can be told.
+    fn answered_id(&self, response: &Response<upstream::Body>) -> Option<String> {
+        match response.headers().get(send::REQUEST_HEADER) {
+            Some(id) => Some(String::from_utf8_lossy(id.as_bytes()).into_owned()),
+            // On a connection in use again it may be an earlier answer that was written once more.
+            None => {
+                let is_first = response.body().exchange().is_first();
+                is_first.then(|| self.call.request_id.clone())
+            }
+        }
+    }
+
     /// Reports the head of an answer to the exchange.
     fn check_head(
         &mut self,
         attempt: u32,
         offset: u64,
         response: &Response<upstream::Body>,
+        answered_id: Option<String>,
     ) -> Vec<Action> {
         let status = response.status().as_u16();
         if offset > 0 && status != 200 {
             self.record_failure(format!("the upstream answered with status {status}"));
             return self.step(Event::Broken { attempt });
         }
-        let exchange = response.body().exchange();
-        let answered_id = match response.headers().get(send::REQUEST_HEADER) {
-            Some(id) => Some(String::from_utf8_lossy(id.as_bytes()).into_owned()),
-            // On a connection in use again it may be an earlier answer that was written once more.
-            None => exchange.is_first().then(|| self.call.request_id.clone()),
-        };
         let actions = self.step(Event::Head {
             attempt,
             status,
@@ -584,6 +593,7 @@
             .any(|action| matches!(action, Action::Drop { .. }))
         {
             self.gateway.dependencies().metrics.crossed.inc();
+            let exchange = response.body().exchange();
             tracing::info!(
                 request = self.call.request_id,
                 attempt,
--- a/tests/gateway/copy.rs
+++ b/tests/gateway/copy.rs
@@ -1,13 +1,16 @@
 //! Upstreams that write an answer a second time, where that to a later call on the connection is due.
 
 use {
-    crate::common::{Bed, KOLLAM, Running, chat, pools},
+    crate::common::{Bed, KOLLAM, Running, chat, pools, until},
     http::Method,
     std::{
         collections::{BTreeMap, BTreeSet},
         io,
         net::SocketAddr,
-        sync::{Arc, Mutex},
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicBool, Ordering},
+        },
         time::Duration,
     },
     testbed::{
@@ -23,6 +26,13 @@
 
 /// Calls of each kind, one after another.
 const CALLS: usize = 6;
+/// Rest that an upstream asks for.
+const REST: Duration = Duration::from_millis(600);
+/// Time until the rest is over and the host's turn has come; below the idle time after which a
+/// connection carries no receipt.
+const RETURN_TIME: Duration = Duration::from_millis(800);
+/// Time after which an upstream that was not heard of since its rest gets another request.
+const TRIAL_TIME: Duration = Duration::from_millis(300);
 
 /// Which answers are written twice, and which of their copies bear an id.
 #[derive(Debug, Clone, Copy)]
@@ -232,3 +242,63 @@
     }
     assert!(wrong.is_empty(), "{}: {wrong:#?}", wrong.len());
 }
+
+/// Starts an upstream that turns the first receipt away and asks for rest, serves all other requests,
+/// and writes that refusal once more before the next answer to a call on its connection.
+async fn start_resting() -> SocketAddr {
+    let listener = TcpListener::bind((serve::own_address(), 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let has_rested = Arc::new(AtomicBool::new(false));
+    tokio::spawn(async move {
+        while let Ok((connection, _)) = listener.accept().await {
+            tokio::spawn(rest_once(connection, has_rested.clone()));
+        }
+    });
+    address
+}
+
+async fn rest_once(connection: TcpStream, has_rested: Arc<AtomicBool>) -> io::Result<()> {
+    let mut connection = BufReader::new(connection);
+    let mut refusal = String::new();
+    while let Some(request) = raw::read_request(&mut connection).await? {
+        let id = request.header("x-request-id");
+        let is_receipt = request.target.starts_with("/receipts");
+        let mut written = encode(200, id, true, "text/plain", "served");
+        if is_receipt && !has_rested.swap(true, Ordering::Relaxed) {
+            refusal = format!(
+                "HTTP/1.1 503 \r\ncontent-length: 0\r\nretry-after: {}\r\nx-request-id: {id}\r\n\r\n",
+                REST.as_secs_f64()
+            );
+            written.clone_from(&refusal);
+        } else if request.target != "/load" {
+            written.insert_str(0, &std::mem::take(&mut refusal));
+        }
+        connection.write_all(written.as_bytes()).await?;
+    }
+    Ok(())
+}
+
+/// An upstream got no calls for the rest that the copy of an earlier refusal asked for.
+#[tokio::test]
+async fn the_copy_of_a_refusal_asks_for_no_rest() {
+    let mut bed = Bed::start().await;
+    let published = pools(start_resting().await, start_resting().await);
+    bed.platform.publish("pools", &published);
+    let host = bed.host("south-a", "south").await;
+    bed.ready(&host).await;
+    let lookup = Call::get("/lookups/1");
+    until(async || bed.send(&host, KOLLAM, lookup.clone()).await.status == 200).await;
+    let mut receipt = Call::get("/receipts/1");
+    receipt.method = Method::POST;
+    let status = async |call: &Call| bed.send(&host, KOLLAM, call.clone()).await.status.as_u16();
+    assert_eq!(status(&receipt).await, 503, "the upstream asks for rest");
+    assert_eq!(status(&lookup).await, 503, "it gets it");
+    sleep(RETURN_TIME).await;
+    assert_eq!(status(&receipt).await, 502, "the refusal comes once more");
+    sleep(TRIAL_TIME).await;
+    assert_eq!(
+        status(&lookup).await,
+        200,
+        "the upstream has asked for nothing"
+    );
+}
