Poll the load of engines on connections of their own, with ids

Callers got 502 for calls that an engine ran, and calls went on to an engine that said it was draining. Cause: load polls shared the kept connections of calls and bore no id. A report that the engine wrote once more was read as the answer to the next call, or as the next report. Change: polls have a client of their own and an id for each round, which must come back. A report without an id counts on a new connection only.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -162,7 +162,11 @@
         let (digest_mailbox, digest_inbox) = mpsc::channel(DIGEST_MAILBOX_CAPACITY);
         kernel.spawn(
             "load",
-            route::follow_load(router.clone(), upstreams.clone(), stopped.clone()),
+            route::follow_load(
+                router.clone(),
+                upstream::Client::new(upstream_network.clone()),
+                stopped.clone(),
+            ),
         );
         kernel.spawn(
             "reach",
--- a/src/route/poll.rs
+++ b/src/route/poll.rs
@@ -16,7 +16,7 @@
         name,
         net::Network,
         source::{Kind, Listing, State},
-        upstream::Client,
+        upstream::{Call, Client},
         wire,
     },
     futures::{
@@ -28,6 +28,7 @@
     http_body_util::Full,
     std::{
         collections::{BTreeMap, BTreeSet},
+        future::pending,
         net::SocketAddr,
         sync::Arc,
         time::Duration,
@@ -38,6 +39,8 @@
     },
 };
 
+/// Header with the id of a poll, which the answer repeats if the replica can.
+const REQUEST_HEADER: &str = "x-request-id";
 /// Shortest pause between two rounds of polling.
 const MIN_ROUND: Duration = Duration::from_secs(1);
 /// Largest number of load reports that a host asks for per second.
@@ -59,19 +62,21 @@
 /// Time between two statements to the neighbours while a pool is out of reach.
 const STATEMENT_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Polls the load of the followed replicas in rounds, until `stop` closes.
+/// Polls the load of the followed replicas in rounds, until `stop` closes. The `client` is for nothing
+/// else, so that no call reads an answer too many to a poll, or the other way round.
 pub async fn follow_load<C: Clock>(
     handle: Handle<C>,
     client: Client,
     mut stop: watch::Receiver<()>,
 ) {
     let rounds = async {
-        loop {
+        for round in 0_u64.. {
+            let id = format!("load-{round}");
             let followed = handle.followed();
             let spread = Duration::from_secs_f64(followed.len() as f64 / REPORTS_PER_S);
             stream::iter(followed)
                 .for_each_concurrent(MAX_CONCURRENT_REPORTS, |(upstream, address)| {
-                    poll_replica(&handle, &client, upstream, address)
+                    poll_replica(&handle, &client, &id, upstream, address)
                 })
                 .await;
             sleep(MIN_ROUND.max(spread)).await;
@@ -86,22 +91,39 @@
 async fn poll_replica<C: Clock>(
     handle: &Handle<C>,
     client: &Client,
+    id: &str,
     upstream: name::Upstream,
     address: SocketAddr,
 ) {
-    match timeout(REPORT_TIMEOUT, fetch_report(client, address)).await {
+    match timeout(REPORT_TIMEOUT, fetch_report(client, id, address)).await {
         Ok(Some(report)) => handle.with(|router, now| router.apply_report(now, &upstream, &report)),
         Ok(None) => tracing::debug!(%upstream, "no load report"),
         Err(_) => tracing::debug!(%upstream, "load report timed out"),
     }
 }
 
-async fn fetch_report(client: &Client, address: SocketAddr) -> Option<Report> {
+async fn fetch_report(client: &Client, id: &str, address: SocketAddr) -> Option<Report> {
     let request = Request::get("/load")
         .header(header::HOST, address.to_string())
+        .header(REQUEST_HEADER, id)
         .body(Full::default())
         .ok()?;
-    let response = client.send(address, request, true).await.ok()?;
+    let call = Call {
+        address,
+        request,
+        id: Some(id),
+        is_repeatable: true,
+    };
+    let sending = client.send_unless(call, pending(), || true);
+    let mut response = sending.await.ok()?;
+    match response.headers().get(REQUEST_HEADER) {
+        Some(answered) if answered == id => {}
+        None if response.body().exchange().is_first() => response.body_mut().close_at_end(),
+        answered => {
+            tracing::debug!(%address, id, ?answered, "the report is not the one asked for");
+            return None;
+        }
+    }
     if !response.status().is_success() {
         return None;
     }
--- a/testbed/src/engine/routes.rs
+++ b/testbed/src/engine/routes.rs
@@ -42,7 +42,9 @@
         (&Method::GET, "/v1/models") => Ok(models(&state)),
         (&Method::GET, "/load") => {
             let load = state.load.lock().unwrap().clone();
-            Ok(serve::json(StatusCode::OK, &load))
+            let (parts, _) = request.into_parts();
+            let report = serve::json(StatusCode::OK, &load);
+            Ok(with_request_id(report, &parts, None))
         }
         (&Method::GET, "/events") => Ok(events(&state, &request)),
         (&Method::POST, "/orders") => orders(state, request).await,
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -7,6 +7,8 @@
 mod cut;
 #[path = "gateway/endless.rs"]
 mod endless;
+#[path = "gateway/load.rs"]
+mod load;
 #[path = "gateway/rest.rs"]
 mod rest;
 #[path = "gateway/silence.rs"]
