Give each call whose answer bears no id a connection of its own

A host took one configuration document for another, with a revision that kept out the later ones of that. A host of the platform took the answer to a watch of the configuration for that of the upstreams and passed over their changes up to its revision: a replica that leaves, a key that is dropped. Cause: answers of the configuration service and of the store don't say what they answer, and all their readers shared kept connections. An answer that is written twice is read as that to the next question. Change: upstream::Client::send opens a connection for each request and closes it after the answer. The status command uses it too. No more calls are made.

--- a/src/bin/greengagecleat/status.rs
+++ b/src/bin/greengagecleat/status.rs
@@ -54,7 +54,7 @@
         .header("host", address.to_string())
         .body(Full::new(Bytes::new()))?;
     let mut body = Client::new(Network::Tcp)
-        .send(address, request, true)
+        .send(address, request)
         .await?
         .into_body();
     let mut bytes = Vec::new();
--- a/src/source/http.rs
+++ b/src/source/http.rs
@@ -43,7 +43,7 @@
         let exchange = async {
             let response = self
                 .client
-                .send(self.address, request, true)
+                .send(self.address, request)
                 .await
                 .map_err(|failure| self.protocol_error(step, failure))?;
             self.collect(step, response).await
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -32,7 +32,7 @@
     prometheus_client::metrics::counter::Counter,
     std::{
         collections::BTreeMap,
-        future::{Future, pending},
+        future::Future,
         io,
         net::SocketAddr,
         sync::{Arc, Mutex, PoisonError},
@@ -187,20 +187,18 @@
         });
     }
 
-    /// Sends a request to the upstream at `address` and waits for the head of the answer. Answers are not
-    /// matched to their requests: an answer too many to an earlier one may be taken for this one's.
-    ///
-    /// `is_repeatable` as in [`Call`].
+    /// Sends a request whose answer doesn't say what it answers, and waits for the head of that. The
+    /// request has a connection of its own, which is closed after the answer.
     pub async fn send(
         &self,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
-        is_repeatable: bool,
     ) -> Result<Response<Body>, Failure> {
-        let limit = self.max_idle(is_repeatable);
-        let next = || self.checkout(address, limit, |_| true);
-        self.send_on_first(address, request, None, next, pending(), || true)
-            .await
+        let sender = Box::new(self.connect(address).await?);
+        let sending = self.send_on(address, sender, request, None);
+        let mut response = sending.await.map_err(|error| error.failure)?;
+        response.body_mut().close_at_end();
+        Ok(response)
     }
 
     /// Sends a call and waits for the head of the answer. Gives up opening a connection once `abandoned`
@@ -212,27 +210,19 @@
         abandoned: impl Future<Output = ()>,
         may_send: impl Fn() -> bool,
     ) -> Result<Response<Body>, Failure> {
-        let limit = self.max_idle(call.is_repeatable);
-        let key = call.id.map(Key::new);
-        let next = || {
-            let key = key?;
-            self.checkout(call.address, limit, |carried| !carried.contains(key))
+        let Call {
+            address,
+            mut request,
+            id,
+            is_repeatable,
+        } = call;
+        let limit = if is_repeatable {
+            self.limits.max_idle
+        } else {
+            self.limits.max_idle_unrepeatable
         };
-        self.send_on_first(call.address, call.request, key, next, abandoned, may_send)
-            .await
-    }
-
-    /// Sends a request on the first of the idle connections that `next` returns which is still open, or on
-    /// a new one.
-    async fn send_on_first(
-        &self,
-        address: SocketAddr,
-        mut request: Request<Full<Bytes>>,
-        key: Option<Key>,
-        next: impl Fn() -> Option<Box<Sender>>,
-        abandoned: impl Future<Output = ()>,
-        may_send: impl Fn() -> bool,
-    ) -> Result<Response<Body>, Failure> {
+        let key = id.map(Key::new);
+        let next = || self.checkout(address, limit, key?);
         let check = || {
             let withdrawn =
                 || Failure::not_run(Code::NotReady, "the upstream may get no request any more");
@@ -262,14 +252,6 @@
             .map_err(|error| error.failure)
     }
 
-    fn max_idle(&self, is_repeatable: bool) -> Duration {
-        if is_repeatable {
-            self.limits.max_idle
-        } else {
-            self.limits.max_idle_unrepeatable
-        }
-    }
-
     /// Whether a connection to an address can be opened within a time. It is closed again.
     pub async fn can_connect(&self, address: SocketAddr, limit: Duration) -> bool {
         let connected = timeout(limit, self.network.connect(address)).await;
@@ -369,22 +351,17 @@
         })
     }
 
-    /// Takes the connection to an address that was used last, of those idle for less than `limit` whose
-    /// earlier requests `allows` accepts.
-    fn checkout(
-        &self,
-        address: SocketAddr,
-        limit: Duration,
-        allows: impl Fn(&Carried) -> bool,
-    ) -> Option<Box<Sender>> {
+    /// Takes the connection to an address that was used last, of those idle for less than `limit` that
+    /// have not carried a request with this key.
+    fn checkout(&self, address: SocketAddr, limit: Duration, key: Key) -> Option<Box<Sender>> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let senders = idle.get_mut(&address)?;
         senders.retain(|idle| {
             idle.idle_since.elapsed() < self.limits.max_idle && !idle.sender.requests.is_closed()
         });
-        let index = senders
-            .iter()
-            .rposition(|idle| idle.idle_since.elapsed() < limit && allows(&idle.sender.carried))?;
+        let index = senders.iter().rposition(|idle| {
+            idle.idle_since.elapsed() < limit && !idle.sender.carried.contains(key)
+        })?;
         Some(senders.remove(index).sender)
     }
 
--- a/tests/upstream.rs
+++ b/tests/upstream.rs
@@ -23,7 +23,7 @@
     let address = listener.local_addr().unwrap();
     let request = Request::get("/").body(Full::default()).unwrap();
     let client = Client::new(Network::Tcp);
-    let calling = client.send(address, request, true);
+    let calling = client.send(address, request);
     let given_up = timeout(Duration::from_millis(100), calling).await;
     assert!(given_up.is_err(), "nothing answers");
     let (mut stream, _) = listener.accept().await.unwrap();
@@ -42,7 +42,7 @@
     let body = Full::from(vec![0; 32 * 1024 * 1024]);
     let request = Request::post("/").body(body).unwrap();
     let client = Client::new(Network::Tcp);
-    let calling = client.send(address, request, true);
+    let calling = client.send(address, request);
     let called = timeout(Duration::from_secs(20), calling).await;
     let failure = called.expect("the call ends").expect_err("it fails");
     assert_eq!(failure.ran, Ran::Unknown, "some bytes have arrived");
@@ -147,16 +147,21 @@
     for (head, is_kept) in heads.iter().flat_map(|head| [(head, false), (head, true)]) {
         for bytes in 1..head.len() {
             let client = Client::new(Network::Tcp);
-            let call = async || {
-                let request = Request::get("/").body(Full::default()).unwrap();
-                client.send(address, request, false).await
+            let call = async |id| {
+                let call = Call {
+                    address,
+                    request: Request::get("/").body(Full::default()).unwrap(),
+                    id: Some(id),
+                    is_repeatable: false,
+                };
+                client.send_unless(call, pending(), || true).await
             };
             let calling = async {
                 if is_kept {
-                    let (_, body) = call().await.unwrap().into_parts();
+                    let (_, body) = call("a").await.unwrap().into_parts();
                     body.collect(16).await.unwrap();
                 }
-                call().await
+                call("b").await
             };
             let cut = answer_with_cut_head(&listener, is_kept, &head[..bytes]);
             let (called, ()) = tokio::join!(calling, cut);
