Show that a request without an id closes its connection after the answer

Each call to the store and the configuration service opens a connection; one that stayed open would be of no use to any later call, and there would be one for each.

--- a/tests/upstream.rs
+++ b/tests/upstream.rs
@@ -122,6 +122,29 @@
     assert_eq!(connection, 5, "the others have carried their most");
 }
 
+/// Connections that no later request could use would stay open.
+#[tokio::test]
+async fn a_request_without_an_id_closes_its_connection_after_the_answer() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let client = Client::new(Network::Tcp);
+    for _ in 0..2 {
+        let request = Request::get("/").body(Full::default()).unwrap();
+        let calling = async {
+            let response = client.send(address, request).await.unwrap();
+            assert!(response.body().exchange().is_first());
+            response.into_body().collect(16).await.unwrap();
+        };
+        let answering = async {
+            let (stream, _) = listener.accept().await.unwrap();
+            answer_all(stream).await;
+        };
+        let both = async { tokio::join!(calling, answering) };
+        let ended = timeout(Duration::from_secs(5), both).await;
+        ended.expect("the connection is closed");
+    }
+}
+
 /// Answers a call on a connection, and a second one with the first bytes of a head.
 async fn answer_with_cut_head(listener: &TcpListener, is_kept: bool, cut: &[u8]) {
     let (mut stream, _) = listener.accept().await.unwrap();
