Believe what an answer says of its upstream only once it is known to be the request's own

Callers got 503 as their upstream got no request any more. Cause: an answer too many, to an earlier request on the connection, was read for its word that the upstream leaves before its id was compared. Evidence: an_upstream_does_not_leave_because_... failed before, 503 for each request after the crossed one. Change: an answer to another request counts as a failure of the upstream, as before, and what it says is not read. An upstream that does leave says so in each of its own answers.

--- a/src/proxy/send.rs
+++ b/src/proxy/send.rs
@@ -167,10 +167,6 @@
     let reply = host
         .dialect
         .parse_reply(head.status.as_u16(), &head.headers);
-    log_told(host, inbound, &upstream, &reply);
-    if reply.leaving == Field::Value(true) {
-        reservation.record_leaving();
-    }
     let exchange = body.exchange();
     let is_own = match &reply.id {
         Some(_) => reply.id == inbound.metadata.id,
@@ -186,6 +182,10 @@
         host.metrics.crossed.inc();
         return Err(upstream_failed("the upstream answered another request"));
     }
+    log_told(host, inbound, &upstream, &reply);
+    if reply.leaving == Field::Value(true) {
+        reservation.record_leaving();
+    }
     if reply.is_misdirected {
         reservation.outcome = Outcome::NotRun;
         let change = host.core().remove_misdirected(now, &upstream);
