Remove no upstream for a request that was misdirected at its start before

An upstream that had started again at another address got no request until it was listed again. Cause: a request was on its way to its old address, which another upstream had taken; the 421 removed whatever bore its name by then. All else that an answer says is recorded for the start to which the request was sent. Evidence: a_misdirected_request_of_the_start_before_... fails without the comparison: the upstream is gone. Change: the 421 belongs to the reservation, and removes its upstream only if that is the same start. The list is read again in either case. Result: the test passes; a misdirected request of the present start removes it as before.

--- a/src/proxy/core/mod.rs
+++ b/src/proxy/core/mod.rs
@@ -507,15 +507,16 @@
         reports
     }
 
-    /// Removes an upstream whose address turned out to belong to another one. The list of upstreams
-    /// is then out of date and is read again.
-    pub fn remove_misdirected(
-        &mut self,
-        now: Duration,
-        upstream: &name::Upstream,
-    ) -> Option<Change> {
+    /// Removes the upstream of a reservation, as its address turned out to belong to another one. The
+    /// list of upstreams is then out of date and is read again.
+    pub fn remove_misdirected(&mut self, now: Duration, ticket: u64) -> Option<Change> {
         self.reader_role.invalidate(now, Section::Upstreams);
-        self.catalog.remove_misdirected(now, upstream)
+        let reservation = self.reservations.get(&ticket)?;
+        let replica = self.catalog.get(&reservation.upstream)?;
+        if replica.process() != reservation.process {
+            return None;
+        }
+        self.catalog.remove_misdirected(now, &reservation.upstream)
     }
 
     /// Returns the announcement that is due now of what this host has read from the platform's
--- a/src/proxy/send.rs
+++ b/src/proxy/send.rs
@@ -188,7 +188,7 @@
     }
     if reply.is_misdirected {
         reservation.outcome = Outcome::NotRun;
-        let change = host.core().remove_misdirected(now, &upstream);
+        let change = host.core().remove_misdirected(now, ticket);
         host.log_changes(change);
         return Err(no_capacity("the address belongs to another upstream"));
     }
--- a/tests/proxy/core.rs
+++ b/tests/proxy/core.rs
@@ -248,3 +248,27 @@
     let next = forwardable(&job(&core, ms(1), 1, 30_000));
     assert_eq!(core.place(ms(1), &next), Placement::Wait);
 }
+
+/// A request that was sent to the address of before was turned away there, and the upstream that had
+/// started again elsewhere was removed.
+#[test]
+fn a_misdirected_request_of_the_start_before_removes_no_upstream() {
+    let place = |core: &mut Core, at| {
+        let next = job(core, ms(at), 1, at);
+        match core.place(ms(at), &next) {
+            Placement::Local(grant) => grant,
+            other => panic!("{other:?}"),
+        }
+    };
+    let mut core = core(1);
+    let early = place(&mut core, 10);
+    let mut restarted = common::entry("e0", "north-a", POOL, 1);
+    restarted.incarnation = 2;
+    restarted.address = common::address(9);
+    core.catalog.upsert(ms(20), restarted);
+    assert_eq!(core.remove_misdirected(ms(21), early.ticket), None);
+    let late = place(&mut core, 6_000);
+    assert_eq!(late.address, common::address(9));
+    let change = core.remove_misdirected(ms(6_001), late.ticket);
+    assert_eq!(change, Some(Change::Gone("e0".into())));
+}
