--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -1,10 +1,14 @@
 //! Calls through entry hosts, with stand-ins for upstreams and platform on loopback.
 
 mod common;
+#[path = "gateway/copy.rs"]
+mod copy;
 #[path = "gateway/cut.rs"]
 mod cut;
 #[path = "gateway/endless.rs"]
 mod endless;
+#[path = "gateway/load.rs"]
+mod load;
 #[path = "gateway/rest.rs"]
 mod rest;
 #[path = "gateway/silence.rs"]
