Leave no connection behind for each request of one id

A caller that sent one id again and again, or none, left up to 32 connections open from a host to an upstream, which takes so many from all hosts and resets those beyond that: other callers' requests. Cause: since a connection carries each id once, a new one was opened beside those that had carried it. Change: idle connections that have carried the id are closed when it comes again, as is that of a request without an id. As many are opened as before.

--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -93,7 +93,7 @@
     /// The request as it is sent.
     pub request: Request<Full<Bytes>>,
     /// Id of the request, which its answer repeats. It is sent on no connection that has carried the same
-    /// id before; without an id, on a new one only.
+    /// id before; without an id, on one of its own.
     pub id: Option<&'a str>,
     /// Whether it may be sent again after a failure. If not, it uses only connections idle for less than
     /// [`IdleLimits::max_idle_unrepeatable`], or a new one.
@@ -197,9 +197,7 @@
     ) -> Result<Response<Body>, Failure> {
         let sender = Box::new(self.connect(address).await?);
         let sending = self.send_on(address, sender, request, None);
-        let mut response = sending.await.map_err(|error| error.failure)?;
-        response.body_mut().close_at_end();
-        Ok(response)
+        sending.await.map_err(|error| error.failure)
     }
 
     /// Sends a call and waits for the head of the answer. Gives up opening a connection once `abandoned`
@@ -298,7 +296,7 @@
                     incoming,
                     exchange,
                     framing,
-                    is_last: false,
+                    is_last: key.is_none(),
                     sender: Some(sender),
                     address,
                     client: self.clone(),
@@ -360,18 +358,20 @@
         })
     }
 
-    /// Takes the connection to an address that was used last, of those idle for less than `limit` that
-    /// have not carried a request with this key.
+    /// Takes the connection to an address that was used last, if it has been idle for less than `limit`.
+    /// Closes those that have carried a request with this key, or requests of one id would each leave
+    /// another connection behind.
     fn checkout(&self, address: SocketAddr, limit: Duration, key: Key) -> Option<Box<Sender>> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let senders = idle.get_mut(&address)?;
         senders.retain(|idle| {
-            idle.idle_since.elapsed() < self.limits.max_idle && !idle.sender.requests.is_closed()
+            let is_usable = !idle.sender.requests.is_closed() && !idle.sender.carried.contains(key);
+            is_usable && idle.idle_since.elapsed() < self.limits.max_idle
         });
-        let index = senders.iter().rposition(|idle| {
-            idle.idle_since.elapsed() < limit && !idle.sender.carried.contains(key)
-        })?;
-        Some(senders.remove(index).sender)
+        if senders.last()?.idle_since.elapsed() >= limit {
+            return None;
+        }
+        senders.pop().map(|idle| idle.sender)
     }
 
     fn add_idle(&self, address: SocketAddr, sender: Box<Sender>) {
