--- a/src/upstream/head.rs
+++ b/src/upstream/head.rs
@@ -1,26 +1,61 @@
-//! The head of an answer.
+//! Finds a second status line within the head of an answer. An answer too many that was cut short within
+//! its head and the answer behind it would be read as one, with the status of the first and the id of the
+//! second.
 
-use {
-    http::{HeaderValue, Response},
-    hyper::ext::ReasonPhrase,
-};
+/// Length of a status line up to the first digit of its code, as `HTTP/1.1 2`.
+const STATUS_LINE_BYTES: usize = 10;
 
-/// Length of a status line up to its status.
-const STATUS_LINE_BYTES: usize = "HTTP/1.1 200".len();
-
-/// Whether another answer's status line stands within the head: one that was cut short, and the answer
-/// behind it, were read as one.
-pub(super) fn is_spliced<B>(response: &Response<B>) -> bool {
-    let reason = response.extensions().get::<ReasonPhrase>();
-    let reason = reason.map(ReasonPhrase::as_bytes);
-    let values = response.headers().values().map(HeaderValue::as_bytes);
-    reason.into_iter().chain(values).any(has_status_line)
+/// The head that is being read.
+#[derive(Debug, Default)]
+pub(super) struct Head {
+    /// Number of bytes of a status line that were just read.
+    matched: usize,
+    has_status_line: bool,
+    /// Whether another head follows this one.
+    is_interim: bool,
+    is_line_empty: bool,
+    is_complete: bool,
 }
 
-fn has_status_line(text: &[u8]) -> bool {
-    let mut lines = text.windows(STATUS_LINE_BYTES);
-    lines.any(|line| match line.strip_prefix(b"HTTP/1.") {
-        Some([b'0'..=b'9', b' ', status @ ..]) => status.iter().all(u8::is_ascii_digit),
-        _ => false,
-    })
+impl Head {
+    /// Reads further bytes, which may go beyond the head. Returns whether another one begins within it.
+    pub(super) fn read(&mut self, bytes: &[u8]) -> bool {
+        for byte in bytes {
+            if self.is_complete {
+                return false;
+            }
+            if self.read_byte(*byte) {
+                return true;
+            }
+        }
+        false
+    }
+
+    fn read_byte(&mut self, byte: u8) -> bool {
+        let is_expected = match self.matched {
+            7 | 9 => byte.is_ascii_digit(),
+            matched => b"HTTP/1.. "[matched] == byte,
+        };
+        self.matched = if is_expected {
+            self.matched + 1
+        } else {
+            usize::from(byte == b'H')
+        };
+        if self.matched == STATUS_LINE_BYTES {
+            if self.has_status_line {
+                return true;
+            }
+            self.matched = 0;
+            self.has_status_line = true;
+            self.is_interim = byte == b'1';
+        }
+        match byte {
+            b'\n' if self.is_line_empty && self.is_interim => *self = Self::default(),
+            b'\n' if self.is_line_empty => self.is_complete = true,
+            b'\n' => self.is_line_empty = self.has_status_line,
+            b'\r' => {}
+            _ => self.is_line_empty = false,
+        }
+        false
+    }
 }
