Choose upstreams by the load that they report

Cause: a replica that slows down for 600 ms is noticed by answers that arrive when the slow spell is over, and the counts of other hosts are up to 0.5 s old.

Change: proxy::load keeps the newest reading of each process of an upstream, with the slowdown for 600 ms and the numbers of requests for 1 s. Hosts of a region share what they took in Report.loads. Plain upstreams with readings are drawn with a chance of 1 / predicted time cubed, since hosts with the same readings would else all choose the same one; without readings the choice is as before. Engines' predictions are multiplied by the slowdown, and learned averages leave it out.

--- a/src/proxy/core/mod.rs
+++ b/src/proxy/core/mod.rs
@@ -4,6 +4,7 @@
 //! it with the reports of other hosts, the listings of upstreams, the configurations and the
 //! progress of answers, and sends the requests and reports that it returns.
 
+mod load;
 mod origin;
 mod prompt;
 mod region;
@@ -17,6 +18,7 @@
         catalog::{Catalog, Change},
         fleet::{Fleet, GONE_AFTER, Identity, Peer, Recipient, Report, Update},
         follow::Section,
+        load::news,
         origin::Ledger,
         place::{self, Choice, Job},
         quarantine::{self, Process, Quarantine, SETTLING_TIME, Suspect, Verdict, Withheld},
@@ -175,6 +177,8 @@
     memory_tokens: u32,
     prefill_tokens: f64,
     predicted_ms: f64,
+    /// Slowdown that the upstream had reported when it was chosen.
+    slowdown: f64,
     sent_at: Duration,
     /// When it was last counted among the requests that a cold upstream gets.
     counted_at: Duration,
@@ -187,6 +191,12 @@
 }
 
 impl Reservation {
+    /// Time that an answer of an upstream would have taken without the slowdown that it has reported,
+    /// in milliseconds. The slowdown may have begun or ended meanwhile, so it is the mean of both.
+    fn usual_ms(&self, took_ms: f64, slowdown: f64) -> f64 {
+        took_ms / (0.5 * (self.slowdown + slowdown))
+    }
+
     /// Whether the answer has lasted for [`SETTLING_TIME`].
     fn has_settled(&self, now: Duration) -> bool {
         let lasts = |at: Duration| now.saturating_sub(at) >= SETTLING_TIME;
@@ -405,6 +415,7 @@
                     reception.limits.extend(change);
                 }
             }
+            self.receive_loads(now, host, &report.loads);
         }
         reception
     }
@@ -446,6 +457,7 @@
             })
             .collect();
         let departing: Vec<_> = self.catalog.leaving().collect();
+        let loads = self.loads(now);
         let contacts: Vec<_> = self
             .fleet
             .peers()
@@ -480,6 +492,11 @@
                 } else {
                     Vec::new()
                 },
+                loads: if recipient.is_same_region {
+                    news(&loads, now.saturating_sub(recipient.news_since))
+                } else {
+                    Vec::new()
+                },
                 spare: if recipient.includes_spare {
                     spare.clone()
                 } else {
@@ -748,7 +765,7 @@
                 .record_prompt(now, &job.prefixes, engine.memory_tokens);
         }
         let (address, build) = (replica.entry.address, replica.entry.build.clone());
-        let process = replica.process();
+        let (process, slowdown) = (replica.process(), replica.slowdown(now));
         self.quarantine.record_sent(now, &job.suspects);
         let reservation = Reservation {
             upstream: choice.upstream.clone(),
@@ -758,6 +775,7 @@
             memory_tokens,
             prefill_tokens: choice.prefill_tokens,
             predicted_ms: choice.predicted_ms,
+            slowdown,
             sent_at: now,
             counted_at: now,
             is_engine: engine.is_some(),
@@ -833,6 +851,9 @@
         self.quarantine.retract_end(reservation.process);
         let took_ms = millis(now.saturating_sub(reservation.sent_at));
         let ratio = took_ms / reservation.predicted_ms.max(1.0);
+        let replica = self.catalog.get(&reservation.upstream);
+        let slowdown = replica.map_or(1.0, |replica| replica.slowdown(now));
+        let usual_ms = reservation.usual_ms(took_ms, slowdown);
         let (prefill_tokens, is_engine) = (reservation.prefill_tokens, reservation.is_engine);
         let (pool, upstream) = (reservation.pool.clone(), reservation.upstream.clone());
         let (priority, uncached_tokens) = (
@@ -846,14 +867,14 @@
             estimates.service_ms
         };
         if is_engine {
-            estimates.speed.observe(prefill_tokens, took_ms);
+            estimates.speed.observe(prefill_tokens, usual_ms);
         }
         if let Some(replica) = self.catalog.get_mut(&upstream) {
             replica.record_progress(now);
             replica.own_tally.prefill_tokens[priority] =
                 replica.own_tally.prefill_tokens[priority].saturating_sub(uncached_tokens);
             replica.rest.record_answer(now);
-            replica.observe_slowness(now, took_ms / predicted_ms.max(1.0));
+            replica.observe_slowness(now, usual_ms / predicted_ms.max(1.0));
         }
         Some(ratio)
     }
@@ -936,7 +957,12 @@
     /// Ends a reservation and records how the attempt went.
     pub fn release(&mut self, now: Duration, ticket: u64, outcome: Outcome) -> Option<Change> {
         let reservation = self.reservations.remove(&ticket)?;
+        let mut slowdown = 1.0;
         if let Some(replica) = self.catalog.get_mut(&reservation.upstream) {
+            slowdown = replica.slowdown(now);
+            if replica.process() == reservation.process {
+                replica.load.record_end(now);
+            }
             let own = &mut replica.own_tally;
             own.running = own.running.saturating_sub(1);
             own.memory_tokens = own.memory_tokens.saturating_sub(reservation.memory_tokens);
@@ -949,7 +975,7 @@
         if outcome == Outcome::Success && !reservation.is_engine {
             let took_ms = millis(now.saturating_sub(reservation.sent_at));
             self.catalog
-                .observe_service_time(&reservation.pool, took_ms);
+                .observe_service_time(&reservation.pool, reservation.usual_ms(took_ms, slowdown));
         }
         self.catalog
             .record_outcome(now, &reservation.upstream, outcome)
--- a/src/proxy/fleet.rs
+++ b/src/proxy/fleet.rs
@@ -9,6 +9,7 @@
 
 use {
     super::{
+        load,
         quarantine::{Evidence, Process},
         rate::Usage,
         reach,
@@ -103,6 +104,10 @@
     /// Upstreams of the sender's region that are leaving; only to hosts of the same region.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub departing: Vec<(name::Upstream, Process)>,
+    /// Load that upstreams of the sender's region have reported to the sender since the report before
+    /// the last one; only to hosts of the same region.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub loads: Vec<load::Report>,
     /// Upstreams that the sender or others of its region can't reach; only to hosts of the same region.
     #[serde(default, skip_serializing_if = "reach::Report::is_empty")]
     pub reach: reach::Report,
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -17,6 +17,7 @@
 mod headers;
 pub mod host;
 pub mod intake;
+pub mod load;
 pub mod memory;
 pub mod origin;
 pub mod place;
--- a/src/proxy/place.rs
+++ b/src/proxy/place.rs
@@ -14,6 +14,7 @@
         cache::{self, Prefix},
         catalog::{Catalog, INITIAL_SERVICE_MS},
         fingerprint::Fingerprint,
+        load,
         quarantine::Suspect,
         replica::{Replica, millis},
         speed::Speed,
@@ -204,10 +205,10 @@
     }
 }
 
-/// An engine that may take a job.
+/// An upstream that may take a job.
 struct Candidate {
     choice: Choice,
-    /// Predicted cost in milliseconds; the least is chosen.
+    /// Predicted cost, or the result of a draw by it; the least is chosen.
     score: f64,
 }
 
@@ -276,6 +277,9 @@
     let service_ms = catalog
         .estimates(&pool.name)
         .map_or(INITIAL_SERVICE_MS, |estimates| estimates.service_ms);
+    let has_readings = |replica: &&Replica| replica.load.requests(now).is_some();
+    let is_drawn = candidates.iter().any(has_readings);
+    let draw = affinity::mix(job.fingerprint.0 ^ now.as_nanos() as u64);
     candidates
         .iter()
         .filter_map(|replica| {
@@ -284,18 +288,30 @@
             if running >= slots * PLAIN_REQUESTS_PER_SLOT {
                 return None;
             }
-            let wait_ms = (running + 1.0 - slots).max(0.0) / slots * service_ms;
+            let (requests, slots) = (replica.requests(now), f64::from(replica.slots(now)));
+            let wait_ms = (f64::from(requests) + 1.0 - slots).max(0.0) / slots
+                * (replica.slowdown(now) * service_ms);
             let predicted_ms = replica.slowness(now) * service_ms + wait_ms;
             let is_on_time = job.timeliness(now, predicted_ms, wait_ms)?;
-            Some(Choice {
+            let score = if is_drawn {
+                load::score(predicted_ms, affinity::weight(draw, replica.point))
+            } else {
+                predicted_ms
+            };
+            let choice = Choice {
                 upstream: replica.entry.id.clone(),
                 predicted_ms,
                 prefill_tokens: 0.0,
                 uncached_tokens: 0,
                 is_on_time,
-            })
+            };
+            Some(Candidate { choice, score })
         })
-        .min_by(|left, right| left.predicted_ms.total_cmp(&right.predicted_ms))
+        .min_by(|left, right| {
+            let by_time = right.choice.is_on_time.cmp(&left.choice.is_on_time);
+            by_time.then(left.score.total_cmp(&right.score))
+        })
+        .map(|candidate| candidate.choice)
 }
 
 /// The learned speed of a pool: prompt tokens prefilled per millisecond, and the milliseconds
--- a/src/proxy/replica.rs
+++ b/src/proxy/replica.rs
@@ -5,6 +5,7 @@
     super::{
         cache::Cache,
         entry::Entry,
+        load::Estimate,
         quarantine::{Certainty, End, Process},
         reach::Reach,
         throttle::Throttle,
@@ -109,6 +110,8 @@
     pub throttle: Throttle,
     /// The rest that it has asked this host for.
     pub rest: Rest,
+    /// The load that it reports.
+    pub load: Estimate,
     /// Whether this host and others reach it.
     pub reach: Reach,
     /// Requests that other hosts report to have at the upstream, with the time of the report.
@@ -163,6 +166,7 @@
             is_unreadable: false,
             throttle: Throttle::default(),
             rest: Rest::default(),
+            load: Estimate::default(),
             reach: Reach::default(),
             other_tallies: BTreeMap::new(),
             cold_until: Duration::ZERO,
@@ -301,14 +305,34 @@
         })
     }
 
-    /// Factor by which the upstream is slower than its pool; 1 unless it clearly and recently was.
+    /// Factor by which the upstream is slower than its pool usually is: what it reports itself, times
+    /// what was observed beyond that, which is 1 unless it clearly and recently was slower.
     pub fn slowness(&self, now: Duration) -> f64 {
         let is_fresh = now.saturating_sub(self.slowness_observed_at) < SLOWNESS_TTL;
-        if is_fresh && self.slowness >= SLOW_THRESHOLD {
+        let observed = if is_fresh && self.slowness >= SLOW_THRESHOLD {
             self.slowness
         } else {
             1.0
-        }
+        };
+        self.slowdown(now) * observed
+    }
+
+    /// Factor by which the upstream reports that work takes longer than usual; 1 if it reports none, or
+    /// none that is recent.
+    pub fn slowdown(&self, now: Duration) -> f64 {
+        self.load.slowdown(now)
+    }
+
+    /// Requests that run or wait at the upstream: its own figure, but no less than hosts have there.
+    pub fn requests(&self, now: Duration) -> u32 {
+        let running = self.running(now);
+        running.max(self.load.requests(now).unwrap_or(running))
+    }
+
+    /// Requests that the upstream can work on at once: its own figure, but no more than published.
+    pub fn slots(&self, now: Duration) -> u32 {
+        let published = self.entry.slots.max(1);
+        published.min(self.load.slots(now).unwrap_or(published))
     }
 
     /// Records that a piece of an answer arrived.
@@ -377,6 +401,7 @@
         }
         self.count_send(now);
         self.rest.record_send(now);
+        self.load.record_send(now);
         self.health.record_sent(now);
     }
 
@@ -396,8 +421,8 @@
         self.send_times.push_back(now);
     }
 
-    /// Adds an observed slowness: the time to a first byte over the time that the pool's averages
-    /// predict.
+    /// Adds an observed slowness: the time to a first byte, without the slowdown that the upstream
+    /// reports, over the time that the pool's averages predict.
     pub fn observe_slowness(&mut self, now: Duration, ratio: f64) {
         let ratio = ratio.clamp(SLOWNESS_RANGE.0, SLOWNESS_RANGE.1);
         self.slowness += SLOWNESS_EWMA_WEIGHT * (ratio - self.slowness);
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -18,6 +18,8 @@
 mod fleet;
 #[path = "proxy/leaving.rs"]
 mod leaving;
+#[path = "proxy/load.rs"]
+mod load;
 #[path = "proxy/memory.rs"]
 mod memory;
 #[path = "proxy/origin.rs"]
--- a/tests/proxy/common.rs
+++ b/tests/proxy/common.rs
@@ -137,6 +137,7 @@
         evidence: Vec::new(),
         limits: Vec::new(),
         departing: Vec::new(),
+        loads: Vec::new(),
         contacts: Vec::new(),
     }
 }
