Read X-Replica-Load from upstreams' answers

Cause: the load that replicas report was not read.

Metrics load_readings and load_readings_malformed.

--- a/src/proxy/dialect.rs
+++ b/src/proxy/dialect.rs
@@ -2,7 +2,7 @@
 //! types and writes the headers that upstreams expect.
 
 use {
-    super::throttle::Notice,
+    super::{load::Reading, throttle::Notice},
     crate::{failure::Failure, name},
     http::{HeaderMap, request},
     std::{sync::Arc, time::Duration},
@@ -85,6 +85,8 @@
     pub leaving: Field<bool>,
     /// How long the upstream, which has turned the request away, wants no other from this host.
     pub rest: Field<Duration>,
+    /// The load that the upstream reports of itself.
+    pub load: Field<Reading>,
 }
 
 /// Translates between a platform's headers and the gateway's types.
--- a/src/proxy/host.rs
+++ b/src/proxy/host.rs
@@ -14,9 +14,10 @@
         answer::{Answer, Inbound},
         catalog::Change,
         core::{Core, Grant, Placement, Provenance, Setup},
-        dialect::Dialect,
+        dialect::{Dialect, Field},
         fleet::{self, Update},
         follow::Section,
+        load,
         memory::Ledger,
         place::Job,
         quarantine::Process,
@@ -115,6 +116,10 @@
     pub(super) relayed: Counter,
     /// Rests that upstreams have asked for.
     rests: Counter,
+    /// Readings of upstreams' load that answers brought.
+    load_readings: Counter,
+    /// Answers with a load that can't be read.
+    malformed_loads: Counter,
     /// Changed when an upstream is reached no more, or again.
     reach_changes: watch::Sender<u64>,
     /// Upstreams that are being asked whether they have ended.
@@ -185,6 +190,8 @@
         let cut_off = Gauge::default();
         let relayed = Counter::default();
         let rests = Counter::default();
+        let load_readings = Counter::default();
+        let malformed_loads = Counter::default();
         let answer_memory = Ledger::new(dependencies.memory_limit);
         let request_memory = Ledger::new(dependencies.memory_limit);
         let store_calls = Counter::default();
@@ -277,6 +284,16 @@
                 "Rests that upstreams have asked this host for",
                 rests.clone(),
             );
+            registry.register(
+                "load_readings",
+                "Readings of their load that upstreams' answers to this host brought",
+                load_readings.clone(),
+            );
+            registry.register(
+                "load_readings_malformed",
+                "Answers of upstreams with a load that can't be read",
+                malformed_loads.clone(),
+            );
             registry.register(
                 "log_lines_sampled_out",
                 "Lines of successful requests that were not logged",
@@ -306,6 +323,8 @@
             cut_off,
             relayed,
             rests,
+            load_readings,
+            malformed_loads,
             reach_changes: watch::channel(0).0,
             probed: Mutex::default(),
             phase: dependencies.phase,
@@ -835,6 +854,27 @@
         }
     }
 
+    /// Records the load that the head of the answer to a request reports.
+    pub(super) fn record_load(&self, request: &str, load: Field<load::Reading>) {
+        let (now, ticket) = (self.host.clock.now(), self.grant.ticket);
+        match load {
+            Field::Absent => {}
+            Field::Value(reading) => {
+                if self.host.core().record_load(now, ticket, reading) {
+                    self.host.load_readings.inc();
+                }
+            }
+            Field::Malformed => {
+                self.host.malformed_loads.inc();
+                let is_due = self.host.core().record_malformed_load(now, ticket);
+                if is_due && self.host.should_log(request) {
+                    tracing::warn!(event = "load", request, upstream = %self.grant.upstream,
+                        "the upstream reports a load that can't be read");
+                }
+            }
+        }
+    }
+
     /// Records that the head of the answer says that the upstream is leaving.
     pub(super) fn record_leaving(&self) {
         let change = self.host.core().record_leaving(self.grant.ticket);
--- a/src/proxy/send.rs
+++ b/src/proxy/send.rs
@@ -193,6 +193,7 @@
         return Err(no_capacity("the address belongs to another upstream"));
     }
     reservation.record_notice(reply.limit);
+    reservation.record_load(inbound.id(), reply.load);
     if let Field::Value(rest) = reply.rest {
         reservation.record_rest(rest);
     }
