--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -36,6 +36,8 @@
 mod region;
 #[path = "proxy/replay.rs"]
 mod replay;
+#[path = "proxy/report.rs"]
+mod report;
 #[path = "proxy/rest.rs"]
 mod rest;
 #[path = "proxy/sample.rs"]
