--- a/tests/proxy/common.rs
+++ b/tests/proxy/common.rs
@@ -139,6 +139,7 @@
         departing: Vec::new(),
         loads: Vec::new(),
         contacts: Vec::new(),
+        heard: None,
     }
 }
 
