--- a/src/proxy/fleet.rs
+++ b/src/proxy/fleet.rs
@@ -68,6 +68,10 @@
     pub peers: SocketAddr,
     /// Number that grows with each start of the process.
     pub incarnation: u64,
+    /// Computing capacity, in thousandths of a core; `None` if the host doesn't know it, or is of a
+    /// build that doesn't tell.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub capacity: Option<u32>,
 }
 
 /// A message with which a host reports its state to another one.
--- a/tests/proxy/common.rs
+++ b/tests/proxy/common.rs
@@ -115,6 +115,7 @@
         callers: address(last),
         peers: SocketAddr::from(([10, 0, 0, last], 9000)),
         incarnation: 1,
+        capacity: None,
     }
 }
 
