Name hosts of different sizes in proportion to their capacity

Cause: callers draw each connection evenly from the hosts that a directory answer names, and answers named all hosts, so that one with 0.12 cores got as many connections as one with 0.5.

Change: `proxy::directory::Answer` chooses the named hosts by Pareto sampling from the caller's IP address, within 8 to 64 hosts and two failure domains. Where capacities are alike or one is unknown, the answer is the one of before. The server passes the caller's address to the service as an argument; a request extension would cost an allocation on the callers' path too. Metrics `directory_answers`, `directory_answers_weighted` and `directory_hosts`.

When a host dies, a caller loses at most one living host.

--- a/src/proxy/fleet.rs
+++ b/src/proxy/fleet.rs
@@ -9,6 +9,7 @@
 
 use {
     super::{
+        directory,
         quarantine::{Evidence, Process},
         rate::Usage,
         reach,
@@ -22,7 +23,7 @@
     std::{
         cmp::Reverse,
         collections::{BTreeMap, BTreeSet},
-        net::SocketAddr,
+        net::{IpAddr, SocketAddr},
         time::Duration,
     },
 };
@@ -502,18 +503,19 @@
         1 + self.peers.values().filter(is_staying).count()
     }
 
-    /// Returns the addresses of the hosts that callers of a region should use, and whether these
-    /// are in other regions because there is none in the callers' region or domain. This host is
-    /// included if it `serves`. Hosts that reach no upstream are left out where others are named. Of
-    /// the other regions, those with the highest `suit` are used.
+    /// Returns the hosts that the caller with the address `caller` in a region should use; hosts in
+    /// other regions if there is none in the caller's region or domain. This host is included if it
+    /// `serves`. Hosts that reach no upstream are left out where others are named. Of the other
+    /// regions, those with the highest `suit` are used.
     pub fn directory(
         &self,
         now: Duration,
+        caller: IpAddr,
         region: &name::Region,
         domain: &name::Domain,
         serves: bool,
         suit: impl Fn(&name::Region) -> usize,
-    ) -> (Vec<SocketAddr>, bool) {
+    ) -> directory::Answer {
         let own = serves.then_some((&self.identity, self.is_cut_off));
         let peers = self.peers.values().filter_map(|peer| {
             let is_live = now.saturating_sub(peer.last_heard_at) < GONE_AFTER;
@@ -533,8 +535,8 @@
             reaching
         };
         if !in_region.is_empty() {
-            let callers = in_region.iter().map(|(identity, _)| identity.callers);
-            return (callers.collect(), false);
+            let hosts: Vec<_> = in_region.iter().map(|(identity, _)| *identity).collect();
+            return directory::Answer::new(caller, &hosts, false);
         }
         let live: Vec<_> = live.into_iter().map(|(identity, _)| identity).collect();
         let regions: BTreeSet<_> = live.iter().map(|identity| &identity.region).collect();
@@ -545,9 +547,9 @@
         let best = scores.values().max();
         let chosen = live
             .iter()
-            .filter(|identity| scores.get(&identity.region) == best)
-            .map(|identity| identity.callers);
-        (chosen.collect(), true)
+            .copied()
+            .filter(|identity| scores.get(&identity.region) == best);
+        directory::Answer::new(caller, &chosen.collect::<Vec<_>>(), true)
     }
 }
 
--- a/src/proxy/host.rs
+++ b/src/proxy/host.rs
@@ -43,7 +43,7 @@
     },
     std::{
         collections::{BTreeMap, BTreeSet},
-        net::SocketAddr,
+        net::{IpAddr, SocketAddr},
         sync::{
             Arc, Mutex, MutexGuard, OnceLock, PoisonError,
             atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
@@ -115,6 +115,12 @@
     pub(super) relayed: Counter,
     /// Rests that upstreams have asked for.
     rests: Counter,
+    /// Directory lookups that were answered.
+    directory_answers: Counter,
+    /// Those of them whose answer left hosts out for the sake of their capacities.
+    weighted_answers: Counter,
+    /// Hosts that the last directory answer named.
+    directory_hosts: Gauge,
     /// Changed when an upstream is reached no more, or again.
     reach_changes: watch::Sender<u64>,
     /// Upstreams that are being asked whether they have ended.
@@ -185,6 +191,9 @@
         let cut_off = Gauge::default();
         let relayed = Counter::default();
         let rests = Counter::default();
+        let directory_answers = Counter::default();
+        let weighted_answers = Counter::default();
+        let directory_hosts = Gauge::default();
         let answer_memory = Ledger::new(dependencies.memory_limit);
         let request_memory = Ledger::new(dependencies.memory_limit);
         let store_calls = Counter::default();
@@ -277,6 +286,21 @@
                 "Rests that upstreams have asked this host for",
                 rests.clone(),
             );
+            registry.register(
+                "directory_answers",
+                "Directory lookups that this host has answered",
+                directory_answers.clone(),
+            );
+            registry.register(
+                "directory_answers_weighted",
+                "Directory answers that left hosts out for the sake of their capacities",
+                weighted_answers.clone(),
+            );
+            registry.register(
+                "directory_hosts",
+                "Hosts that the last directory answer named",
+                directory_hosts.clone(),
+            );
             registry.register(
                 "log_lines_sampled_out",
                 "Lines of successful requests that were not logged",
@@ -306,6 +330,9 @@
             cut_off,
             relayed,
             rests,
+            directory_answers,
+            weighted_answers,
+            directory_hosts,
             reach_changes: watch::channel(0).0,
             probed: Mutex::default(),
             phase: dependencies.phase,
@@ -387,10 +414,11 @@
         Guard(self.clone())
     }
 
-    /// Addresses of the hosts that a caller in this region and failure domain should use for
-    /// requests to `authority`.
+    /// Addresses of the hosts that the caller with the address `caller` in this region and failure
+    /// domain should use for requests to `authority`.
     pub fn directory(
         &self,
+        caller: IpAddr,
         authority: &str,
         region: &name::Region,
         domain: &name::Domain,
@@ -403,13 +431,16 @@
             let table = table.as_ref();
             table.map_or(0, |table| table.suitability(authority, region))
         };
-        let (named, is_elsewhere) =
-            core.fleet
-                .directory(now, region, domain, is_ready, suitability);
-        if is_elsewhere {
-            tracing::info!(event = "directory", authority, %region, named = ?named, "no host of the region is known; naming hosts of other regions");
+        let answer = core
+            .fleet
+            .directory(now, caller, region, domain, is_ready, suitability);
+        if answer.is_elsewhere {
+            tracing::info!(event = "directory", authority, %region, named = ?answer.addresses, "no host of the region is known; naming hosts of other regions");
         }
-        named
+        self.directory_answers.inc();
+        self.weighted_answers.inc_by(u64::from(answer.is_weighted));
+        self.directory_hosts.set(answer.addresses.len() as i64);
+        answer.addresses
     }
 
     /// Installs a configuration unless the one in force is as new or newer.
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -10,6 +10,7 @@
 pub mod catalog;
 pub mod core;
 pub mod dialect;
+pub mod directory;
 pub mod entry;
 pub mod fingerprint;
 pub mod fleet;
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -50,10 +50,10 @@
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
 /// Accepts connections from a listener and serves their requests until the host has closed and every
-/// connection has ended.
+/// connection has ended. The service gets each request with the address of its caller.
 pub async fn serve<S, F, B>(mut listener: Listener, service: S, mut phase: watch::Receiver<Phase>)
 where
-    S: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    S: Fn(SocketAddr, Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Response<B>> + Send + 'static,
     B: Body<Data = Bytes> + Send + 'static,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
@@ -95,7 +95,7 @@
     service: S,
     mut phase: watch::Receiver<Phase>,
 ) where
-    S: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    S: Fn(SocketAddr, Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Response<B>> + Send + 'static,
     B: Body<Data = Bytes> + Send + 'static,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
@@ -104,7 +104,7 @@
     let counted = activity.clone();
     let service = service_fn(move |request| {
         let exchange = Exchange::start(&counted);
-        let answer = service(request);
+        let answer = service(from, request);
         async move {
             let response = answer.await;
             let response = response.map(|body| count_until_end(body, exchange));
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -10,6 +10,8 @@
 mod core;
 #[path = "proxy/crash.rs"]
 mod crash;
+#[path = "proxy/directory.rs"]
+mod directory;
 #[path = "proxy/era.rs"]
 mod era;
 #[path = "proxy/fingerprint.rs"]
--- a/tests/proxy/fleet.rs
+++ b/tests/proxy/fleet.rs
@@ -7,9 +7,15 @@
         fleet::{Fleet, GONE_AFTER, Recipient, Report, Update},
         reach,
     },
-    std::{collections::BTreeSet, net::SocketAddr, time::Duration},
+    std::{
+        collections::BTreeSet,
+        net::{IpAddr, Ipv4Addr, SocketAddr},
+        time::Duration,
+    },
 };
 
+const CALLER: IpAddr = IpAddr::V4(Ipv4Addr::new(10, 9, 0, 1));
+
 fn report(host: &str, region: &str, last: u8, incarnation: u64, sequence: u64) -> Report {
     let mut from = identity(host, region, last);
     from.incarnation = incarnation;
@@ -23,7 +29,8 @@
 
 fn directory_at(fleet: &Fleet, at: Duration, region: &str) -> Vec<SocketAddr> {
     let domain = format!("{region}-a").as_str().into();
-    fleet.directory(at, &region.into(), &domain, true, |_| 1).0
+    let answer = fleet.directory(at, CALLER, &region.into(), &domain, true, |_| 1);
+    answer.addresses
 }
 
 #[test]
@@ -142,7 +149,8 @@
     let west_directory = |best: &'static str| {
         let suit =
             move |region: &greengagecleat::name::Region| usize::from(region.as_str() == best);
-        fleet.directory(ms(1), &"west".into(), &domain, true, suit)
+        let answer = fleet.directory(ms(1), CALLER, &"west".into(), &domain, true, suit);
+        (answer.addresses, answer.is_elsewhere)
     };
     assert_eq!(west_directory("south"), (vec![address(3)], true));
     let (any, _) = west_directory("west");
