--- a/src/proxy/brief.rs
+++ b/src/proxy/brief.rs
@@ -102,7 +102,7 @@
 }
 
 /// An [`Identity`] as a list: host, region, domain, address for callers, address for peers,
-/// incarnation.
+/// incarnation, capacity.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 struct Sender(
     name::Host,
@@ -111,6 +111,7 @@
     Address,
     Address,
     u64,
+    Option<u32>,
 );
 
 /// A socket address in network byte order: 6 bytes for IPv4; for IPv6 26 bytes, the last eight of
@@ -275,15 +276,17 @@
             callers,
             peers,
             incarnation,
+            capacity,
         } = identity;
         let (callers, peers) = (Address(callers), Address(peers));
-        Self(host, region, domain, callers, peers, incarnation)
+        Self(host, region, domain, callers, peers, incarnation, capacity)
     }
 }
 
 impl From<Sender> for Identity {
     fn from(sender: Sender) -> Self {
-        let Sender(host, region, domain, Address(callers), Address(peers), incarnation) = sender;
+        let Sender(host, region, domain, Address(callers), Address(peers), incarnation, capacity) =
+            sender;
         Self {
             host,
             region,
@@ -291,6 +294,7 @@
             callers,
             peers,
             incarnation,
+            capacity,
         }
     }
 }
