Tell rejected clients of an overloaded pool when there will be capacity

Cause: delays of 0.15 to 5 s that don't depend on the overload bring most clients back while it lasts; they are rejected again and have no retry left.

Change: retry::Overload, one per pool, finds out from the host's placements and rejections since when requests are rejected. Rests and limits of upstreams remain a lower bound. Without an overload delays are as before. Log line overload, metrics overloads and overloaded_pools.

--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -151,7 +151,14 @@
             job.build = Some(build.unwrap_or_else(|_| Err(missed_deadline()))?);
         }
         let opened = run_attempts(&host, &inbound, &mut job, &mut tries, resume).await;
-        let opened = opened.map_err(|failure| tries.account_for_runs(failure))?;
+        let opened = opened.map_err(|failure| {
+            let failure = tries.account_for_runs(failure);
+            if failure.code == Code::NoCapacity {
+                let now = host.clock.now();
+                host.core().record_rejection(now, &job.pool);
+            }
+            failure
+        })?;
         let relay = match job.matched.route.kind {
             _ if !opened.head.status.is_success() => Relay::Pieces,
             Kind::Resumable => Relay::Events(Splitter::new()),
@@ -626,7 +633,7 @@
     let resumes = inbound.metadata.resumes.as_deref();
     let found = host.find_origin(inbound.id(), resumes, &job.pool).await;
     found.ok_or_else(|| {
-        let wait = host.core().retry_after(host.clock.now(), &job.pool);
+        let wait = host.core().retry_after(host.clock.now(), job);
         let reason = "the build that began the stream is not known";
         Failure::not_run(Code::NoCapacity, reason).retry_after(wait)
     })
--- a/src/proxy/core/mod.rs
+++ b/src/proxy/core/mod.rs
@@ -24,6 +24,7 @@
         reach,
         reader::{self, Listing, Reading, Role},
         replica::{ASSUMED_COLD_TIME, Outcome, Replica, millis},
+        retry::Overload,
         revision::Era,
         table::{Match, Pool, Table},
         throttle::{self, Notice, Share},
@@ -221,6 +222,8 @@
     reservations: BTreeMap<u64, Reservation>,
     last_ticket: u64,
     queue: BTreeMap<(u8, u64), Job>,
+    /// Rejections of requests, by pool.
+    overloads: BTreeMap<name::Pool, Overload>,
     retry_budgets: BTreeMap<name::Pool, TokenBucket>,
     retry_hosts: usize,
     /// What was last told of upstreams that this host or others can't reach.
@@ -260,6 +263,7 @@
             reservations: BTreeMap::new(),
             last_ticket: 0,
             queue: BTreeMap::new(),
+            overloads: BTreeMap::new(),
             retry_budgets: BTreeMap::new(),
             retry_hosts: 0,
             last_reach: reach::Report::default(),
@@ -566,10 +570,10 @@
         )
     }
 
-    /// Places a request. An upstream of this region that answers on time is preferred, then one that
-    /// only other hosts of the region reach, then another region if the request may be forwarded, then
-    /// an upstream of this region that answers late.
-    pub fn place(&mut self, now: Duration, job: &Job) -> Placement {
+    /// Decides where a request goes. An upstream of this region that answers on time is preferred, then
+    /// one that only other hosts of the region reach, then another region if the request may be
+    /// forwarded, then an upstream of this region that answers late.
+    fn decide(&mut self, now: Duration, job: &Job) -> Placement {
         let trial = match self.judge_request(now, job) {
             Verdict::Clear => None,
             Verdict::Trial(suspect) => Some(suspect),
--- a/src/proxy/core/wait.rs
+++ b/src/proxy/core/wait.rs
@@ -1,5 +1,5 @@
 //! The queue of requests that no upstream can take yet: order, longest wait, and the delay after
-//! which a refused caller should try again.
+//! which a refused caller should try again. Counts placements and rejections, which that delay depends on.
 
 use {
     super::{Core, Placement},
@@ -8,6 +8,7 @@
         proxy::{
             place::{self, Job},
             replica::millis,
+            retry,
             throttle::Rate,
         },
     },
@@ -33,6 +34,33 @@
 const UNCACHED_SHARE: f64 = 0.4;
 
 impl Core {
+    /// Places a request, as [`Core::decide`] does, and counts it if it was placed.
+    pub fn place(&mut self, now: Duration, job: &Job) -> Placement {
+        let placement = self.decide(now, job);
+        if matches!(placement, Placement::Local(_) | Placement::Remote(_)) {
+            let overload = self.overloads.entry(job.pool.clone()).or_default();
+            overload.record_placement(now);
+        }
+        placement
+    }
+
+    /// Counts a request whose caller is told that the pool has no capacity.
+    pub fn record_rejection(&mut self, now: Duration, pool: &name::Pool) {
+        let overload = self.overloads.entry(pool.clone()).or_default();
+        overload.record_rejection(now);
+    }
+
+    /// Returns the overloads of pools that have begun or ended since the last call, and drops the state
+    /// of pools without requests.
+    pub fn take_overload_changes(&mut self, now: Duration) -> Vec<(name::Pool, retry::Change)> {
+        let overloads = self.overloads.iter_mut();
+        let changes = overloads
+            .filter_map(|(pool, overload)| Some((pool.clone(), overload.take_change(now)?)))
+            .collect();
+        self.overloads.retain(|_, overload| !overload.is_empty());
+        changes
+    }
+
     /// Adds a request to the queue. Returns its position: the priority, and a number that is higher
     /// than that of any earlier request.
     pub fn enqueue(&mut self, job: Job) -> (u8, u64) {
@@ -169,8 +197,10 @@
 
     /// Delay after which a refused caller should try again: the time in which the least loaded
     /// upstream prefills what it has, or until the first one has rested, plus jitter, because callers
-    /// that return together would be refused together.
-    pub fn retry_after(&mut self, now: Duration, pool: &name::Pool) -> Duration {
+    /// that return together would be refused together. In an overload of the pool the delay follows how
+    /// long that is expected to last; see [`retry::Overload`].
+    pub fn retry_after(&mut self, now: Duration, job: &Job) -> Duration {
+        let pool = &job.pool;
         let (tokens_per_ms, _) = place::learned_speed(&self.catalog, pool);
         let ahead_ms = self
             .catalog
@@ -192,14 +222,22 @@
         let eligible = self.catalog.eligible(pool);
         let rests = eligible.map(|replica| replica.rest.left(now));
         let rest = rests.min().unwrap_or_default();
-        let wait = wait.max(Duration::from_secs_f64(turn)).max(rest);
+        let asked = rest.max(Duration::from_secs_f64(turn));
         let is_elsewhere = self.relays(now).any(|peer| peer.spare.contains_key(pool));
         let longest = if is_elsewhere {
             MAX_RETRY_AFTER
         } else {
             MAX_RETRY_AFTER.max(rest)
         };
-        let jitter = RETRY_AFTER_JITTER.mul_f64(self.rng.random());
-        wait.clamp(MIN_RETRY_AFTER, longest) + jitter
+        let draw = self.rng.random();
+        let jitter = RETRY_AFTER_JITTER.mul_f64(draw);
+        let time_left = job.deadline.saturating_sub(now);
+        let shortest = wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
+        let overload = self.overloads.get(pool);
+        match overload.and_then(|overload| overload.delay(now, shortest, time_left, draw)) {
+            Some(delay) if asked.is_zero() => delay,
+            Some(delay) => delay.max(asked.min(longest) + jitter),
+            None => wait.max(asked).clamp(MIN_RETRY_AFTER, longest) + jitter,
+        }
     }
 }
--- a/src/proxy/host.rs
+++ b/src/proxy/host.rs
@@ -22,6 +22,7 @@
         quarantine::Process,
         reader::{self, Reading},
         replica::Outcome,
+        retry,
         revision::Era,
         sample::Sampler,
         server::wait_for_phase,
@@ -115,6 +116,10 @@
     pub(super) relayed: Counter,
     /// Rests that upstreams have asked for.
     rests: Counter,
+    /// Overloads of pools that have begun.
+    overloads: Counter,
+    /// Pools that are overloaded.
+    overloaded_pools: Gauge,
     /// Changed when an upstream is reached no more, or again.
     reach_changes: watch::Sender<u64>,
     /// Upstreams that are being asked whether they have ended.
@@ -185,6 +190,8 @@
         let cut_off = Gauge::default();
         let relayed = Counter::default();
         let rests = Counter::default();
+        let overloads = Counter::default();
+        let overloaded_pools = Gauge::default();
         let answer_memory = Ledger::new(dependencies.memory_limit);
         let request_memory = Ledger::new(dependencies.memory_limit);
         let store_calls = Counter::default();
@@ -277,6 +284,16 @@
                 "Rests that upstreams have asked this host for",
                 rests.clone(),
             );
+            registry.register(
+                "overloads",
+                "Overloads of pools that have begun, as this host sees them",
+                overloads.clone(),
+            );
+            registry.register(
+                "overloaded_pools",
+                "Pools that are overloaded, as this host sees them",
+                overloaded_pools.clone(),
+            );
             registry.register(
                 "log_lines_sampled_out",
                 "Lines of successful requests that were not logged",
@@ -306,6 +323,8 @@
             cut_off,
             relayed,
             rests,
+            overloads,
+            overloaded_pools,
             reach_changes: watch::channel(0).0,
             probed: Mutex::default(),
             phase: dependencies.phase,
@@ -705,6 +724,7 @@
             changes
         };
         self.log_changes(changes);
+        self.log_overloads();
         // Upstreams may have been removed or started again.
         self.log_cut_off();
         self.probe_upstreams();
@@ -714,6 +734,25 @@
         }
     }
 
+    /// Logs the overloads of pools that have begun or ended.
+    fn log_overloads(&self) {
+        let now = self.clock.now();
+        let changes = self.core().take_overload_changes(now);
+        for (pool, change) in changes {
+            match change {
+                retry::Change::Began { rejected, placed } => {
+                    self.overloads.inc();
+                    self.overloaded_pools.inc();
+                    tracing::warn!(event = "overload", %pool, state = "began", rejected, placed);
+                }
+                retry::Change::Ended { lasted } => {
+                    self.overloaded_pools.dec();
+                    tracing::warn!(event = "overload", %pool, state = "ended", lasted_ms = lasted.as_millis() as u64);
+                }
+            }
+        }
+    }
+
     /// Handles reports from other hosts until the channel closes.
     pub async fn receive_reports(
         self,
@@ -905,7 +944,7 @@
 
 /// Logs why a request could not be placed and returns the failure with a retry time.
 fn refusal(core: &mut Core, now: Duration, request: &str, job: &Job) -> Failure {
-    let wait = core.retry_after(now, &job.pool);
+    let wait = core.retry_after(now, job);
     let eligible = core.catalog.eligible_for(job);
     let (upstreams, open, resting) = eligible.fold((0, 0, 0), |(all, open, resting), replica| {
         let is_resting = !replica.rest.is_over(now);
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -26,6 +26,7 @@
 pub mod reach;
 pub mod reader;
 pub mod replica;
+pub mod retry;
 pub mod revision;
 pub mod sample;
 mod send;
--- a/src/proxy/send.rs
+++ b/src/proxy/send.rs
@@ -200,7 +200,7 @@
         reservation.outcome = Outcome::Full;
         drain(&mut body).await;
         let now = host.clock.now();
-        let wait = host.core().retry_after(now, &job.pool);
+        let wait = host.core().retry_after(now, job);
         return Err(no_capacity("the upstream turned it away").retry_after(wait));
     }
     if reply.is_refusal && !is_repeatable {
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -38,6 +38,8 @@
 mod replay;
 #[path = "proxy/rest.rs"]
 mod rest;
+#[path = "proxy/retry.rs"]
+mod retry;
 #[path = "proxy/sample.rs"]
 mod sample;
 #[path = "proxy/table.rs"]
--- a/tests/proxy/core.rs
+++ b/tests/proxy/core.rs
@@ -162,7 +162,7 @@
     }
     let next = job(&core, ms(0), 99, 50_000);
     assert_eq!(core.wait_limit(ms(0), &next), ms(0));
-    let after = core.retry_after(ms(0), &POOL.into());
+    let after = core.retry_after(ms(0), &next);
     assert!(after >= ms(150) && after <= ms(5_000), "{after:?}");
 }
 
--- a/tests/proxy/rest.rs
+++ b/tests/proxy/rest.rs
@@ -159,9 +159,9 @@
     let mut core = refused();
     let next = job(&core, ms(100), 1, 1);
     assert!(core.wait_limit(ms(100), &next).is_zero(), "refused at once");
-    assert!(core.retry_after(ms(100), &POOL.into()) >= ms(1_910));
+    assert!(core.retry_after(ms(100), &next) >= ms(1_910));
     let mut core = core_with_long_rest();
-    let told = core.retry_after(ms(100), &POOL.into());
+    let told = core.retry_after(ms(100), &next);
     assert!(told >= ms(19_910), "{told:?}");
 }
 
--- a/tests/proxy/throttle.rs
+++ b/tests/proxy/throttle.rs
@@ -256,7 +256,7 @@
     let next = job(&core, now, 1, 100);
     assert_eq!(core.place(now, &next), Placement::Wait);
     assert_eq!(core.wait_limit(now, &next), Duration::ZERO);
-    let wait = core.retry_after(now, &POOL.into());
+    let wait = core.retry_after(now, &next);
     assert!(wait >= ms(1_250), "the next turn comes in {wait:?}");
 }
 
