Answer 502 where an upstream's status is not valid

Cause: the HTTP client takes any status from 100 to 999, so an unsolicited 101, a 600 or a 999 reached the caller as the answer; a host also passed on what an older one forwarded.

Change: upstream::Client and link::exchange::Client, which both request paths use, take a status outside 200 to 599 for a failure that may have run. The stand-in testbed::raw writes statuses with three digits, so that 000 can be sent.

--- a/src/link/exchange.rs
+++ b/src/link/exchange.rs
@@ -131,6 +131,10 @@
             client: self.clone(),
         };
         match body.next_answer().await? {
+            // A host of an older build passes such an answer of its upstream on.
+            wire::Answer::Head { status, .. } if !wire::ANSWER_STATUSES.contains(&status) => Err(
+                broken_exchange(&format!("the answer's status {status} is not valid")),
+            ),
             wire::Answer::Head {
                 status,
                 headers,
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -20,6 +20,7 @@
         failure::{Code, Failure, Ran},
         metric::Metrics,
         net::Network,
+        wire,
     },
     bytes::{Bytes, BytesMut},
     derive_more::Display,
@@ -281,6 +282,13 @@
         let exchange = sender.next;
         sender.next.position = exchange.position.saturating_add(1);
         match sender.requests.try_send_request(request).await {
+            Ok(response) if !wire::ANSWER_STATUSES.contains(&response.status().as_u16()) => {
+                let reason = format!("the upstream's status {} is not valid", response.status());
+                Err(SendError {
+                    failure: Failure::new(Code::UpstreamFailed, Ran::Unknown, reason),
+                    request: None,
+                })
+            }
             Ok(response) => {
                 let framing = framing(&response);
                 sender.meter.begin_body();
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -12,11 +12,14 @@
     },
     bytes::Bytes,
     serde::{Deserialize, Serialize, de::DeserializeOwned},
-    std::time::Duration,
+    std::{ops::RangeInclusive, time::Duration},
 };
 
 /// Largest encoded control message, in bytes: a whole document of 1 MiB, and 64 KiB for the rest.
 pub const MESSAGE_LIMIT: usize = 1024 * 1024 + 64 * 1024;
+/// HTTP statuses that an answer may have. One with another status tells nothing of the request, which
+/// may have run.
+pub const ANSWER_STATUSES: RangeInclusive<u16> = 200..=599;
 
 /// A control message, with one variant for each service.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/testbed/src/raw.rs
+++ b/testbed/src/raw.rs
@@ -79,7 +79,7 @@
 /// A whole answer.
 #[derive(Debug, Clone)]
 pub struct Answer {
-    /// HTTP status.
+    /// HTTP status, which is written with three digits, also if it is not valid.
     pub status: u16,
     /// Headers, without those that mark the end of the body.
     pub headers: Vec<(&'static str, String)>,
@@ -210,7 +210,7 @@
 fn encode(answer: &Answer, framing: Framing, limit: usize) -> Vec<u8> {
     let length = answer.body.len();
     let body = &answer.body[..limit.min(length)];
-    let mut encoded = format!("HTTP/1.1 {} \r\n", answer.status).into_bytes();
+    let mut encoded = format!("HTTP/1.1 {:03} \r\n", answer.status).into_bytes();
     for (name, value) in &answer.headers {
         encoded.extend(format!("{name}: {value}\r\n").bytes());
     }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -13,6 +13,8 @@
 mod rest;
 #[path = "gateway/silence.rs"]
 mod silence;
+#[path = "gateway/status.rs"]
+mod status;
 
 use {
     common::{Bed, KOLLAM, THRISSUR, chat, customers, until},
--- a/tests/gateway/cut.rs
+++ b/tests/gateway/cut.rs
@@ -25,7 +25,7 @@
 static ANSWERED: Mutex<BTreeSet<String>> = Mutex::new(BTreeSet::new());
 
 /// Answers plain calls with events and model calls with a completion or an error.
-fn answer(request: &raw::Request) -> raw::Answer {
+pub(crate) fn answer(request: &raw::Request) -> raw::Answer {
     let is_long = String::from_utf8_lossy(&request.body).contains(LONG_PROMPT);
     let is_refused = String::from_utf8_lossy(&request.body).contains(REFUSED_PROMPT);
     let id = request.header("x-request-id").to_owned();
@@ -51,8 +51,10 @@
     }
 }
 
-/// Starts a host beside upstreams whose answers are cut, and one that forwards to it.
-async fn deployment() -> (Bed, Scissors, [Running; 2]) {
+/// Starts a host beside upstreams that answer so and whose answers are cut, and one that forwards to it.
+pub(crate) async fn deployment(
+    answer: fn(&raw::Request) -> raw::Answer,
+) -> (Bed, Scissors, [Running; 2]) {
     let mut bed = Bed::start().await;
     let scissors = Scissors::default();
     let engine = raw::start(scissors.clone(), answer).await.unwrap();
@@ -72,7 +74,7 @@
 }
 
 /// The status and the body of the answer to a call, if the answer is complete.
-async fn whole(bed: &Bed, host: &Running, call: &Call) -> Option<(u16, String)> {
+pub(crate) async fn whole(bed: &Bed, host: &Running, call: &Call) -> Option<(u16, String)> {
     let authorization = format!("Bearer {KOLLAM}");
     let call = call.clone().header("authorization", &authorization);
     let answer = bed.caller.whole(host.addresses.callers, &call).await.ok()?;
@@ -97,7 +99,7 @@
 /// An event stream of a plain service that ended within an event reached its caller as complete.
 #[tokio::test]
 async fn a_plain_event_stream_that_ends_within_an_event_never_looks_complete() {
-    let (bed, scissors, hosts) = deployment().await;
+    let (bed, scissors, hosts) = deployment(answer).await;
     for host in &hosts {
         for bytes in 1..=EVENTS.len() {
             scissors.set(cut_after(bytes));
@@ -112,7 +114,7 @@
 /// A completion in JSON that was cut reached its caller as complete.
 #[tokio::test]
 async fn a_completion_that_is_cut_never_looks_complete() {
-    let (bed, scissors, hosts) = deployment().await;
+    let (bed, scissors, hosts) = deployment(answer).await;
     for host in &hosts {
         for bytes in 0..COMPLETION.len() {
             scissors.set(cut_after(bytes));
@@ -128,7 +130,7 @@
 /// An engine's error in plain text was taken for a cut completion, and the call sent again.
 #[tokio::test]
 async fn an_error_that_is_no_json_is_relayed() {
-    let (bed, scissors, hosts) = deployment().await;
+    let (bed, scissors, hosts) = deployment(answer).await;
     for host in &hosts {
         scissors.set(cut_after(ERROR.len()));
         let before = scissors.total_arrivals();
@@ -142,7 +144,7 @@
 /// passed on within it, as its orderly end.
 #[tokio::test]
 async fn an_error_after_a_stream_has_begun_is_no_part_of_it() {
-    let (bed, scissors, hosts) = deployment().await;
+    let (bed, scissors, hosts) = deployment(answer).await;
     for host in &hosts {
         scissors.set(cut_after(OPENING.len()));
         let seen = whole(&bed, host, &chat(REFUSED_PROMPT, 8, true)).await;
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -4,7 +4,7 @@
     bytes::Bytes,
     greengagecleat::{
         clock::Monotonic,
-        failure::Failure,
+        failure::{Code, Failure, Ran},
         link::{
             Handle, Handler, Identity, Mailboxes, Peers,
             exchange::{Client, Head},
@@ -21,16 +21,17 @@
 /// Number of pieces in each answer.
 const PIECES_PER_ANSWER: usize = 3;
 
-/// Answers every call with [`PIECES_PER_ANSWER`] pieces of 40 kB.
+/// Answers every call with [`PIECES_PER_ANSWER`] pieces of 40 kB, and with the status that its target
+/// names, or 200.
 #[derive(Debug, Clone)]
 struct FixedPieces;
 
 impl Handler for FixedPieces {
     type Body = usize;
 
-    async fn call(&self, _: &name::Host, _: wire::Call) -> Result<(Head, usize), Failure> {
+    async fn call(&self, _: &name::Host, call: wire::Call) -> Result<(Head, usize), Failure> {
         let head = Head {
-            status: 200,
+            status: call.target[1..].parse().unwrap_or(200),
             headers: Vec::new(),
             upstream: "upstream".into(),
             build: None,
@@ -189,7 +190,7 @@
     sleep(Duration::from_secs(15)).await;
     let failure = client.open(address, call(), false).await;
     let failure = failure.expect_err("nobody serves");
-    assert_eq!(failure.ran, greengagecleat::failure::Ran::No, "{failure:?}");
+    assert_eq!(failure.ran, Ran::No, "{failure:?}");
 }
 
 #[tokio::test(start_paused = true)]
@@ -210,5 +211,23 @@
         .open(address, call(), true)
         .await
         .expect_err("refused");
-    assert_eq!(failure.ran, greengagecleat::failure::Ran::No);
+    assert_eq!(failure.ran, Ran::No);
+}
+
+/// A host of an older build passes on whatever status its upstream answers with.
+#[tokio::test(start_paused = true)]
+async fn a_status_that_is_not_valid_is_a_failure_that_may_have_run() {
+    let network = Network::Memory(Memory::new());
+    let (address, _stop) = start_server(&network).await;
+    let client = Client::new(identity(&network, "asking", "secret"));
+    for status in [0, 101, 199, 600, 999, u16::MAX] {
+        let call = wire::Call {
+            target: format!("/{status}"),
+            ..call()
+        };
+        let opened = client.open(address, call, true).await;
+        let failure = opened.expect_err("no answer has this status");
+        let seen = (failure.code, failure.ran);
+        assert_eq!(seen, (Code::UpstreamFailed, Ran::Unknown), "{status}");
+    }
 }
