--- a/src/proxy/host.rs
+++ b/src/proxy/host.rs
@@ -24,6 +24,7 @@
         quarantine::Process,
         reader::{self, Reading},
         replica::Outcome,
+        retry,
         revision::Era,
         sample::Sampler,
         server::wait_for_phase,
@@ -127,6 +128,10 @@
     weighted_answers: Counter,
     /// Hosts that the last directory answer named.
     directory_hosts: Gauge,
+    /// Overloads of pools that have begun.
+    overloads: Counter,
+    /// Pools that are overloaded.
+    overloaded_pools: Gauge,
     /// Changed when an upstream is reached no more, or again.
     reach_changes: watch::Sender<u64>,
     /// Upstreams that are being asked whether they have ended.
@@ -202,6 +207,8 @@
         let directory_answers = Counter::default();
         let weighted_answers = Counter::default();
         let directory_hosts = Gauge::default();
+        let overloads = Counter::default();
+        let overloaded_pools = Gauge::default();
         let answer_memory = Ledger::new(dependencies.memory_limit);
         let request_memory = Ledger::new(dependencies.memory_limit);
         let store_calls = Counter::default();
@@ -319,6 +326,16 @@
                 "Hosts that the last directory answer named",
                 directory_hosts.clone(),
             );
+            registry.register(
+                "overloads",
+                "Overloads of pools that have begun, as this host sees them",
+                overloads.clone(),
+            );
+            registry.register(
+                "overloaded_pools",
+                "Pools that are overloaded, as this host sees them",
+                overloaded_pools.clone(),
+            );
             registry.register(
                 "log_lines_sampled_out",
                 "Lines of successful requests that were not logged",
@@ -353,6 +370,8 @@
             directory_answers,
             weighted_answers,
             directory_hosts,
+            overloads,
+            overloaded_pools,
             reach_changes: watch::channel(0).0,
             probed: Mutex::default(),
             phase: dependencies.phase,
@@ -771,6 +790,7 @@
             changes
         };
         self.log_changes(changes);
+        self.log_overloads();
         // Upstreams may have been removed or started again.
         self.log_cut_off();
         self.probe_upstreams();
@@ -780,6 +800,25 @@
         }
     }
 
+    /// Logs the overloads of pools that have begun or ended.
+    fn log_overloads(&self) {
+        let now = self.clock.now();
+        let changes = self.core().take_overload_changes(now);
+        for (pool, change) in changes {
+            match change {
+                retry::Change::Began { rejected, placed } => {
+                    self.overloads.inc();
+                    self.overloaded_pools.inc();
+                    tracing::warn!(event = "overload", %pool, state = "began", rejected, placed);
+                }
+                retry::Change::Ended { lasted } => {
+                    self.overloaded_pools.dec();
+                    tracing::warn!(event = "overload", %pool, state = "ended", lasted_ms = lasted.as_millis() as u64);
+                }
+            }
+        }
+    }
+
     /// Handles reports from other hosts until the channel closes.
     pub async fn receive_reports(
         self,
@@ -1002,7 +1041,7 @@
 
 /// Logs why a request could not be placed and returns the failure with a retry time.
 fn refusal(core: &mut Core, now: Duration, request: &str, job: &Job) -> Failure {
-    let wait = core.retry_after(now, &job.pool);
+    let wait = core.retry_after(now, job);
     let eligible = core.catalog.eligible_for(job);
     let (upstreams, open, resting) = eligible.fold((0, 0, 0), |(all, open, resting), replica| {
         let is_resting = !replica.rest.is_over(now);
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -44,6 +44,8 @@
 mod report;
 #[path = "proxy/rest.rs"]
 mod rest;
+#[path = "proxy/retry.rs"]
+mod retry;
 #[path = "proxy/sample.rs"]
 mod sample;
 #[path = "proxy/table.rs"]
