Keep engine slots for the most urgent requests and share load among regions

Change: half of an engine's slots may be taken only by requests of the most urgent route that its pool serves in the region. A request leaves a region in proportion to how much busier it is than the least busy one it may go to.

--- a/src/proxy/core/mod.rs
+++ b/src/proxy/core/mod.rs
@@ -15,6 +15,7 @@
 
 use {
     super::{
+        balance::Pressure,
         brief,
         catalog::{Catalog, Change},
         fleet::{Fleet, GONE_AFTER, Identity, Peer, Recipient, Report, Update},
@@ -27,6 +28,7 @@
         reach,
         reader::{self, Listing, Reading, Role},
         replica::{ASSUMED_COLD_TIME, Outcome, Replica, millis},
+        reserve,
         retry::Overload,
         revision::Era,
         table::{Match, Pool, Table},
@@ -147,6 +149,8 @@
     pub predicted_ms: f64,
     /// Age of the host's last report.
     pub report_age: Duration,
+    /// Pressure of this region and of the host's, if the request leaves because of it.
+    pub pressures: Option<(Pressure, Pressure)>,
 }
 
 /// Where in the store a configuration was read.
@@ -232,6 +236,8 @@
     /// Era of the last list of the operator's section, and the newest version that another host had
     /// reported before it.
     listed_version: Option<(Era, u64)>,
+    /// Pressure of this region's pools, each with the time at which it was computed.
+    pressures: BTreeMap<name::Pool, (Duration, Pressure)>,
     reservations: BTreeMap<u64, Reservation>,
     last_ticket: u64,
     queue: BTreeMap<(u8, u64), Job>,
@@ -274,6 +280,7 @@
             table_era: Era::default(),
             replaced_texts: BTreeSet::new(),
             listed_version: None,
+            pressures: BTreeMap::new(),
             reservations: BTreeMap::new(),
             last_ticket: 0,
             queue: BTreeMap::new(),
@@ -615,6 +622,12 @@
                 Placement::Local(self.reserve(now, job, choice))
             });
         }
+        if job.may_forward
+            && !job.prefixes.is_empty()
+            && let Some(remote) = self.choose_less_busy(now, job)
+        {
+            return Placement::Remote(remote);
+        }
         if let Some(choice) = &local
             && choice.is_on_time
         {
@@ -629,7 +642,7 @@
             return Placement::Remote(remote);
         }
         if job.may_forward
-            && let Some(remote) = self.choose_remote(now, job)
+            && let Some(remote) = self.choose_remote(now, job, None)
         {
             return Placement::Remote(remote);
         }
@@ -659,9 +672,24 @@
         }
         let pool = self.table.as_ref()?.pool(&job.pool)?;
         let hosts = self.fleet.region_hosts();
-        place::choose(&self.catalog, pool, job, now, hosts, |replica, pool| {
-            self.may_send(now, replica, pool)
-        })
+        let most_urgent = self.most_urgent(&job.pool);
+        let may_send = |replica: &Replica, pool: &Pool| self.may_send(now, replica, pool);
+        place::choose(&self.catalog, pool, job, now, hosts, most_urgent, may_send)
+    }
+
+    /// Slots of each engine that a request may not take, as they are kept for more urgent ones; `None`
+    /// for plain services.
+    pub fn reserved_slots(&self, job: &Job) -> Option<u32> {
+        let engine = self.table.as_ref()?.pool(&job.pool)?.engine?;
+        let priority = job.matched.route.priority;
+        let open = reserve::open_slots(engine.slots, priority, self.most_urgent(&job.pool));
+        Some(engine.slots - open)
+    }
+
+    /// Priority of the most urgent route that a pool serves in this region.
+    pub(super) fn most_urgent(&self, pool: &name::Pool) -> Option<u8> {
+        let table = self.table.as_ref()?;
+        table.most_urgent(pool, &self.setup.identity.region)
     }
 
     /// Whether an upstream is reached and, if it is cold, names a limit or has asked for rest, takes
--- a/src/proxy/core/region.rs
+++ b/src/proxy/core/region.rs
@@ -6,6 +6,7 @@
     crate::{
         name,
         proxy::{
+            balance::Pressure,
             cache,
             fleet::{Peer, Spare},
             place::{self, Job, REMOTE_ON_TIME_SHARE},
@@ -24,6 +25,9 @@
 /// as spare capacity.
 const SPARE_OBJECTIVE_SHARE: f64 = 0.45;
 
+/// Age up to which the pressure of a pool is used again, as computing it looks at all engines.
+const PRESSURE_TTL: Duration = Duration::from_millis(100);
+
 impl Core {
     /// Spare capacity of this region's upstreams, by pool, for reports to other regions.
     pub(super) fn region_spare(&self, now: Duration) -> Vec<(name::Pool, Spare)> {
@@ -44,6 +48,7 @@
             rate: tokens_per_ms as f32,
             ..Spare::default()
         };
+        let (mut open, mut slots_taken, mut prefill_ms) = (0.0, 0.0, 0.0);
         let replicas = self.catalog.eligible(&pool.name).filter(|replica| {
             replica.is_available(now)
                 && !replica.reach.is_lost()
@@ -58,10 +63,13 @@
                 .engine
                 .map_or(replica.entry.slots, |engine| engine.slots);
             let free = f64::from(slots) - running;
+            open += 1.0;
+            slots_taken += running / f64::from(slots.max(1));
             let (wait_ms, tokens) = if pool.engine.is_some() {
                 let wait_ms = replica.slowness(now)
                     * replica.prefill_ahead(now, u8::MAX, tokens_per_ms)
                     / tokens_per_ms;
+                prefill_ms += wait_ms;
                 (
                     wait_ms + base_ms,
                     (SPARE_OBJECTIVE_SHARE * millis(objective) - wait_ms) * tokens_per_ms,
@@ -82,14 +90,63 @@
                 spare.tokens += tokens.max(0.0) as f32;
             }
         }
+        spare.pressure = table
+            .shortest_max_gap(&pool.name)
+            .filter(|_| pool.engine.is_some() && open > 0.0)
+            .map(|max_gap| {
+                let prefill = Duration::from_secs_f64(prefill_ms / open / 1_000.0);
+                Pressure::new(slots_taken / open, prefill, max_gap)
+            });
         spare
     }
 
+    /// The pressure of a pool in this region, at most [`PRESSURE_TTL`] old; `None` if its routes state
+    /// no longest pause or none of its engines is open.
+    fn pressure(&mut self, now: Duration, pool: &name::Pool) -> Option<Pressure> {
+        if let Some((at, pressure)) = self.pressures.get(pool)
+            && now.saturating_sub(*at) < PRESSURE_TTL
+        {
+            return Some(*pressure);
+        }
+        let table = self.table.as_ref()?;
+        let pressure = self.pool_spare(now, table.pool(pool)?, table).pressure?;
+        self.pressures.insert(pool.clone(), (now, pressure));
+        Some(pressure)
+    }
+
+    /// Chooses a host of the least busy other region, if this one is so much busier that the request is
+    /// to leave; see [`crate::proxy::balance`]. `None` if it is to stay or would be late there.
+    pub(super) fn choose_less_busy(&mut self, now: Duration, job: &Job) -> Option<Remote> {
+        let own = self.pressure(now, &job.pool)?;
+        let allowed = self
+            .relays(now)
+            .filter(|peer| job.matched.allows(&peer.identity.region));
+        let pressures = allowed.filter_map(|peer| {
+            let pressure = peer.spare.get(&job.pool)?.pressure?;
+            Some((pressure, &peer.identity.region))
+        });
+        let (other, region) =
+            pressures.min_by(|left, right| left.0.value().total_cmp(&right.0.value()))?;
+        let region = region.clone();
+        let leaves = self.rng.random::<f64>() < own.share_away(other);
+        let remote = leaves.then(|| self.choose_remote(now, job, Some(&region)))??;
+        Some(Remote {
+            pressures: Some((own, other)),
+            ..remote
+        })
+    }
+
     /// Chooses the host of another region with the shortest predicted time to the first byte.
     ///
+    /// Looks only at the region `only` if one is given.
     /// Returns `None` if no region with room is predicted to answer on time. A request that may not
     /// be served in this region goes to any region that can answer before its deadline.
-    pub(super) fn choose_remote(&mut self, now: Duration, job: &Job) -> Option<Remote> {
+    pub(super) fn choose_remote(
+        &mut self,
+        now: Duration,
+        job: &Job,
+        only: Option<&name::Region>,
+    ) -> Option<Remote> {
         let own = &self.setup.identity.region;
         let prompt_tokens = f64::from(job.tokens.0);
         let elapsed_ms = job.elapsed_ms(now);
@@ -106,7 +163,8 @@
         let mut best: Option<(f64, name::Region)> = None;
         for peer in self.relays(now) {
             let region = &peer.identity.region;
-            if !job.matched.allows(region) || is_behind(peer) || is_avoided(peer) {
+            let is_excluded = only.is_some_and(|only| only != region);
+            if is_excluded || !job.matched.allows(region) || is_behind(peer) || is_avoided(peer) {
                 continue;
             }
             let Some(spare) = peer.spare.get(&job.pool) else {
@@ -155,6 +213,7 @@
             region,
             predicted_ms,
             report_age: now.saturating_sub(last_heard_at),
+            pressures: None,
         })
     }
 
--- a/src/proxy/core/relay.rs
+++ b/src/proxy/core/relay.rs
@@ -13,6 +13,7 @@
             quarantine::End,
             reach::{INQUIRY_TIME, Report},
             replica::{ASSUMED_COLD_TIME, Replica},
+            table::Pool,
         },
         route::affinity,
     },
@@ -203,9 +204,12 @@
         }
         let pool = self.table.as_ref()?.pool(&job.pool)?;
         let hosts = self.fleet.region_hosts();
-        let mut choice = place::choose(&self.catalog, pool, job, now, hosts, |replica, _| {
+        let most_urgent = self.most_urgent(&job.pool);
+        let is_relayed = |replica: &Replica, _: &Pool| {
             replica.reach.is_relayed(now) && self.choose_neighbour(now, job, replica).is_some()
-        })?;
+        };
+        let catalog = &self.catalog;
+        let mut choice = place::choose(catalog, pool, job, now, hosts, most_urgent, is_relayed)?;
         choice.predicted_ms += NEIGHBOUR_ROUND_TRIP_MS;
         Some(choice)
     }
@@ -221,6 +225,7 @@
             region: peer.identity.region.clone(),
             predicted_ms: choice.predicted_ms,
             report_age: now.saturating_sub(peer.last_heard_at),
+            pressures: None,
         })
     }
 
--- a/src/proxy/fleet.rs
+++ b/src/proxy/fleet.rs
@@ -9,6 +9,7 @@
 
 use {
     super::{
+        balance::Pressure,
         brief::{self, Heard},
         directory, load,
         quarantine::{Evidence, Process},
@@ -155,6 +156,9 @@
     /// Prompt tokens that one upstream prefills per millisecond.
     #[serde(rename = "s")]
     pub rate: f32,
+    /// How busy the engines are; `None` for plain services, and from hosts of older builds.
+    #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
+    pub pressure: Option<Pressure>,
     /// Builds of the upstreams that are open.
     #[serde(rename = "b", default)]
     pub builds: BTreeSet<name::Build>,
--- a/src/proxy/host.rs
+++ b/src/proxy/host.rs
@@ -116,6 +116,8 @@
     cut_off: Gauge,
     /// Requests that were forwarded to a host of this region.
     pub(super) relayed: Counter,
+    /// Requests that were forwarded since this region is busier than another one.
+    pub(super) balanced: Counter,
     /// Rests that upstreams have asked for.
     rests: Counter,
     /// Readings of upstreams' load that answers brought.
@@ -201,6 +203,7 @@
         let lost_upstreams = Gauge::default();
         let cut_off = Gauge::default();
         let relayed = Counter::default();
+        let balanced = Counter::default();
         let rests = Counter::default();
         let load_readings = Counter::default();
         let malformed_loads = Counter::default();
@@ -296,6 +299,11 @@
                 "Requests forwarded to another host of the region, for an upstream that this one can't reach",
                 relayed.clone(),
             );
+            registry.register(
+                "balanced",
+                "Requests forwarded to another region because this one is busier",
+                balanced.clone(),
+            );
             registry.register(
                 "upstream_rests",
                 "Rests that upstreams have asked this host for",
@@ -364,6 +372,7 @@
             lost_upstreams,
             cut_off,
             relayed,
+            balanced,
             rests,
             load_readings,
             malformed_loads,
@@ -1053,9 +1062,10 @@
         )
     });
     let (hosts, remote_hosts) = core.peer_counts(now);
+    let reserved = core.reserved_slots(job);
     tracing::info!(event = "unplaced", request, pool = %job.pool, version = job.matched.edition.version,
         build = job.build.as_ref().map(name::Build::as_str),
-        upstreams, open, resting, waiting = core.queue_len(), hosts, hosts_away = remote_hosts, may_leave = job.may_forward,
+        upstreams, open, resting, reserved, waiting = core.queue_len(), hosts, hosts_away = remote_hosts, may_leave = job.may_forward,
         waited_ms = now.saturating_sub(job.arrived_at).as_millis() as u64);
     Failure::not_run(Code::NoCapacity, "no upstream can answer in time").retry_after(wait)
 }
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -6,6 +6,7 @@
 //! headers, and a [`follow::Store`], which lists and watches the configuration and the upstreams.
 
 pub mod answer;
+pub mod balance;
 pub mod brief;
 pub mod cache;
 pub mod catalog;
@@ -29,6 +30,7 @@
 pub mod reach;
 pub mod reader;
 pub mod replica;
+pub mod reserve;
 pub mod retry;
 pub mod revision;
 pub mod sample;
--- a/src/proxy/place.rs
+++ b/src/proxy/place.rs
@@ -17,6 +17,7 @@
         load,
         quarantine::Suspect,
         replica::{Replica, millis},
+        reserve,
         speed::Speed,
         table::{Engine, Match, Pool},
     },
@@ -139,13 +140,15 @@
 ///
 /// Upstreams that are silent, full or ejected are used only if all usable ones are. `may_send` tells
 /// whether the rate of an upstream allows another request of this host. `hosts` is the number of hosts
-/// of the region, which choose without knowing what the others choose meanwhile.
+/// of the region, which choose without knowing what the others choose meanwhile. `most_urgent` is the
+/// priority of the most urgent route that the pool serves in this region.
 pub fn choose(
     catalog: &Catalog,
     pool: &Pool,
     job: &Job,
     now: Duration,
     hosts: usize,
+    most_urgent: Option<u8>,
     may_send: impl Fn(&Replica, &Pool) -> bool,
 ) -> Option<Choice> {
     let usable: Vec<_> = catalog
@@ -164,7 +167,12 @@
         &available
     };
     match pool.engine {
-        Some(engine) => choose_engine(catalog, pool, engine, job, now, candidates, hosts),
+        Some(engine) => {
+            let priority = job.matched.route.priority;
+            let slots = reserve::open_slots(engine.slots, priority, most_urgent);
+            let engine = Engine { slots, ..engine };
+            choose_engine(catalog, pool, engine, job, now, candidates, hosts)
+        }
         None => choose_plain(catalog, pool, job, now, candidates),
     }
 }
--- /dev/null
+++ b/src/proxy/reserve.rs
@@ -0,0 +1,21 @@
+//! Slots of engines that are kept for the most urgent requests of a pool.
+//!
+//! The expected load: long prompts with a low priority and short ones with a high priority share the
+//! engines of a pool. A request keeps its slot for seconds, and prefills of the long prompts
+//! lengthen all answers, so at a peak long prompts held half of the slots while twice as many urgent
+//! requests were rejected for want of one. Engines order only what waits at them; so the share is
+//! kept before requests are sent.
+
+/// Share of an engine's slots that only the most urgent requests may take. The others can still use
+/// half of the engine, so that they aren't rejected while most slots are free.
+const RESERVED_SHARE: f64 = 0.5;
+
+/// Slots of an engine that requests of a route may take. `most_urgent` is the priority of the most
+/// urgent route that the pool serves in this region, 0 the most urgent; `None` if it serves none.
+pub fn open_slots(slots: u32, priority: u8, most_urgent: Option<u8>) -> u32 {
+    if most_urgent.is_none_or(|most_urgent| priority <= most_urgent) {
+        return slots;
+    }
+    let reserved = (f64::from(slots) * RESERVED_SHARE) as u32;
+    slots - reserved
+}
--- a/src/proxy/send.rs
+++ b/src/proxy/send.rs
@@ -425,7 +425,12 @@
         host.relayed.inc();
     }
     host.metrics.forwarded.inc();
+    let pressures = remote.pressures;
+    if pressures.is_some() {
+        host.balanced.inc();
+    }
     tracing::info!(event = "forwarded", request = inbound.id(), host = %remote.host, region = %remote.region,
+        own_pressure = pressures.map(|(own, _)| own.value()), pressure = pressures.map(|(_, other)| other.value()),
         predicted_ms = remote.predicted_ms as u64, report_age_ms = remote.report_age.as_millis() as u64,
         version = job.matched.edition.version);
     let is_repeatable = job.matched.route.kind.is_repeatable();
--- a/src/proxy/table.rs
+++ b/src/proxy/table.rs
@@ -42,6 +42,8 @@
     pub timeout: Duration,
     /// Target for the time to the first byte of the answer's body.
     pub objective: Duration,
+    /// Longest pause between two events of an answer that is on time; `None` if the route states none.
+    pub max_gap: Option<Duration>,
     /// Priority of the route's requests, 0 the most urgent.
     pub priority: u8,
     /// Upper bound on the upstreams to which one request may be sent.
@@ -259,12 +261,29 @@
 
     /// The longest time objective among the routes that a pool serves.
     pub fn longest_objective(&self, pool: &name::Pool) -> Duration {
-        let serves = |route: &&Arc<Route>| route.pools.iter().any(|(name, _)| name == pool);
-        let routes = self.routes.values().flatten().filter(serves);
-        routes
-            .map(|route| route.objective)
-            .max()
-            .unwrap_or_default()
+        let routes = self.routes_of(pool);
+        let objectives = routes.map(|route| route.objective);
+        objectives.max().unwrap_or_default()
+    }
+
+    /// The shortest of the pauses that the routes of a pool allow in an answer; `None` if no route of it
+    /// states one.
+    pub fn shortest_max_gap(&self, pool: &name::Pool) -> Option<Duration> {
+        self.routes_of(pool).filter_map(|route| route.max_gap).min()
+    }
+
+    /// Priority of the most urgent route that a pool serves in a region, 0 the most urgent.
+    pub fn most_urgent(&self, pool: &name::Pool, region: &name::Region) -> Option<u8> {
+        let is_served = |route: &&Arc<Route>| {
+            route.home_regions.is_empty() || route.home_regions.contains(region)
+        };
+        let routes = self.routes_of(pool).filter(is_served);
+        routes.map(|route| route.priority).min()
+    }
+
+    fn routes_of<'a>(&'a self, pool: &'a name::Pool) -> impl Iterator<Item = &'a Arc<Route>> {
+        let serves = move |route: &&Arc<Route>| route.pools.iter().any(|(name, _)| name == pool);
+        self.routes.values().flatten().filter(serves)
     }
 
     /// Longest time limit of a stream that callers may resume.
--- a/tests/proxy/common.rs
+++ b/tests/proxy/common.rs
@@ -40,6 +40,7 @@
         pools: vec![(pool.into(), 1)],
         timeout: ms(4_000),
         objective: ms(800),
+        max_gap: None,
         priority: 1,
         max_attempts: 2,
         is_public: false,
