Limit what leaves a region by the free slots elsewhere, and keep slots only while they are asked for

Cause, from a review: reports count slots that are kept for urgent requests as free, so a less urgent request left an on-time engine for a region that refused it; a region that reopens with two engines drew most requests of a larger one; a peer that reports no number stopped all sharing; and an urgent route that is seldom used halved the others' slots.

--- a/src/proxy/balance.rs
+++ b/src/proxy/balance.rs
@@ -35,14 +35,25 @@
         Self(slots_taken.max(prefill_pressure).clamp(0.0, 1.0) as f32)
     }
 
-    /// Share of a region's requests, from 0 to 1, that go to a region with the pressure `other`.
-    pub fn share_away(self, other: Self) -> f64 {
-        let (own, other) = (f64::from(self.0), f64::from(other.0));
-        // A peer may report anything, also no number.
-        if own < MIN_PRESSURE || !other.is_finite() || other < 0.0 {
+    /// Whether it is a pressure; another host may report any number.
+    pub fn is_valid(self) -> bool {
+        (0.0..=1.0).contains(&self.0)
+    }
+
+    /// Whether a region is so busy that requests may leave it.
+    pub fn is_high(self) -> bool {
+        f64::from(self.0) >= MIN_PRESSURE
+    }
+
+    /// Share of a region's requests, from 0 to 1, that go to a region with the pressure `other`. `room`
+    /// is the number of slots that are free there for each one that is taken here.
+    pub fn share_away(self, other: Self, room: f64) -> f64 {
+        if !self.is_high() || !other.is_valid() {
             return 0.0;
         }
-        ((own - other - MARGIN) / own).clamp(0.0, 1.0)
+        let (own, other) = (f64::from(self.0), f64::from(other.0));
+        let share = (own - other - MARGIN) / own;
+        share.min(room).clamp(0.0, 1.0)
     }
 
     /// The pressure as a number, from 0 to 1.
--- a/src/proxy/core/mod.rs
+++ b/src/proxy/core/mod.rs
@@ -236,8 +236,10 @@
     /// Era of the last list of the operator's section, and the newest version that another host had
     /// reported before it.
     listed_version: Option<(Era, u64)>,
-    /// Pressure of this region's pools, each with the time at which it was computed.
-    pressures: BTreeMap<name::Pool, (Duration, Pressure)>,
+    /// When each pool was last asked for by its most urgent route.
+    urgent_at: BTreeMap<name::Pool, Duration>,
+    /// How busy this region's pools are.
+    pressures: BTreeMap<name::Pool, region::Busyness>,
     reservations: BTreeMap<u64, Reservation>,
     last_ticket: u64,
     queue: BTreeMap<(u8, u64), Job>,
@@ -280,6 +282,7 @@
             table_era: Era::default(),
             replaced_texts: BTreeSet::new(),
             listed_version: None,
+            urgent_at: BTreeMap::new(),
             pressures: BTreeMap::new(),
             reservations: BTreeMap::new(),
             last_ticket: 0,
@@ -614,6 +617,7 @@
             Verdict::Trial(suspect) => Some(suspect),
             Verdict::Withheld(withheld) => return Placement::Withheld(withheld),
         };
+        self.record_urgent(now, job);
         let local = self.choose_local(now, job);
         if let Some(suspect) = trial {
             // Only this host makes the trial, so the request must not leave its region.
@@ -672,24 +676,36 @@
         }
         let pool = self.table.as_ref()?.pool(&job.pool)?;
         let hosts = self.fleet.region_hosts();
-        let most_urgent = self.most_urgent(&job.pool);
+        let most_urgent = self.most_urgent(now, &job.pool);
         let may_send = |replica: &Replica, pool: &Pool| self.may_send(now, replica, pool);
         place::choose(&self.catalog, pool, job, now, hosts, most_urgent, may_send)
     }
 
     /// Slots of each engine that a request may not take, as they are kept for more urgent ones; `None`
     /// for plain services.
-    pub fn reserved_slots(&self, job: &Job) -> Option<u32> {
+    pub fn reserved_slots(&self, now: Duration, job: &Job) -> Option<u32> {
         let engine = self.table.as_ref()?.pool(&job.pool)?.engine?;
-        let priority = job.matched.route.priority;
-        let open = reserve::open_slots(engine.slots, priority, self.most_urgent(&job.pool));
+        let most_urgent = self.most_urgent(now, &job.pool);
+        let open = reserve::open_slots(engine.slots, job.urgency(), most_urgent);
         Some(engine.slots - open)
     }
 
-    /// Priority of the most urgent route that a pool serves in this region.
-    pub(super) fn most_urgent(&self, pool: &name::Pool) -> Option<u8> {
+    /// Priority of the most urgent route that a pool serves in this region, if the route is in use.
+    pub(super) fn most_urgent(&self, now: Duration, pool: &name::Pool) -> Option<u8> {
+        let used_at = self.urgent_at.get(pool)?;
         let table = self.table.as_ref()?;
-        table.most_urgent(pool, &self.setup.identity.region)
+        let is_used = now.saturating_sub(*used_at) < reserve::KEPT_FOR;
+        is_used.then(|| table.most_urgent(pool, &self.setup.identity.region))?
+    }
+
+    /// Records that a request is to be placed, which may be one that slots are kept for.
+    fn record_urgent(&mut self, now: Duration, job: &Job) {
+        let region = &self.setup.identity.region;
+        let table = self.table.as_ref();
+        let most_urgent = table.and_then(|table| table.most_urgent(&job.pool, region));
+        if most_urgent == Some(job.matched.route.priority) && job.matched.allows(region) {
+            self.urgent_at.insert(job.pool.clone(), now);
+        }
     }
 
     /// Whether an upstream is reached and, if it is cold, names a limit or has asked for rest, takes
--- a/src/proxy/core/region.rs
+++ b/src/proxy/core/region.rs
@@ -11,6 +11,7 @@
             fleet::{Peer, Spare},
             place::{self, Job, REMOTE_ON_TIME_SHARE},
             replica::millis,
+            reserve,
             table::{Pool, Table},
         },
         route::affinity,
@@ -25,8 +26,18 @@
 /// as spare capacity.
 const SPARE_OBJECTIVE_SHARE: f64 = 0.45;
 
-/// Age up to which the pressure of a pool is used again, as computing it looks at all engines.
-const PRESSURE_TTL: Duration = Duration::from_millis(100);
+/// Age up to which what is known of a pool's engines is used again, as computing it looks at all.
+const BUSYNESS_TTL: Duration = Duration::from_millis(100);
+
+/// How busy a pool's engines are in this region.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Busyness {
+    at: Duration,
+    /// `None` if its routes state no longest pause, or none of its engines is open.
+    pressure: Option<Pressure>,
+    /// Requests that are running.
+    running: u32,
+}
 
 impl Core {
     /// Spare capacity of this region's upstreams, by pool, for reports to other regions.
@@ -49,6 +60,8 @@
             ..Spare::default()
         };
         let (mut open, mut slots_taken, mut prefill_ms) = (0.0, 0.0, 0.0);
+        let most_urgent = self.most_urgent(now, &pool.name);
+        let mut unreserved = 0.0;
         let replicas = self.catalog.eligible(&pool.name).filter(|replica| {
             replica.is_available(now)
                 && !replica.reach.is_lost()
@@ -65,6 +78,8 @@
             let free = f64::from(slots) - running;
             open += 1.0;
             slots_taken += running / f64::from(slots.max(1));
+            let open_slots = reserve::open_slots(slots, u8::MAX, most_urgent);
+            unreserved += (f64::from(open_slots) - running).max(0.0);
             let (wait_ms, tokens) = if pool.engine.is_some() {
                 let wait_ms = replica.slowness(now)
                     * replica.prefill_ahead(now, u8::MAX, tokens_per_ms)
@@ -90,6 +105,7 @@
                 spare.tokens += tokens.max(0.0) as f32;
             }
         }
+        spare.unreserved = pool.engine.map(|_| unreserved as f32);
         spare.pressure = table
             .shortest_max_gap(&pool.name)
             .filter(|_| pool.engine.is_some() && open > 0.0)
@@ -100,35 +116,50 @@
         spare
     }
 
-    /// The pressure of a pool in this region, at most [`PRESSURE_TTL`] old; `None` if its routes state
-    /// no longest pause or none of its engines is open.
-    fn pressure(&mut self, now: Duration, pool: &name::Pool) -> Option<Pressure> {
-        if let Some((at, pressure)) = self.pressures.get(pool)
-            && now.saturating_sub(*at) < PRESSURE_TTL
+    /// How busy a pool is in this region, as of at most [`BUSYNESS_TTL`] ago.
+    fn busyness(&mut self, now: Duration, pool: &name::Pool) -> Option<Busyness> {
+        let known = self.pressures.get(pool);
+        if let Some(known) = known
+            && now.saturating_sub(known.at) < BUSYNESS_TTL
         {
-            return Some(*pressure);
+            return Some(*known);
         }
         let table = self.table.as_ref()?;
-        let pressure = self.pool_spare(now, table.pool(pool)?, table).pressure?;
-        self.pressures.insert(pool.clone(), (now, pressure));
-        Some(pressure)
+        let pressure = self.pool_spare(now, table.pool(pool)?, table).pressure;
+        let running = self
+            .catalog
+            .eligible(pool)
+            .map(|replica| replica.running(now));
+        let busyness = Busyness {
+            at: now,
+            pressure,
+            running: running.sum(),
+        };
+        self.pressures.insert(pool.clone(), busyness);
+        Some(busyness)
     }
 
     /// Chooses a host of the least busy other region, if this one is so much busier that the request is
-    /// to leave; see [`crate::proxy::balance`]. `None` if it is to stay or would be late there.
+    /// to leave; see [`crate::proxy::balance`]. `None` if it is to stay, or can't be served in this
+    /// region at all.
     pub(super) fn choose_less_busy(&mut self, now: Duration, job: &Job) -> Option<Remote> {
-        let own = self.pressure(now, &job.pool)?;
-        let allowed = self
-            .relays(now)
-            .filter(|peer| job.matched.allows(&peer.identity.region));
-        let pressures = allowed.filter_map(|peer| {
-            let pressure = peer.spare.get(&job.pool)?.pressure?;
-            Some((pressure, &peer.identity.region))
+        if !job.matched.allows(&self.setup.identity.region) {
+            return None;
+        }
+        let busyness = self.busyness(now, &job.pool)?;
+        let own = busyness.pressure.filter(|pressure| pressure.is_high())?;
+        let allowed = |peer: &&Peer| job.matched.allows(&peer.identity.region);
+        let spares = self.relays(now).filter(allowed).filter_map(|peer| {
+            let spare = peer.spare.get(&job.pool)?;
+            let pressure = spare.pressure.filter(|pressure| pressure.is_valid())?;
+            let free = self.free_slots(&peer.identity.region, spare, job);
+            Some((pressure, free, &peer.identity.region))
         });
-        let (other, region) =
-            pressures.min_by(|left, right| left.0.value().total_cmp(&right.0.value()))?;
+        let least = |left: &Pressure, right: &Pressure| left.value().total_cmp(&right.value());
+        let (other, free, region) = spares.min_by(|left, right| least(&left.0, &right.0))?;
         let region = region.clone();
-        let leaves = self.rng.random::<f64>() < own.share_away(other);
+        let room = free / f64::from(busyness.running.max(1));
+        let leaves = self.rng.random::<f64>() < own.share_away(other, room);
         let remote = leaves.then(|| self.choose_remote(now, job, Some(&region)))??;
         Some(Remote {
             pressures: Some((own, other)),
@@ -136,6 +167,16 @@
         })
     }
 
+    /// Slots that are free in another region for a request, as that region keeps some for its most
+    /// urgent route.
+    fn free_slots(&self, region: &name::Region, spare: &Spare, job: &Job) -> f64 {
+        let table = self.table.as_ref();
+        let most_urgent = table.and_then(|table| table.most_urgent(&job.pool, region));
+        let is_urgent = most_urgent.is_none_or(|most_urgent| job.urgency() <= most_urgent);
+        let unreserved = spare.unreserved.filter(|_| !is_urgent);
+        f64::from(unreserved.unwrap_or(spare.requests))
+    }
+
     /// Chooses the host of another region with the shortest predicted time to the first byte.
     ///
     /// Looks only at the region `only` if one is given.
@@ -178,7 +219,8 @@
             let prefill_ms = prompt_tokens / f64::from(spare.rate.max(1.0));
             let predicted_ms = f64::from(spare.wait_ms) + prefill_ms + REGION_ROUND_TRIP_MS;
             let is_on_time = elapsed_ms + predicted_ms <= REMOTE_ON_TIME_SHARE * job.objective_ms();
-            let has_room = f64::from(spare.tokens) >= prompt_tokens && spare.requests >= 1.0;
+            let has_room = f64::from(spare.tokens) >= prompt_tokens
+                && self.free_slots(region, spare, job) >= 1.0;
             // A request that can't be served in this region is better answered late than not at
             // all.
             let is_useful = if may_be_local {
@@ -248,6 +290,7 @@
             if let Some(spare) = peer.spare.get_mut(&job.pool) {
                 spare.tokens -= job.tokens.0 as f32;
                 spare.requests -= 1.0;
+                spare.unreserved = spare.unreserved.map(|free| free - 1.0);
             }
         }
     }
--- a/src/proxy/core/relay.rs
+++ b/src/proxy/core/relay.rs
@@ -204,7 +204,7 @@
         }
         let pool = self.table.as_ref()?.pool(&job.pool)?;
         let hosts = self.fleet.region_hosts();
-        let most_urgent = self.most_urgent(&job.pool);
+        let most_urgent = self.most_urgent(now, &job.pool);
         let is_relayed = |replica: &Replica, _: &Pool| {
             replica.reach.is_relayed(now) && self.choose_neighbour(now, job, replica).is_some()
         };
--- a/src/proxy/fleet.rs
+++ b/src/proxy/fleet.rs
@@ -156,6 +156,10 @@
     /// Prompt tokens that one upstream prefills per millisecond.
     #[serde(rename = "s")]
     pub rate: f32,
+    /// Number of free slots that are not kept for the most urgent requests; `None` from hosts of older
+    /// builds.
+    #[serde(rename = "u", default, skip_serializing_if = "Option::is_none")]
+    pub unreserved: Option<f32>,
     /// How busy the engines are; `None` for plain services, and from hosts of older builds.
     #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
     pub pressure: Option<Pressure>,
--- a/src/proxy/host.rs
+++ b/src/proxy/host.rs
@@ -1062,7 +1062,7 @@
         )
     });
     let (hosts, remote_hosts) = core.peer_counts(now);
-    let reserved = core.reserved_slots(job);
+    let reserved = core.reserved_slots(now, job);
     tracing::info!(event = "unplaced", request, pool = %job.pool, version = job.matched.edition.version,
         build = job.build.as_ref().map(name::Build::as_str),
         upstreams, open, resting, reserved, waiting = core.queue_len(), hosts, hosts_away = remote_hosts, may_leave = job.may_forward,
--- a/src/proxy/place.rs
+++ b/src/proxy/place.rs
@@ -102,6 +102,12 @@
         millis(self.matched.route.objective)
     }
 
+    /// Priority of the request or of its route, whichever is more urgent. A customer may be more urgent
+    /// than the route; a less urgent one still has a part in the slots that are kept for the route.
+    pub fn urgency(&self) -> u8 {
+        self.matched.priority.min(self.matched.route.priority)
+    }
+
     /// Whether an upstream's build may serve the request.
     pub fn allows_build(&self, replica: &Replica) -> bool {
         let build = self.build.as_ref();
@@ -141,7 +147,7 @@
 /// Upstreams that are silent, full or ejected are used only if all usable ones are. `may_send` tells
 /// whether the rate of an upstream allows another request of this host. `hosts` is the number of hosts
 /// of the region, which choose without knowing what the others choose meanwhile. `most_urgent` is the
-/// priority of the most urgent route that the pool serves in this region.
+/// priority of the route that slots are kept for; see [`reserve`].
 pub fn choose(
     catalog: &Catalog,
     pool: &Pool,
@@ -168,8 +174,7 @@
     };
     match pool.engine {
         Some(engine) => {
-            let priority = job.matched.route.priority;
-            let slots = reserve::open_slots(engine.slots, priority, most_urgent);
+            let slots = reserve::open_slots(engine.slots, job.urgency(), most_urgent);
             let engine = Engine { slots, ..engine };
             choose_engine(catalog, pool, engine, job, now, candidates, hosts)
         }
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -1,5 +1,7 @@
 //! Tests of the proxy's decisions, without sockets.
 
+#[path = "proxy/balance.rs"]
+mod balance;
 #[path = "proxy/build.rs"]
 mod build;
 #[path = "proxy/cold.rs"]
--- a/tests/proxy/build.rs
+++ b/tests/proxy/build.rs
@@ -36,6 +36,7 @@
         tokens: 100_000.0,
         requests: 200.0,
         rate: 80.0,
+        unreserved: None,
         pressure: None,
         builds: builds.iter().map(|build| (*build).into()).collect(),
     };
--- a/tests/proxy/core.rs
+++ b/tests/proxy/core.rs
@@ -33,6 +33,7 @@
         tokens: 100_000.0,
         requests: 200.0,
         rate: 80.0,
+        unreserved: None,
         pressure: None,
         builds: BTreeSet::from(["b1".into()]),
     }
--- a/tests/proxy/reach.rs
+++ b/tests/proxy/reach.rs
@@ -203,6 +203,7 @@
         tokens: 0.0,
         requests: 0.0,
         rate: 80.0,
+        unreserved: None,
         pressure: None,
         builds: BTreeSet::from(["b1".into()]),
     };
--- a/tests/proxy/report.rs
+++ b/tests/proxy/report.rs
@@ -473,6 +473,7 @@
         tokens: 110_000.0,
         requests: 320.0,
         rate: 42.8,
+        unreserved: None,
         pressure: None,
         builds: builds.clone(),
     };
