Keep slots by the priority of routes, not of customers

Cause: with the customer's priority, long prompts of two busy customers of the highest one took the kept slots.

--- a/src/proxy/core/mod.rs
+++ b/src/proxy/core/mod.rs
@@ -686,7 +686,7 @@
     pub fn reserved_slots(&self, now: Duration, job: &Job) -> Option<u32> {
         let engine = self.table.as_ref()?.pool(&job.pool)?.engine?;
         let most_urgent = self.most_urgent(now, &job.pool);
-        let open = reserve::open_slots(engine.slots, job.urgency(), most_urgent);
+        let open = reserve::open_slots(engine.slots, job.matched.route.priority, most_urgent);
         Some(engine.slots - open)
     }
 
--- a/src/proxy/core/region.rs
+++ b/src/proxy/core/region.rs
@@ -172,7 +172,8 @@
     fn free_slots(&self, region: &name::Region, spare: &Spare, job: &Job) -> f64 {
         let table = self.table.as_ref();
         let most_urgent = table.and_then(|table| table.most_urgent(&job.pool, region));
-        let is_urgent = most_urgent.is_none_or(|most_urgent| job.urgency() <= most_urgent);
+        let is_urgent =
+            most_urgent.is_none_or(|most_urgent| job.matched.route.priority <= most_urgent);
         let unreserved = spare.unreserved.filter(|_| !is_urgent);
         f64::from(unreserved.unwrap_or(spare.requests))
     }
--- a/src/proxy/place.rs
+++ b/src/proxy/place.rs
@@ -102,12 +102,6 @@
         millis(self.matched.route.objective)
     }
 
-    /// Priority of the request or of its route, whichever is more urgent. A customer may be more urgent
-    /// than the route; a less urgent one still has a part in the slots that are kept for the route.
-    pub fn urgency(&self) -> u8 {
-        self.matched.priority.min(self.matched.route.priority)
-    }
-
     /// Whether an upstream's build may serve the request.
     pub fn allows_build(&self, replica: &Replica) -> bool {
         let build = self.build.as_ref();
@@ -174,7 +168,7 @@
     };
     match pool.engine {
         Some(engine) => {
-            let slots = reserve::open_slots(engine.slots, job.urgency(), most_urgent);
+            let slots = reserve::open_slots(engine.slots, job.matched.route.priority, most_urgent);
             let engine = Engine { slots, ..engine };
             choose_engine(catalog, pool, engine, job, now, candidates, hosts)
         }
