--- a/src/proxy/core/mod.rs
+++ b/src/proxy/core/mod.rs
@@ -239,7 +239,7 @@
     /// When each pool was last asked for by its most urgent route.
     urgent_at: BTreeMap<name::Pool, Duration>,
     /// How busy this region's pools are.
-    pressures: BTreeMap<name::Pool, region::Busyness>,
+    busyness: BTreeMap<name::Pool, region::Busyness>,
     reservations: BTreeMap<u64, Reservation>,
     last_ticket: u64,
     queue: BTreeMap<(u8, u64), Job>,
@@ -283,7 +283,7 @@
             replaced_texts: BTreeSet::new(),
             listed_version: None,
             urgent_at: BTreeMap::new(),
-            pressures: BTreeMap::new(),
+            busyness: BTreeMap::new(),
             reservations: BTreeMap::new(),
             last_ticket: 0,
             queue: BTreeMap::new(),
--- a/src/proxy/core/region.rs
+++ b/src/proxy/core/region.rs
@@ -25,7 +25,6 @@
 /// Share of the objective within which the prompt tokens that an engine could still prefill count
 /// as spare capacity.
 const SPARE_OBJECTIVE_SHARE: f64 = 0.45;
-
 /// Age up to which what is known of a pool's engines is used again, as computing it looks at all.
 const BUSYNESS_TTL: Duration = Duration::from_millis(100);
 
@@ -118,7 +117,7 @@
 
     /// How busy a pool is in this region, as of at most [`BUSYNESS_TTL`] ago.
     fn busyness(&mut self, now: Duration, pool: &name::Pool) -> Option<Busyness> {
-        let known = self.pressures.get(pool);
+        let known = self.busyness.get(pool);
         if let Some(known) = known
             && now.saturating_sub(known.at) < BUSYNESS_TTL
         {
@@ -135,7 +134,7 @@
             pressure,
             running: running.sum(),
         };
-        self.pressures.insert(pool.clone(), busyness);
+        self.busyness.insert(pool.clone(), busyness);
         Some(busyness)
     }
 
@@ -180,7 +179,7 @@
 
     /// Chooses the host of another region with the shortest predicted time to the first byte.
     ///
-    /// Looks only at the region `only` if one is given.
+    /// Looks only at the region `only`, if one is given.
     /// Returns `None` if no region with room is predicted to answer on time. A request that may not
     /// be served in this region goes to any region that can answer before its deadline.
     pub(super) fn choose_remote(
