Look routes up by their pool, and choose an upstream only for requests that stay

Cause: each placement went through all routes to find the most urgent one of a pool, again for each host that it might be forwarded to, and chose an upstream before it was known whether the request leaves the region.

The table keeps the routes of each pool.

--- a/src/proxy/core/mod.rs
+++ b/src/proxy/core/mod.rs
@@ -618,9 +618,9 @@
             Verdict::Withheld(withheld) => return Placement::Withheld(withheld),
         };
         self.record_urgent(now, job);
-        let local = self.choose_local(now, job);
         if let Some(suspect) = trial {
             // Only this host makes the trial, so the request must not leave its region.
+            let local = self.choose_local(now, job);
             return local.map_or(Placement::Wait, |choice| {
                 self.quarantine.start_trial(now, suspect);
                 Placement::Local(self.reserve(now, job, choice))
@@ -632,6 +632,7 @@
         {
             return Placement::Remote(remote);
         }
+        let local = self.choose_local(now, job);
         if let Some(choice) = &local
             && choice.is_on_time
         {
--- a/src/proxy/table.rs
+++ b/src/proxy/table.rs
@@ -19,6 +19,8 @@
     pub digest: u64,
     routes: BTreeMap<String, Vec<Arc<Route>>>,
     pools: BTreeMap<name::Pool, Arc<Pool>>,
+    /// The routes that each pool serves.
+    pool_routes: BTreeMap<name::Pool, Vec<Arc<Route>>>,
     customers: BTreeMap<name::Customer, Arc<Customer>>,
     keys: BTreeMap<Digest, name::Customer>,
     /// Limits on what callers may send.
@@ -217,9 +219,14 @@
             limits: rows.limits,
             ..Self::default()
         };
-        for route in rows.routes {
+        for route in rows.routes.into_iter().map(Arc::new) {
+            let pools: BTreeSet<_> = route.pools.iter().map(|(pool, _)| pool).collect();
+            for pool in pools {
+                let pool_routes = table.pool_routes.entry(pool.clone()).or_default();
+                pool_routes.push(route.clone());
+            }
             let host_routes = table.routes.entry(route.host.clone()).or_default();
-            host_routes.push(Arc::new(route));
+            host_routes.push(route);
         }
         for routes in table.routes.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
@@ -281,9 +288,8 @@
         routes.map(|route| route.priority).min()
     }
 
-    fn routes_of<'a>(&'a self, pool: &'a name::Pool) -> impl Iterator<Item = &'a Arc<Route>> {
-        let serves = move |route: &&Arc<Route>| route.pools.iter().any(|(name, _)| name == pool);
-        self.routes.values().flatten().filter(serves)
+    fn routes_of(&self, pool: &name::Pool) -> impl Iterator<Item = &Arc<Route>> {
+        self.pool_routes.get(pool).into_iter().flatten()
     }
 
     /// Longest time limit of a stream that callers may resume.
