Test that kept slots follow their use and are no room for others

Each fails under the deliberate fault that it guards against: reserved slots counted as free, and slots kept after their route was last asked for. Without any kept slots four of the six tests fail, without sharing two.

--- a/tests/proxy/balance.rs
+++ b/tests/proxy/balance.rs
@@ -15,6 +15,7 @@
             core::{Core, Placement, Provenance},
             dialect::Part,
             fingerprint::Fingerprint,
+            fleet::{Report, Spare},
             place::Job,
             quarantine,
             replica::Outcome,
@@ -72,6 +73,12 @@
     has_reserve: bool,
 }
 
+/// The decisions as built.
+const BOTH: Policy = Policy {
+    is_balanced: true,
+    has_reserve: true,
+};
+
 #[derive(Debug)]
 struct Run {
     host: usize,
@@ -335,12 +342,12 @@
 /// another region is nearly idle: prefills made long pauses in the short prompts' answers.
 #[test]
 fn a_busy_region_shares_long_prompts_with_an_idle_one() {
-    let policy = |is_balanced| Policy {
-        is_balanced,
-        has_reserve: true,
+    let unbalanced = Policy {
+        is_balanced: false,
+        ..BOTH
     };
-    let [long_before, short_before] = play(policy(false), 32.0, 20.0);
-    let [long, short] = play(policy(true), 32.0, 20.0);
+    let [long_before, short_before] = play(unbalanced, 32.0, 20.0);
+    let [long, short] = play(BOTH, 32.0, 20.0);
     let text = format!("{long_before:?} {short_before:?} without, {long:?} {short:?} with");
     eprintln!("{text}");
     let late = |tally: Tally| tally.asked - tally.on_time;
@@ -352,12 +359,12 @@
 /// Guards against long prompts that take the slots of urgent requests, which were then rejected.
 #[test]
 fn urgent_requests_find_slots_beside_a_surplus_of_long_prompts() {
-    let policy = |has_reserve| Policy {
-        is_balanced: true,
-        has_reserve,
+    let unreserved = Policy {
+        has_reserve: false,
+        ..BOTH
     };
-    let [_, short_before] = play(policy(false), 150.0, 25.0);
-    let [long, short] = play(policy(true), 150.0, 25.0);
+    let [_, short_before] = play(unreserved, 150.0, 25.0);
+    let [long, short] = play(BOTH, 150.0, 25.0);
     let text = format!("{short_before:?} without, {long:?} {short:?} with");
     eprintln!("{text}");
     assert!(
@@ -399,3 +406,51 @@
     assert_eq!(reserve::open_slots(1, 2, Some(0)), 1);
     assert_eq!(reserve::open_slots(0, 2, Some(0)), 0);
 }
+
+/// Guards against slots that stay reserved for a route that nobody asks for any more.
+#[test]
+fn slots_are_kept_for_as_long_as_the_most_urgent_route_is_in_use() {
+    let mut simulation = Simulation::new(BOTH, 0);
+    let long = simulation.request(ms(0), 0, Class::Long);
+    let short = simulation.request(ms(0), 0, Class::Short);
+    let core = &mut simulation.hosts[0];
+    assert_eq!(core.reserved_slots(ms(0), &long), Some(0));
+    core.place(ms(10), &short);
+    assert_eq!(core.reserved_slots(ms(10), &long), Some(8));
+    assert_eq!(core.reserved_slots(ms(10), &short), Some(0));
+    let over = ms(10) + reserve::KEPT_FOR;
+    assert_eq!(core.reserved_slots(over, &long), Some(0));
+}
+
+/// Guards against requests that leave a region for slots which another one keeps for urgent requests:
+/// they were refused there.
+#[test]
+fn reserved_slots_of_another_region_are_no_room_for_less_urgent_requests() {
+    let forwards = |unreserved| {
+        let mut simulation = Simulation::new(BOTH, 0);
+        let jobs: Vec<_> = (0..200)
+            .map(|_| simulation.request(ms(0), 1, Class::Long))
+            .collect();
+        let core = &mut simulation.hosts[1];
+        let spare = Spare {
+            wait_ms: 50.0,
+            tokens: 1e9,
+            requests: 1_000.0,
+            unreserved: Some(unreserved),
+            rate: 40.0,
+            ..Spare::default()
+        };
+        core.receive_report(
+            ms(0),
+            Report {
+                spare: vec![(POOL.into(), spare)],
+                ..common::report(identity("north-1", "north", 1), 1)
+            },
+        );
+        let placements = jobs.iter().map(|job| core.place(ms(1), job));
+        let remote = placements.filter(|placement| matches!(placement, Placement::Remote(_)));
+        remote.count()
+    };
+    assert_eq!(forwards(0.0), 0);
+    assert_eq!(forwards(5.0), 5);
+}
