--- a/tests/daemon.rs
+++ b/tests/daemon.rs
@@ -277,3 +277,104 @@
         assert!(printed.contains(part), "{part} is not in {printed}");
     }
 }
+
+/// What a host needs to start, except for addresses: the store is not there, so it isn't ready.
+fn serve(addresses: [SocketAddr; 3]) -> Child {
+    let [callers, peers, admin] = addresses.map(|address| address.to_string());
+    Command::new(PROGRAM)
+        .args([
+            "serve", "--name", "south-a", "--region", "south", "--domain", "south-1",
+        ])
+        .args(["--listen", &callers, "--peer-listen", &peers])
+        .args(["--admin-listen", &admin, "--platform", "127.0.0.1:1"])
+        .args(["--drain-grace", "0.1"])
+        .env_clear()
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the program runs")
+}
+
+fn own_addresses() -> [SocketAddr; 3] {
+    let own = own_address();
+    [8301, 8302, 8303].map(|port| SocketAddr::from((own, port)))
+}
+
+async fn until_bound(address: SocketAddr) {
+    until(async || tokio::net::TcpStream::connect(address).await.is_ok()).await;
+}
+
+fn send(child: &Child, signal: &str) {
+    let id = child.id().to_string();
+    let sent = Command::new("kill").args(["-s", signal, &id]).status();
+    assert!(sent.expect("kill runs").success());
+}
+
+/// The process's end, with what it wrote to standard error.
+async fn end(mut child: Child) -> (Option<i32>, String) {
+    until(async || child.try_wait().expect("a child").is_some()).await;
+    let output = child.wait_with_output().expect("ended");
+    (output.status.code(), text(&output.stderr).to_owned())
+}
+
+#[tokio::test]
+#[ignore = "the process ends, issue 61"]
+async fn serve_waits_for_an_address_that_is_in_use() {
+    for taken in 0..3 {
+        let addresses = own_addresses();
+        let holder = std::net::TcpListener::bind(addresses[taken]).expect("a listener");
+        let mut child = serve(addresses);
+        if taken > 0 {
+            until_bound(addresses[0]).await;
+        }
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let ended = child.try_wait().expect("a child");
+        assert_eq!(ended, None, "address {taken} was in use");
+        drop(holder);
+        for address in addresses {
+            until_bound(address).await;
+        }
+        send(&child, "TERM");
+        let (status, log) = end(child).await;
+        assert_eq!(status, Some(0), "{log}");
+        assert!(log.contains(&addresses[taken].to_string()), "{log}");
+    }
+}
+
+#[tokio::test]
+#[ignore = "the process ends, issue 61"]
+async fn serve_that_waits_for_its_address_ends_at_once_when_terminated() {
+    for signal in ["TERM", "INT"] {
+        let addresses = own_addresses();
+        let _holder = std::net::TcpListener::bind(addresses[0]).expect("a listener");
+        let mut child = serve(addresses);
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        assert_eq!(child.try_wait().expect("a child"), None);
+        send(&child, signal);
+        let (status, log) = end(child).await;
+        assert_eq!(status, Some(0), "{log}");
+    }
+}
+
+#[tokio::test]
+#[ignore = "the signal ends the process, issue 61"]
+async fn serve_goes_on_after_sighup() {
+    let addresses = own_addresses();
+    let mut child = serve(addresses);
+    until_bound(addresses[0]).await;
+    send(&child, "HUP");
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert_eq!(child.try_wait().expect("a child"), None);
+    send(&child, "TERM");
+    let (status, log) = end(child).await;
+    assert_eq!(status, Some(0), "{log}");
+    assert!(log.contains("nothing to reload"), "{log}");
+}
+
+#[tokio::test]
+#[ignore = "the same address twice is not told, issue 61"]
+async fn serve_with_the_same_address_twice_ends_with_status_2() {
+    let [callers, peers, _] = own_addresses();
+    let (status, log) = end(serve([callers, peers, callers])).await;
+    assert_eq!(status, Some(2), "{log}");
+    assert!(log.contains("--admin-listen"), "{log}");
+}
