Write the log from a thread that neither blocks nor ends the host

What was seen: `greengagecleat serve` aborted (SIGABRT) 4 ms after its start where standard error was full or its reader gone, and answered nobody once a pipe that nobody read was full (after 463 lines in the test). Both programs were ended by SIGXFSZ when their log reached the limit of file sizes (`ulimit -f`). `greengagecleat-platform` with a full pipe and a full queue of lines never ended after SIGTERM, so its supervisor had to kill it.

Cause: tracing-subscriber prints a failed write with `eprintln!`, which panics on the same output, and a panic in the hook of panics aborts. `serve` wrote to standard error within its requests. tracing-appender reports with `println!` at its end that it can't flush, which waits for the lock of the output that its thread holds; it also panics where no thread can be started.

Change: `log::Writer`, a bounded queue with a thread, replaces tracing-appender in both programs. Lines that find no room, or that the output refuses, are counted (`log_lines_lost`). At the end it flushes for a limited time. `log::report` leaves a line on standard error without blocking or panicking: the hook of panics and every way out of the daemons use it. Panics are counted by place (`panics`). SIGXFSZ is handled, so that the write fails in its place. Runtimes are shut down without waiting for stuck threads.

SIGXFSZ was tried with `serve` only; a thread that can't be started was not tried.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -289,6 +289,11 @@
         &self.gateway
     }
 
+    /// The metrics of the host.
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
     /// Number of calls that are running now.
     pub fn running_calls(&self) -> usize {
         usize::try_from(self.metrics.running.get()).unwrap_or(0)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod limit;
 pub mod link;
 pub mod listen;
+pub mod log;
 pub mod machine;
 pub mod member;
 pub mod metric;
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -1,7 +1,7 @@
 //! Metrics of a host, exported in the Prometheus text format.
 
 use {
-    crate::failure::Code,
+    crate::{failure::Code, panic::Panics},
     prometheus_client::{
         encoding::{EncodeLabelSet, EncodeLabelValue, LabelValueEncoder, text},
         metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
@@ -105,6 +105,7 @@
                 "From arrival to the answer's head",
                 metrics.head_seconds.clone(),
             );
+            registry.register_collector(Box::new(Panics));
         });
         metrics
     }
@@ -114,6 +115,17 @@
         add(&mut self.registry.lock().unwrap_or_else(PoisonError::into_inner));
     }
 
+    /// Registers the count of the lines that a log's writer dropped.
+    pub fn register_lost_lines(&self, lost: Gauge) {
+        self.register(|registry| {
+            registry.register(
+                "log_lines_lost",
+                "Log lines that the writer was too slow for",
+                lost,
+            );
+        });
+    }
+
     /// The current values in the Prometheus text format.
     pub fn render(&self) -> String {
         let mut page = String::new();
