Notice the end of long-lived tasks, and start them again or drain

What could be seen: after a panic in a message's handling, a report or a call to the store, the host went on without that task, for ever. It heard no reports, or sent none, or kept the configuration that it had, and said that it is ready.

Cause: tasks were spawned without anybody who waits for them; `Kernel` looked at their ends only at the end of the process.

The loops that follow the store, the list of hosts, the directory of clients, the load and reach of upstreams, the queue and the reports are started again after 50 ms to 5 s (`Restart`, a machine). Handlers of messages and steps of timers contain a panic each (`panic::contain`), so that their loops and mailboxes stay. When a listener or such a loop ends nevertheless, the host drains and ends with status 1 and the task's name; the metrics page alone may end. A read of a document that panics counts as failed, as the machine waits for its end. Log line `task`, metric `task_ends`. No timer and no task is added on the normal path.

Evidence: tests/task.rs and tasks:: (platform/tests/whole/tasks.rs) inject panics by a clock and a store that panic. With a `contain` that doesn't contain, messages_and_reports_go_on_after_panics fails; the rest of the mechanism is new. That run::run leaves on such an end is not tested, as none can be injected there.

--- a/src/attempt/register/service.rs
+++ b/src/attempt/register/service.rs
@@ -7,7 +7,7 @@
         clock::Clock,
         link::{self, Received},
         machine::Machine,
-        name,
+        name, panic,
         source::{Kind, Listing},
         wire,
     },
@@ -131,18 +131,21 @@
         loop {
             tokio::select! {
                 _ = dependencies.stop.changed() => return,
-                _ = ticks.tick() => self.step(Event::Tick),
+                _ = ticks.tick() => {
+                    panic::contain(|| self.step(Event::Tick));
+                }
                 changed = dependencies.listing.changed() => {
                     if changed.is_err() {
                         return;
                     }
-                    self.update_hosts(&dependencies.listing.borrow_and_update().clone());
+                    let listing = dependencies.listing.borrow_and_update().clone();
+                    panic::contain(|| self.update_hosts(&listing));
                 }
                 received = dependencies.mailbox.recv() => {
                     let Some(Received { from, message }) = received else {
                         return;
                     };
-                    self.step(Event::Received { from, message });
+                    panic::contain(|| self.step(Event::Received { from, message }));
                 }
             }
         }
--- a/src/bin/greengagecleat/serve.rs
+++ b/src/bin/greengagecleat/serve.rs
@@ -3,6 +3,7 @@
 use {
     crate::{EXIT_USAGE, arguments::Serve, log, setting},
     greengagecleat::{
+        Error,
         clock::Monotonic,
         entry::Entry,
         log::{ignore_file_size_signal, report},
@@ -64,15 +65,19 @@
         Ok(pair) => pair,
         Err(error) => return fail(&format!("listening for signals: {error}")),
     };
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
+    let failed = tokio::select! {
+        _ = terminate.recv() => None,
+        _ = interrupt.recv() => None,
+        task = entry.failed_task() => Some(task),
+    };
     let cut = tokio::select! {
         cut = entry.drain() => cut,
         _ = terminate.recv() => entry.running_calls(),
         _ = interrupt.recv() => entry.running_calls(),
     };
+    if let Some(task) = failed {
+        return fail(&Error::Ended { task }.to_string());
+    }
     if cut == 0 {
         tracing::info!("drained");
         return ExitCode::SUCCESS;
--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -20,13 +20,15 @@
         machine::Machine as _,
         member::{self, View},
         metric::Metrics,
-        name,
+        name, panic,
         settings::Settings,
         source::{Documents, Kind, Listing, State},
         wire,
     },
+    futures::FutureExt,
     std::{
         net::SocketAddr,
+        panic::AssertUnwindSafe,
         sync::Arc,
         time::{Duration, SystemTime},
     },
@@ -181,24 +183,31 @@
         let mut stop = self.dependencies.stop.clone();
         loop {
             tokio::select! {
-                _ = ticks.tick() => self.tick(),
+                _ = ticks.tick() => {
+                    panic::contain(|| self.tick());
+                }
                 Some(Received { from, message }) = inbox.members.recv() => {
-                    self.step_membership(member::Event::Received { from, message });
+                    let event = member::Event::Received { from, message };
+                    panic::contain(|| self.step_membership(event));
                 }
                 Some(Received { from, message }) = inbox.documents.recv() => {
-                    self.step_documents(spread::Event::Received { from, message });
+                    let event = spread::Event::Received { from, message };
+                    panic::contain(|| self.step_documents(event));
                 }
                 Some(ReadResult { document, round, outcome }) = inbox.reads.recv() => {
-                    self.step_documents(spread::Event::ReadEnded { document, round, outcome });
+                    let event = spread::Event::ReadEnded { document, round, outcome };
+                    panic::contain(|| self.step_documents(event));
                 }
                 Ok(()) = listing.changed() => {
                     let rows = listed_hosts(&listing.borrow_and_update());
-                    self.step_membership(member::Event::Listed(rows));
-                    self.publish_view();
+                    panic::contain(|| {
+                        self.step_membership(member::Event::Listed(rows));
+                        self.publish_view();
+                    });
                 }
                 Ok(()) = phase.changed() => {
                     if *phase.borrow_and_update() == Phase::Leaving {
-                        self.step_membership(member::Event::Leave);
+                        panic::contain(|| self.step_membership(member::Event::Leave));
                     }
                 }
                 _ = stop.changed() => return,
@@ -319,8 +328,10 @@
         let reads = self.reads.clone();
         tokio::spawn(async move {
             let reading = read_document(platform, document, watch);
+            // The machine waits for the end of each read.
+            let reading = AssertUnwindSafe(reading).catch_unwind();
             let outcome = tokio::select! {
-                outcome = reading => outcome,
+                outcome = reading => outcome.unwrap_or(Outcome::Failed),
                 () = reads.closed() => return,
             };
             let read = ReadResult {
--- a/src/entry/listing.rs
+++ b/src/entry/listing.rs
@@ -19,30 +19,33 @@
 pub(super) fn start<H: Hosts>(
     kernel: &mut Kernel,
     platform: H,
-    mut stop: watch::Receiver<()>,
+    stop: watch::Receiver<()>,
 ) -> watch::Receiver<Arc<Listing>> {
     let (sender, receiver) = watch::channel(Arc::default());
-    let polling = async move {
-        let mut interval = MIN_POLL_INTERVAL;
-        loop {
-            match platform.hosts().await {
-                Ok(listing) => {
-                    interval = poll_interval(&listing);
-                    sender.send_if_modified(|known| {
-                        let changed = **known != listing;
-                        *known = Arc::new(listing);
-                        changed
-                    });
+    kernel.keep("listing", move || {
+        let (platform, sender, mut stop) = (platform.clone(), sender.clone(), stop.clone());
+        async move {
+            let polling = async {
+                let mut interval = MIN_POLL_INTERVAL;
+                loop {
+                    match platform.hosts().await {
+                        Ok(listing) => {
+                            interval = poll_interval(&listing);
+                            sender.send_if_modified(|known| {
+                                let changed = **known != listing;
+                                *known = Arc::new(listing);
+                                changed
+                            });
+                        }
+                        Err(error) => tracing::debug!(%error, "could not read the host list"),
+                    }
+                    sleep(interval).await;
                 }
-                Err(error) => tracing::debug!(%error, "could not read the host list"),
+            };
+            tokio::select! {
+                () = polling => {}
+                _ = stop.changed() => {}
             }
-            sleep(interval).await;
-        }
-    };
-    kernel.spawn("listing", async move {
-        tokio::select! {
-            () = polling => {}
-            _ = stop.changed() => {}
         }
     });
     receiver
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -25,6 +25,7 @@
         queue, route,
         settings::Settings,
         source::http::Platform,
+        task::Failure,
         upstream, wire,
     },
     std::{
@@ -72,6 +73,7 @@
     stop: Mutex<Option<watch::Sender<()>>>,
     metrics: Metrics,
     gateway: Gateway<C>,
+    failure: Failure,
     kernel: Mutex<Option<Kernel>>,
 }
 
@@ -111,7 +113,7 @@
         let metrics = Metrics::new();
         let (stop, stopped) = watch::channel(());
         let (phase, phase_reader) = watch::channel(Phase::Running);
-        let mut kernel = Kernel::new();
+        let mut kernel = Kernel::new(&metrics);
 
         let platform = Platform::new(network.clone(), settings.platform);
         let peer_addresses = Peers::default();
@@ -156,30 +158,34 @@
         kernel.publish("route", router.clone());
         let queue = queue::Handle::new(queue::Options::default(), clock.clone(), router.clone());
         queue.register(&metrics);
-        kernel.spawn("queue", queue.clone().run(stopped.clone()));
+        let (running, stop_queue) = (queue.clone(), stopped.clone());
+        kernel.keep("queue", move || running.clone().run(stop_queue.clone()));
         let upstreams = upstream::Client::new(upstream_network.clone());
         upstreams.register(&metrics);
         let (digest_mailbox, digest_inbox) = mpsc::channel(DIGEST_MAILBOX_CAPACITY);
-        kernel.spawn(
-            "load",
-            route::follow_load(
-                router.clone(),
-                upstream::Client::new(upstream_network.clone()),
-                stopped.clone(),
-            ),
-        );
-        kernel.spawn(
-            "reach",
-            route::follow_reach(
-                router.clone(),
-                upstream_network,
-                link.clone(),
-                listing.clone(),
-                home.clone(),
-                metrics.clone(),
-                stopped.clone(),
-            ),
-        );
+        kernel.keep("load", {
+            let (router, network) = (router.clone(), upstream_network.clone());
+            let stopped = stopped.clone();
+            move || {
+                let client = upstream::Client::new(network.clone());
+                route::follow_load(router.clone(), client, stopped.clone())
+            }
+        });
+        kernel.keep("reach", {
+            let (router, link, listing) = (router.clone(), link.clone(), listing.clone());
+            let (home, metrics, stopped) = (home.clone(), metrics.clone(), stopped.clone());
+            move || {
+                route::follow_reach(
+                    router.clone(),
+                    upstream_network.clone(),
+                    link.clone(),
+                    listing.clone(),
+                    home.clone(),
+                    metrics.clone(),
+                    stopped.clone(),
+                )
+            }
+        });
         kernel.spawn(
             "route",
             route::exchange_digests(
@@ -275,6 +281,7 @@
             stop: Mutex::new(Some(stop)),
             metrics,
             gateway,
+            failure: kernel.failure(),
             kernel: Mutex::new(Some(kernel)),
         })
     }
@@ -289,6 +296,12 @@
         &self.gateway
     }
 
+    /// Returns the name of a task that has ended and that the host can't go on without, once there is
+    /// one. The host should then be drained.
+    pub async fn failed_task(&self) -> &'static str {
+        self.failure.clone().wait().await
+    }
+
     /// The metrics of the host.
     pub fn metrics(&self) -> &Metrics {
         &self.metrics
@@ -311,12 +324,13 @@
         while self.running_calls() > 0 && Instant::now() < limit {
             sleep(DRAIN_POLL_INTERVAL).await;
         }
-        self.stop
+        let kernel = self
+            .kernel
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .take();
-        let kernel = self
-            .kernel
+        kernel.as_ref().inspect(|kernel| kernel.stop());
+        self.stop
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .take();
--- a/src/entry/places.rs
+++ b/src/entry/places.rs
@@ -15,28 +15,31 @@
 pub(super) fn start<P: Clients>(
     kernel: &mut Kernel,
     platform: P,
-    mut stop: watch::Receiver<()>,
+    stop: watch::Receiver<()>,
 ) -> watch::Receiver<Arc<Places>> {
     let (sender, receiver) = watch::channel(Arc::default());
-    let polling = async move {
-        loop {
-            match platform.clients().await {
-                Ok(directory) => {
-                    sender.send_replace(Arc::new(Places::new(&directory)));
-                    sleep(POLL_INTERVAL).await;
-                }
-                Err(error) => {
-                    tracing::debug!(%error, "could not read the client directory");
-                    sleep(RETRY_INTERVAL).await;
+    kernel.keep("places", move || {
+        let (platform, sender, mut stop) = (platform.clone(), sender.clone(), stop.clone());
+        async move {
+            let polling = async {
+                loop {
+                    match platform.clients().await {
+                        Ok(directory) => {
+                            sender.send_replace(Arc::new(Places::new(&directory)));
+                            sleep(POLL_INTERVAL).await;
+                        }
+                        Err(error) => {
+                            tracing::debug!(%error, "could not read the client directory");
+                            sleep(RETRY_INTERVAL).await;
+                        }
+                    }
                 }
+            };
+            tokio::select! {
+                () = polling => {}
+                _ = stop.changed() => {}
             }
         }
-    };
-    kernel.spawn("places", async move {
-        tokio::select! {
-            () = polling => {}
-            _ = stop.changed() => {}
-        }
     });
     receiver
 }
--- a/src/error.rs
+++ b/src/error.rs
@@ -38,6 +38,12 @@
         /// Why it is invalid.
         reason: String,
     },
+    /// A long-lived task has ended that the host can't go on without.
+    #[display("task {task} has ended by itself")]
+    Ended {
+        /// Name of the task.
+        task: &'static str,
+    },
     /// A step exceeded its time limit.
     #[display("{step} with {peer}: timed out")]
     Timeout {
--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -3,6 +3,10 @@
 //! needs a lookup.
 
 use {
+    crate::{
+        metric::Metrics,
+        task::{Failure, Supervisor},
+    },
     derive_more::{Display, Error},
     std::{any::Any, collections::BTreeMap, future::Future},
     tokio::task::JoinSet,
@@ -17,16 +21,21 @@
 }
 
 /// The handles and tasks of the services of one process.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Kernel {
     handles: BTreeMap<&'static str, Box<dyn Any + Send + Sync>>,
+    supervisor: Supervisor,
     tasks: JoinSet<&'static str>,
 }
 
 impl Kernel {
-    /// A kernel without services.
-    pub fn new() -> Self {
-        Self::default()
+    /// A kernel without services, which counts the ends of their tasks in `metrics`.
+    pub fn new(metrics: &Metrics) -> Self {
+        Self {
+            handles: BTreeMap::new(),
+            supervisor: Supervisor::new(metrics),
+            tasks: JoinSet::new(),
+        }
     }
 
     /// Publishes a service's handle, usually the sender of its mailbox, under its name. A later
@@ -47,8 +56,32 @@
             .ok_or(LookupError { name })
     }
 
-    /// Starts a service's task, which is expected to end when its mailbox closes.
+    /// Starts a service's task, which is expected to end when its mailbox closes. If it ends before
+    /// [`Self::stop`], it can't be started again, and [`Self::failure`] tells so.
     pub fn spawn(&mut self, name: &'static str, task: impl Future<Output = ()> + Send + 'static) {
+        self.join_later(name, self.supervisor.guard(name, task));
+    }
+
+    /// Starts a service's task, and again whenever it ends before [`Self::stop`].
+    pub fn keep<F: Future<Output = ()> + Send + 'static>(
+        &mut self,
+        name: &'static str,
+        start: impl FnMut() -> F + Send + 'static,
+    ) {
+        self.join_later(name, self.supervisor.keep(name, start));
+    }
+
+    /// Tells which task has ended that the process can't go on without.
+    pub fn failure(&self) -> Failure {
+        self.supervisor.failure()
+    }
+
+    /// From now on tasks are expected to end.
+    pub fn stop(&self) {
+        self.supervisor.stop();
+    }
+
+    fn join_later(&mut self, name: &'static str, task: impl Future<Output = ()> + Send + 'static) {
         self.tasks.spawn(async move {
             task.await;
             name
@@ -58,6 +91,7 @@
     /// Drops the published handles, so that mailboxes close, and waits until every task has ended.
     /// Panics of tasks are logged.
     pub async fn join(mut self) {
+        self.stop();
         self.handles.clear();
         while let Some(ended) = self.tasks.join_next().await {
             match ended {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod route;
 pub mod settings;
 pub mod source;
+pub mod task;
 pub mod trace;
 pub mod upstream;
 pub mod wire;
--- a/src/limit/service.rs
+++ b/src/limit/service.rs
@@ -15,7 +15,7 @@
         entry::Phase,
         link::{self, Received},
         machine::Machine,
-        member, metric, name, wire,
+        member, metric, name, panic, wire,
     },
     prometheus_client::{
         encoding::EncodeLabelSet,
@@ -245,7 +245,7 @@
                 _ = ticks.tick() => Some(Event::Tick),
             };
             if let Some(event) = event {
-                self.step(&link, event);
+                panic::contain(|| self.step(&link, event));
             }
         }
     }
--- a/src/panic.rs
+++ b/src/panic.rs
@@ -10,7 +10,7 @@
     std::{
         collections::BTreeMap,
         fmt,
-        panic::{self, PanicHookInfo},
+        panic::{self, AssertUnwindSafe, PanicHookInfo},
         sync::{Mutex, MutexGuard, PoisonError},
     },
 };
@@ -33,6 +33,12 @@
     }));
 }
 
+/// Runs one step of a loop that must go on if the step panics, such as the handling of a message.
+/// Returns `None` then; the hook has logged it.
+pub fn contain<T>(step: impl FnOnce() -> T) -> Option<T> {
+    panic::catch_unwind(AssertUnwindSafe(step)).ok()
+}
+
 fn place(panic: &PanicHookInfo<'_>) -> String {
     let place = panic.location().map(ToString::to_string);
     place.unwrap_or_else(|| "unknown".into())
--- a/src/proxy/follow.rs
+++ b/src/proxy/follow.rs
@@ -59,6 +59,14 @@
 impl Section {
     /// Every section.
     pub const ALL: [Self; 2] = [Self::Operator, Self::Upstreams];
+
+    /// Name of the task that follows it.
+    pub fn task(self) -> &'static str {
+        match self {
+            Self::Operator => "store of operators",
+            Self::Upstreams => "store of upstreams",
+        }
+    }
 }
 
 /// A decoded entry of the store.
--- a/src/proxy/host.rs
+++ b/src/proxy/host.rs
@@ -37,7 +37,7 @@
         failure::{Code, Failure},
         link::{self, exchange},
         metric::{self, Metrics},
-        name, upstream, wire,
+        name, panic, upstream, wire,
     },
     bytes::Bytes,
     http::{HeaderMap, StatusCode},
@@ -676,17 +676,24 @@
                 () = sleep(REPORT_POLL_INTERVAL) => {}
                 () = wait_for_phase(&mut phase, |phase| phase == Phase::Closed) => return,
             }
-            self.core().record_step(self.clock.now());
-            self.send_reports();
-            self.tell_origins();
-            self.expire();
-            self.announce();
-            let now = self.clock.now();
-            if now >= warmed_at + WARM_INTERVAL {
-                warmed_at = now;
-                let relays = self.core().relay_addresses(now);
-                self.exchanges.keep_warm(relays);
-            }
+            // Each step goes on without the others, so that one that fails each time doesn't keep
+            // reports back.
+            panic::contain(|| self.core().record_step(self.clock.now()));
+            panic::contain(|| self.send_reports());
+            panic::contain(|| self.tell_origins());
+            panic::contain(|| self.expire());
+            panic::contain(|| self.announce());
+            panic::contain(|| self.warm_connections(&mut warmed_at));
+        }
+    }
+
+    /// Renews the connections to other regions every [`WARM_INTERVAL`].
+    fn warm_connections(&self, warmed_at: &mut Duration) {
+        let now = self.clock.now();
+        if now >= *warmed_at + WARM_INTERVAL {
+            *warmed_at = now;
+            let relays = self.core().relay_addresses(now);
+            self.exchanges.keep_warm(relays);
         }
     }
 
@@ -727,32 +734,35 @@
         // The host whose readings were last found to be of an earlier era.
         let mut outdated = None;
         while let Some(received) = mailbox.recv().await {
-            let reading = *received.message;
-            let reader = reading.from.clone();
-            let now = self.clock.now();
-            let era = reading.era;
-            let (before, update, changes) = {
-                let mut core = self.core();
-                let before = core.reader_role.era();
-                let (update, changes) = core.receive_reading(now, reading);
-                (before, update, changes)
-            };
-            self.log_era(before, reader.as_str());
-            let is_earlier = update == reader::Update::EarlierEra;
-            if is_earlier && outdated.replace(reader.clone()).as_ref() != Some(&reader) {
-                tracing::warn!(event = "reader", host = %reader, %era, "its readings are of an earlier era");
-            }
-            if update == reader::Update::NewSource {
-                tracing::info!(event = "reader", host = %reader, "relying on another host's readings");
-            }
-            if update.is_relied_on() {
-                outdated = None;
-                self.announcements.iter().for_each(Notify::notify_one);
-            }
-            if !changes.is_empty() {
-                self.log_changes(changes);
-                self.place_waiting();
-            }
+            panic::contain(|| self.receive_reading(*received.message, &mut outdated));
+        }
+    }
+
+    fn receive_reading(&self, reading: Reading, outdated: &mut Option<name::Host>) {
+        let reader = reading.from.clone();
+        let now = self.clock.now();
+        let era = reading.era;
+        let (before, update, changes) = {
+            let mut core = self.core();
+            let before = core.reader_role.era();
+            let (update, changes) = core.receive_reading(now, reading);
+            (before, update, changes)
+        };
+        self.log_era(before, reader.as_str());
+        let is_earlier = update == reader::Update::EarlierEra;
+        if is_earlier && outdated.replace(reader.clone()).as_ref() != Some(&reader) {
+            tracing::warn!(event = "reader", host = %reader, %era, "its readings are of an earlier era");
+        }
+        if update == reader::Update::NewSource {
+            tracing::info!(event = "reader", host = %reader, "relying on another host's readings");
+        }
+        if update.is_relied_on() {
+            *outdated = None;
+            self.announcements.iter().for_each(Notify::notify_one);
+        }
+        if !changes.is_empty() {
+            self.log_changes(changes);
+            self.place_waiting();
         }
     }
 
@@ -834,45 +844,48 @@
         mut mailbox: mpsc::Receiver<link::Received<brief::Message>>,
     ) {
         while let Some(received) = mailbox.recv().await {
-            let report = match received.message {
-                brief::Message::Long(report) => *report,
-                brief::Message::Short(report) => {
-                    let (host, now) = (report.host().clone(), self.clock.now());
-                    let Some(report) = self.core().fleet.expand(now, *report) else {
-                        tracing::debug!(event = "host", %host, "its short report has no base here");
-                        continue;
-                    };
-                    report
-                }
-            };
-            let (host, incarnation) = (report.from.host.clone(), report.from.incarnation);
-            let (version, now) = (report.version, self.clock.now());
-            let (before, reception, lacks_version) = {
-                let mut core = self.core();
-                let before = core.reader_role.era();
-                let reception = core.receive_report(now, report);
-                (before, reception, core.lacks_version(version))
-            };
-            self.log_era(before, host.as_str());
-            for (upstream, change) in reception.limits {
-                self.log_limit(&upstream, change);
-            }
-            self.log_changes(reception.upstreams);
-            match reception.update {
-                Update::Joined => {
-                    tracing::info!(event = "host", %host, incarnation, state = "live")
-                }
-                Update::Left => {
-                    tracing::info!(event = "host", %host, incarnation, state = "leaving")
-                }
-                Update::Unchanged | Update::Stale => {}
+            panic::contain(|| self.receive_report(received.message));
+        }
+    }
+
+    fn receive_report(&self, message: brief::Message) {
+        let report = match message {
+            brief::Message::Long(report) => *report,
+            brief::Message::Short(report) => {
+                let (host, now) = (report.host().clone(), self.clock.now());
+                let Some(report) = self.core().fleet.expand(now, *report) else {
+                    return tracing::debug!(event = "host", %host, "its short report has no base here");
+                };
+                report
             }
-            if lacks_version {
-                self.newer_configuration.notify_one();
+        };
+        let (host, incarnation) = (report.from.host.clone(), report.from.incarnation);
+        let (version, now) = (report.version, self.clock.now());
+        let (before, reception, lacks_version) = {
+            let mut core = self.core();
+            let before = core.reader_role.era();
+            let reception = core.receive_report(now, report);
+            (before, reception, core.lacks_version(version))
+        };
+        self.log_era(before, host.as_str());
+        for (upstream, change) in reception.limits {
+            self.log_limit(&upstream, change);
+        }
+        self.log_changes(reception.upstreams);
+        match reception.update {
+            Update::Joined => {
+                tracing::info!(event = "host", %host, incarnation, state = "live")
             }
-            if self.core().queue_len() > 0 {
-                self.place_waiting();
+            Update::Left => {
+                tracing::info!(event = "host", %host, incarnation, state = "leaving")
             }
+            Update::Unchanged | Update::Stale => {}
+        }
+        if lacks_version {
+            self.newer_configuration.notify_one();
+        }
+        if self.core().queue_len() > 0 {
+            self.place_waiting();
         }
     }
 }
--- a/src/proxy/host/origin.rs
+++ b/src/proxy/host/origin.rs
@@ -5,7 +5,7 @@
     super::Host,
     crate::{
         clock::Clock,
-        link, name,
+        link, name, panic,
         proxy::{
             core::Sole,
             dialect::Dialect,
@@ -169,25 +169,29 @@
 
     /// Handles what other hosts tell and ask of streams until the channel closes.
     pub async fn receive_origins(self, mut mailbox: mpsc::Receiver<link::Received<Message>>) {
-        while let Some(link::Received { from, message }) = mailbox.recv().await {
-            let now = self.clock.now();
-            match message {
-                Message::Began(records) => {
-                    let mut core = self.core();
-                    for record in records {
-                        core.origins.insert(now, record);
-                    }
-                }
-                Message::Ask { ticket, key } => {
-                    let build = self.core().origins.build(now, key).cloned();
-                    let told = Message::Told { ticket, build };
-                    self.link.send(&from, wire::Message::Origin(told));
+        while let Some(received) = mailbox.recv().await {
+            panic::contain(|| self.receive_origin(received));
+        }
+    }
+
+    fn receive_origin(&self, link::Received { from, message }: link::Received<Message>) {
+        let now = self.clock.now();
+        match message {
+            Message::Began(records) => {
+                let mut core = self.core();
+                for record in records {
+                    core.origins.insert(now, record);
                 }
-                Message::Told { ticket, build } => {
-                    // The question may have been answered by another host.
-                    if let Some(question) = self.questions().get(&ticket) {
-                        question.send(build).ok();
-                    }
+            }
+            Message::Ask { ticket, key } => {
+                let build = self.core().origins.build(now, key).cloned();
+                let told = Message::Told { ticket, build };
+                self.link.send(&from, wire::Message::Origin(told));
+            }
+            Message::Told { ticket, build } => {
+                // The question may have been answered by another host.
+                if let Some(question) = self.questions().get(&ticket) {
+                    question.send(build).ok();
                 }
             }
         }
--- a/src/route/poll.rs
+++ b/src/route/poll.rs
@@ -15,6 +15,7 @@
         metric::Metrics,
         name,
         net::Network,
+        panic,
         source::{Kind, Listing, State},
         upstream::{Call, Client},
         wire,
@@ -151,12 +152,17 @@
     loop {
         tokio::select! {
             received = mailbox.recv() => match received {
-                Some(received) => handle.apply_digest(received.message),
+                Some(received) => {
+                    panic::contain(|| handle.apply_digest(received.message));
+                }
                 None => return,
             },
             _ = stop.changed() => return,
             _ = rounds.tick() => {
-                let digest = handle.with(|router, now| router.own_digest(now));
+                let own_digest = || handle.with(|router, now| router.own_digest(now));
+                let Some(digest) = panic::contain(own_digest) else {
+                    continue;
+                };
                 let turn = round / DIGESTS_PER_ROTATION;
                 for host in recipients(&listing.borrow(), &home, turn, &digest.unreached) {
                     link.send(&host, wire::Message::Route(digest.clone()));
