--- a/src/bin/greengagecleat/main.rs
+++ b/src/bin/greengagecleat/main.rs
@@ -10,20 +10,34 @@
 
 use {
     arguments::{Arguments, Command, KeyCommand},
-    greengagecleat::key::Digest,
+    greengagecleat::{
+        key::Digest,
+        start::{self, EXIT_USAGE},
+    },
     std::{
+        env,
         io::{self, BufRead},
         process::ExitCode,
     },
+    tokio::runtime::Runtime,
 };
 
-/// Exit status for an invalid setting, argument or document.
-const EXIT_USAGE: u8 = 2;
+/// The program's name in messages.
+const PROGRAM: &str = "greengagecleat";
 
 fn main() -> ExitCode {
-    let arguments: Arguments = argh::from_env();
+    // The daemon handles signals before it does anything else. Signals end the other commands.
+    let is_daemon = env::args_os().nth(1).is_some_and(|word| word == "serve");
+    let process = is_daemon.then(|| start::process(PROGRAM, Runtime::new));
+    let arguments: Arguments = match start::arguments(PROGRAM) {
+        Ok(arguments) => arguments,
+        Err(status) => return status,
+    };
     match arguments.command {
-        Command::Serve(flags) => serve::run(&flags),
+        Command::Serve(flags) => {
+            let process = process.unwrap_or_else(|| start::process(PROGRAM, Runtime::new));
+            serve::run(&flags, process)
+        }
         Command::Check(flags) => check::run(&flags),
         Command::Key(flags) => match flags.command {
             KeyCommand::Digest(_) => digest(),
--- a/src/bin/greengagecleat/serve.rs
+++ b/src/bin/greengagecleat/serve.rs
@@ -1,63 +1,74 @@
 //! `greengagecleat serve`: runs a host until SIGTERM or SIGINT, then drains it.
 
 use {
-    crate::{EXIT_USAGE, arguments::Serve, log, setting},
-    greengagecleat::{clock::Monotonic, entry::Entry},
-    std::process::ExitCode,
-    tokio::signal::unix::{Signal, SignalKind, signal},
+    crate::{EXIT_USAGE, PROGRAM, arguments::Serve, log, setting},
+    greengagecleat::{
+        Result,
+        clock::Monotonic,
+        entry::Entry,
+        start::{
+            report,
+            signal::{Notice, Signals},
+        },
+    },
+    std::{io, pin::pin, process::ExitCode},
+    tokio::runtime::Runtime,
 };
 
 /// Exit status if a second signal or the drain limit aborted running calls.
 const EXIT_CUT: u8 = 3;
 
 /// Runs the host and returns the process's exit status.
-pub(crate) fn run(flags: &Serve) -> ExitCode {
+pub(crate) fn run(flags: &Serve, process: io::Result<(Runtime, Signals)>) -> ExitCode {
+    let (runtime, signals) = match process {
+        Ok(process) => process,
+        Err(error) => {
+            report(PROGRAM, format_args!("starting the runtime: {error}"));
+            return ExitCode::FAILURE;
+        }
+    };
     let (settings, logging) = match setting::settings(flags).and_then(|settings| {
         let logging = setting::log(flags)?;
         Ok((settings, logging))
     }) {
         Ok(pair) => pair,
         Err(error) => {
-            eprintln!("greengagecleat: {error}");
+            report(PROGRAM, error);
             return ExitCode::from(EXIT_USAGE);
         }
     };
     log::start(logging);
-    let runtime = match tokio::runtime::Runtime::new() {
-        Ok(runtime) => runtime,
-        Err(error) => {
-            eprintln!("greengagecleat: starting the runtime: {error}");
-            return ExitCode::FAILURE;
-        }
-    };
     runtime.block_on(async {
-        let entry = match Entry::start(settings, Monotonic::new()).await {
-            Ok(entry) => entry,
-            Err(error) => {
-                eprintln!("greengagecleat: {error}");
-                return ExitCode::FAILURE;
-            }
-        };
-        run_until_drained(entry).await
+        let entry = Entry::start(settings, Monotonic::new());
+        run_until_drained(entry, signals).await
     })
 }
 
-async fn run_until_drained(entry: Entry<Monotonic>) -> ExitCode {
-    let (mut terminate, mut interrupt) = match signals() {
-        Ok(pair) => pair,
+async fn run_until_drained(
+    starting: impl Future<Output = Result<Entry<Monotonic>>>,
+    mut signals: Signals,
+) -> ExitCode {
+    let mut starting = pin!(starting);
+    let started = tokio::select! {
+        biased;
+        started = &mut starting => started,
+        () = until_terminated(&mut signals) => {
+            tracing::info!("stopped before the host has started");
+            return ExitCode::SUCCESS;
+        }
+    };
+    let entry = match started {
+        Ok(entry) => entry,
         Err(error) => {
-            eprintln!("greengagecleat: listening for signals: {error}");
+            tracing::error!(%error, "the host can't start");
+            report(PROGRAM, error);
             return ExitCode::FAILURE;
         }
     };
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
+    until_terminated(&mut signals).await;
     let cut = tokio::select! {
         cut = entry.drain() => cut,
-        _ = terminate.recv() => entry.running_calls(),
-        _ = interrupt.recv() => entry.running_calls(),
+        () = until_terminated(&mut signals) => entry.running_calls(),
     };
     if cut == 0 {
         tracing::info!("drained");
@@ -67,8 +78,10 @@
     ExitCode::from(EXIT_CUT)
 }
 
-fn signals() -> std::io::Result<(Signal, Signal)> {
-    let terminate = signal(SignalKind::terminate())?;
-    let interrupt = signal(SignalKind::interrupt())?;
-    Ok((terminate, interrupt))
+/// Waits for SIGTERM or SIGINT. The daemon's settings come from its arguments and environment, which
+/// don't change, so SIGHUP changes nothing.
+async fn until_terminated(signals: &mut Signals) {
+    while signals.next().await == Notice::Reload {
+        tracing::info!(event = "reload", "there is nothing to reload");
+    }
 }
--- a/src/bin/greengagecleat/setting.rs
+++ b/src/bin/greengagecleat/setting.rs
@@ -3,7 +3,7 @@
 
 use {
     crate::arguments::Serve,
-    greengagecleat::{Error, Result, limit, name, settings::Settings},
+    greengagecleat::{Error, Result, limit, name, settings::Settings, start::address},
     std::{env, net::SocketAddr, str::FromStr, time::Duration},
 };
 
@@ -139,6 +139,21 @@
             .seconds(Duration::from_secs(3))?,
         body_limit: body_limit(flags)?,
     };
+    let addresses = [
+        (listen.flag, settings.listen),
+        (peer_listen.flag, settings.peer_listen),
+        (admin_listen.flag, settings.admin_listen),
+    ];
+    if let Some((earlier, later)) = address::overlap(&addresses) {
+        let given = [&peer_listen, &admin_listen].into_iter();
+        let given = given.filter(|setting| setting.flag == later);
+        let (_, origin) = given.flat_map(Setting::value).next().unwrap_or_default();
+        return Err(Error::Setting {
+            setting: later,
+            origin,
+            reason: format!("the same address as {earlier}: each needs its own"),
+        });
+    }
     Ok(settings)
 }
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -25,6 +25,7 @@
         queue, route,
         settings::Settings,
         source::http::Platform,
+        start::address::Claim,
         upstream, wire,
     },
     std::{
@@ -87,26 +88,37 @@
 }
 
 impl<C: Clock> Entry<C> {
-    /// Binds the addresses over TCP and starts every service.
+    /// Binds the addresses over TCP and starts every service, see [`Entry::start_on`].
     pub async fn start(settings: Settings, clock: C) -> Result<Self> {
         Self::start_on(Network::Tcp, Network::Tcp, settings, clock).await
     }
 
     /// Binds the addresses on `network` and starts every service; upstreams are reached on
-    /// `upstream_network`.
+    /// `upstream_network`. Waits for the callers' address while it is in use or not there yet. The
+    /// others may come later: without the peers' address the host is as one that its peers can't
+    /// connect to, and callers need no admin address.
+    ///
+    /// # Errors
+    ///
+    /// The callers' address, or another one with port 0, can't be bound for a reason that lasts.
     pub async fn start_on(
         network: Network,
         upstream_network: Network,
         settings: Settings,
         clock: C,
     ) -> Result<Self> {
-        let callers = bind(&network, "callers' address", settings.listen).await?;
-        let peers = bind(&network, "peers' address", settings.peer_listen).await?;
-        let admin = bind(&network, "admin address", settings.admin_listen).await?;
+        let claim = |step, address| Claim::new(network.clone(), step, address, clock.clone());
+        // First, so that the host is announced to nobody before callers can reach it.
+        let callers = claim("binding the callers' address", settings.listen);
+        let callers = callers.await.listener().await?;
+        let peers = claim("binding the peers' address", settings.peer_listen);
+        let peers = peers.await.with_known_port().await?;
+        let admin = claim("binding the admin address", settings.admin_listen);
+        let admin = admin.await.with_known_port().await?;
         let addresses = Addresses {
             callers: local_address("callers' address", &callers)?,
-            peers: local_address("peers' address", &peers)?,
-            admin: local_address("admin address", &admin)?,
+            peers: peers.address(),
+            admin: admin.address(),
         };
         let metrics = Metrics::new();
         let (stop, stopped) = watch::channel(());
@@ -243,18 +255,15 @@
             peers: peer_addresses,
             metrics: metrics.clone(),
         });
-        kernel.spawn(
-            "link",
-            link::serve(
-                peers,
-                identity,
-                mailboxes,
-                link,
-                clock,
-                gateway.clone(),
-                stopped.clone(),
-            ),
-        );
+        kernel.spawn("link", {
+            let (stopped, gateway) = (stopped.clone(), gateway.clone());
+            async move {
+                let Some(peers) = peers.listener_until(closed(stopped.clone())).await else {
+                    return;
+                };
+                link::serve(peers, identity, mailboxes, link, clock, gateway, stopped).await;
+            }
+        });
         let pages = admin::Admin {
             settings: settings.clone(),
             metrics: metrics.clone(),
@@ -262,10 +271,14 @@
             fleet,
             limit,
         };
-        kernel.spawn(
-            "admin",
-            listen::serve(admin, pages.router(), stopped.clone()),
-        );
+        kernel.spawn("admin", {
+            let stopped = stopped.clone();
+            async move {
+                if let Some(admin) = admin.listener_until(closed(stopped.clone())).await {
+                    listen::serve(admin, pages.router(), stopped).await;
+                }
+            }
+        });
         kernel.spawn("gateway", listen::serve(callers, gateway.router(), stopped));
         tracing::info!(host = %settings.name, callers = %addresses.callers, peers = %addresses.peers, admin = %addresses.admin, "host started");
         Ok(Self {
@@ -354,12 +367,9 @@
     limit::Handle::new(setup, settings.region_hosts, clock, metrics)
 }
 
-async fn bind(network: &Network, step: &'static str, address: SocketAddr) -> Result<Listener> {
-    network.bind(address).await.map_err(|source| Error::Io {
-        step,
-        peer: address.to_string(),
-        source,
-    })
+/// Waits until the host stops.
+async fn closed(mut stop: watch::Receiver<()>) {
+    stop.changed().await.ok();
 }
 
 fn local_address(step: &'static str, listener: &Listener) -> Result<SocketAddr> {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod route;
 pub mod settings;
 pub mod source;
+pub mod start;
 pub mod trace;
 pub mod upstream;
 pub mod wire;
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -7,8 +7,10 @@
 
 use {
     crate::{
+        clock::Clock,
         entry::Phase,
         net::{Listener, Stream},
+        start::address::Claim,
     },
     bytes::Bytes,
     http::{Request, Response},
@@ -83,6 +85,25 @@
     all_ended.recv().await;
 }
 
+/// Serves requests as [`serve`] does, from when an address is bound that the host can do without.
+pub async fn serve_when_bound<C, S, F, B>(
+    claim: Claim<C>,
+    service: S,
+    phase: watch::Receiver<Phase>,
+) where
+    C: Clock,
+    S: Fn(SocketAddr, Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    let mut phases = phase.clone();
+    let closed = wait_for_phase(&mut phases, |phase| phase == Phase::Closed);
+    if let Some(listener) = claim.listener_until(closed).await {
+        serve(listener, service, phase).await;
+    }
+}
+
 /// Waits until the host's phase satisfies a condition, or the sender of phases is gone.
 pub async fn wait_for_phase(phase: &mut watch::Receiver<Phase>, condition: impl Fn(Phase) -> bool) {
     phase.wait_for(|phase| condition(*phase)).await.ok();
--- a/tests/daemon.rs
+++ b/tests/daemon.rs
@@ -317,7 +317,6 @@
 }
 
 #[tokio::test]
-#[ignore = "the process ends, issue 61"]
 async fn serve_waits_for_an_address_that_is_in_use() {
     for taken in 0..3 {
         let addresses = own_addresses();
@@ -341,7 +340,6 @@
 }
 
 #[tokio::test]
-#[ignore = "the process ends, issue 61"]
 async fn serve_that_waits_for_its_address_ends_at_once_when_terminated() {
     for signal in ["TERM", "INT"] {
         let addresses = own_addresses();
@@ -356,7 +354,6 @@
 }
 
 #[tokio::test]
-#[ignore = "the signal ends the process, issue 61"]
 async fn serve_goes_on_after_sighup() {
     let addresses = own_addresses();
     let mut child = serve(addresses);
@@ -371,7 +368,6 @@
 }
 
 #[tokio::test]
-#[ignore = "the same address twice is not told, issue 61"]
 async fn serve_with_the_same_address_twice_ends_with_status_2() {
     let [callers, peers, _] = own_addresses();
     let (status, log) = end(serve([callers, peers, callers])).await;
