--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -25,6 +25,8 @@
         queue, route,
         settings::Settings,
         source::http::Platform,
+        start::address::Claim,
+        task::Failure,
         upstream, wire,
     },
     std::{
@@ -72,6 +74,7 @@
     stop: Mutex<Option<watch::Sender<()>>>,
     metrics: Metrics,
     gateway: Gateway<C>,
+    failure: Failure,
     kernel: Mutex<Option<Kernel>>,
 }
 
@@ -87,31 +90,42 @@
 }
 
 impl<C: Clock> Entry<C> {
-    /// Binds the addresses over TCP and starts every service.
+    /// Binds the addresses over TCP and starts every service, see [`Entry::start_on`].
     pub async fn start(settings: Settings, clock: C) -> Result<Self> {
         Self::start_on(Network::Tcp, Network::Tcp, settings, clock).await
     }
 
     /// Binds the addresses on `network` and starts every service; upstreams are reached on
-    /// `upstream_network`.
+    /// `upstream_network`. Waits for the callers' address while it is in use or not there yet. The
+    /// others may come later: without the peers' address the host is as one that its peers can't
+    /// connect to, and callers need no admin address.
+    ///
+    /// # Errors
+    ///
+    /// The callers' address, or another one with port 0, can't be bound for a reason that lasts.
     pub async fn start_on(
         network: Network,
         upstream_network: Network,
         settings: Settings,
         clock: C,
     ) -> Result<Self> {
-        let callers = bind(&network, "callers' address", settings.listen).await?;
-        let peers = bind(&network, "peers' address", settings.peer_listen).await?;
-        let admin = bind(&network, "admin address", settings.admin_listen).await?;
+        let claim = |step, address| Claim::new(network.clone(), step, address, clock.clone());
+        // First, so that the host is announced to nobody before callers can reach it.
+        let callers = claim("binding the callers' address", settings.listen);
+        let callers = callers.await.listener().await?;
+        let peers = claim("binding the peers' address", settings.peer_listen);
+        let peers = peers.await.with_known_port().await?;
+        let admin = claim("binding the admin address", settings.admin_listen);
+        let admin = admin.await.with_known_port().await?;
         let addresses = Addresses {
             callers: local_address("callers' address", &callers)?,
-            peers: local_address("peers' address", &peers)?,
-            admin: local_address("admin address", &admin)?,
+            peers: peers.address(),
+            admin: admin.address(),
         };
         let metrics = Metrics::new();
         let (stop, stopped) = watch::channel(());
         let (phase, phase_reader) = watch::channel(Phase::Running);
-        let mut kernel = Kernel::new();
+        let mut kernel = Kernel::new(&metrics);
 
         let platform = Platform::new(network.clone(), settings.platform);
         let peer_addresses = Peers::default();
@@ -156,30 +170,34 @@
         kernel.publish("route", router.clone());
         let queue = queue::Handle::new(queue::Options::default(), clock.clone(), router.clone());
         queue.register(&metrics);
-        kernel.spawn("queue", queue.clone().run(stopped.clone()));
+        let (running, stop_queue) = (queue.clone(), stopped.clone());
+        kernel.keep("queue", move || running.clone().run(stop_queue.clone()));
         let upstreams = upstream::Client::new(upstream_network.clone());
         upstreams.register(&metrics);
         let (digest_mailbox, digest_inbox) = mpsc::channel(DIGEST_MAILBOX_CAPACITY);
-        kernel.spawn(
-            "load",
-            route::follow_load(
-                router.clone(),
-                upstream::Client::new(upstream_network.clone()),
-                stopped.clone(),
-            ),
-        );
-        kernel.spawn(
-            "reach",
-            route::follow_reach(
-                router.clone(),
-                upstream_network,
-                link.clone(),
-                listing.clone(),
-                home.clone(),
-                metrics.clone(),
-                stopped.clone(),
-            ),
-        );
+        kernel.keep("load", {
+            let (router, network) = (router.clone(), upstream_network.clone());
+            let stopped = stopped.clone();
+            move || {
+                let client = upstream::Client::new(network.clone());
+                route::follow_load(router.clone(), client, stopped.clone())
+            }
+        });
+        kernel.keep("reach", {
+            let (router, link, listing) = (router.clone(), link.clone(), listing.clone());
+            let (home, metrics, stopped) = (home.clone(), metrics.clone(), stopped.clone());
+            move || {
+                route::follow_reach(
+                    router.clone(),
+                    upstream_network.clone(),
+                    link.clone(),
+                    listing.clone(),
+                    home.clone(),
+                    metrics.clone(),
+                    stopped.clone(),
+                )
+            }
+        });
         kernel.spawn(
             "route",
             route::exchange_digests(
@@ -243,18 +261,15 @@
             peers: peer_addresses,
             metrics: metrics.clone(),
         });
-        kernel.spawn(
-            "link",
-            link::serve(
-                peers,
-                identity,
-                mailboxes,
-                link,
-                clock,
-                gateway.clone(),
-                stopped.clone(),
-            ),
-        );
+        kernel.spawn("link", {
+            let (stopped, gateway) = (stopped.clone(), gateway.clone());
+            async move {
+                let Some(peers) = peers.listener_until(closed(stopped.clone())).await else {
+                    return;
+                };
+                link::serve(peers, identity, mailboxes, link, clock, gateway, stopped).await;
+            }
+        });
         let pages = admin::Admin {
             settings: settings.clone(),
             metrics: metrics.clone(),
@@ -262,10 +277,14 @@
             fleet,
             limit,
         };
-        kernel.spawn(
-            "admin",
-            listen::serve(admin, pages.router(), stopped.clone()),
-        );
+        kernel.spawn("admin", {
+            let stopped = stopped.clone();
+            async move {
+                if let Some(admin) = admin.listener_until(closed(stopped.clone())).await {
+                    listen::serve(admin, pages.router(), stopped).await;
+                }
+            }
+        });
         kernel.spawn("gateway", listen::serve(callers, gateway.router(), stopped));
         tracing::info!(host = %settings.name, callers = %addresses.callers, peers = %addresses.peers, admin = %addresses.admin, "host started");
         Ok(Self {
@@ -275,6 +294,7 @@
             stop: Mutex::new(Some(stop)),
             metrics,
             gateway,
+            failure: kernel.failure(),
             kernel: Mutex::new(Some(kernel)),
         })
     }
@@ -289,6 +309,17 @@
         &self.gateway
     }
 
+    /// Returns the name of a task that has ended and that the host can't go on without, once there is
+    /// one. The host should then be drained.
+    pub async fn failed_task(&self) -> &'static str {
+        self.failure.clone().wait().await
+    }
+
+    /// The metrics of the host.
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
     /// Number of calls that are running now.
     pub fn running_calls(&self) -> usize {
         usize::try_from(self.metrics.running.get()).unwrap_or(0)
@@ -306,12 +337,13 @@
         while self.running_calls() > 0 && Instant::now() < limit {
             sleep(DRAIN_POLL_INTERVAL).await;
         }
-        self.stop
+        let kernel = self
+            .kernel
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .take();
-        let kernel = self
-            .kernel
+        kernel.as_ref().inspect(|kernel| kernel.stop());
+        self.stop
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .take();
@@ -354,12 +386,9 @@
     limit::Handle::new(setup, settings.region_hosts, clock, metrics)
 }
 
-async fn bind(network: &Network, step: &'static str, address: SocketAddr) -> Result<Listener> {
-    network.bind(address).await.map_err(|source| Error::Io {
-        step,
-        peer: address.to_string(),
-        source,
-    })
+/// Waits until the host stops.
+async fn closed(mut stop: watch::Receiver<()>) {
+    stop.changed().await.ok();
 }
 
 fn local_address(step: &'static str, listener: &Listener) -> Result<SocketAddr> {
