Take a negative burst for none

What callers saw: after a configuration with a negative `burst`, each request of that customer lost its connection without an answer.

Cause: `f64::clamp` between the negated burst and the burst panics where it is below zero.

--- a/src/proxy/rate.rs
+++ b/src/proxy/rate.rs
@@ -93,7 +93,7 @@
         for customer in customers.filter(|customer| customer.rate > 0.0) {
             let bucket = match previous.remove(&customer.name) {
                 Some(bucket) => Bucket {
-                    level: bucket.level.min(customer.burst),
+                    level: bucket.level.min(customer.burst.max(0.0)),
                     customer: customer.clone(),
                     ..bucket
                 },
@@ -125,7 +125,7 @@
             return Ok(());
         };
         bucket.advance(now, &self.reporters, host_count, share);
-        let needed = units.min(bucket.customer.burst);
+        let needed = units.min(bucket.burst());
         if bucket.level >= needed {
             bucket.level -= units;
             bucket.admitted_units += units;
@@ -172,7 +172,7 @@
     /// Returns the units of a request that was not run.
     pub fn refund(&mut self, customer: &name::Customer, units: f64) {
         if let Some(bucket) = self.buckets.get_mut(customer) {
-            bucket.level = (bucket.level + units).min(bucket.customer.burst);
+            bucket.level = (bucket.level + units).min(bucket.burst());
             bucket.admitted_units -= units;
         }
     }
@@ -221,7 +221,7 @@
             };
             bucket.advance(now, &self.reporters, hosts, share);
             if !self.has_peer_usage {
-                bucket.level = bucket.level.max(usage.level.min(bucket.customer.burst));
+                bucket.level = bucket.level.max(usage.level.min(bucket.burst()));
             }
             bucket.record_usage(now, host, last, usage.units);
         }
@@ -254,6 +254,11 @@
 }
 
 impl Bucket {
+    /// The customer's burst; a negative one, which a configuration may hold, counts as none.
+    fn burst(&self) -> f64 {
+        self.customer.burst.max(0.0)
+    }
+
     fn advance(
         &mut self,
         now: Duration,
@@ -280,7 +285,7 @@
             charged += units;
         }
         let level = self.level + share * self.customer.rate * elapsed_s - charged;
-        self.level = level.clamp(-self.customer.burst, self.customer.burst);
+        self.level = level.clamp(-self.burst(), self.burst());
     }
 
     fn record_usage(
@@ -290,6 +295,7 @@
         last: Option<Duration>,
         units: f64,
     ) {
+        let burst = self.burst();
         let peer = self.peers.entry(host.clone()).or_default();
         let Some(last) = last else {
             peer.reported_units = units;
@@ -299,7 +305,7 @@
         let used_units = (units - peer.reported_units).max(0.0);
         let elapsed_s = now.saturating_sub(last).as_secs_f64().max(0.05);
         peer.units_per_s += USE_EWMA_WEIGHT * (used_units / elapsed_s - peer.units_per_s);
-        self.level = (self.level + peer.estimated_units - used_units).min(self.customer.burst);
+        self.level = (self.level + peer.estimated_units - used_units).min(burst);
         peer.reported_units = units;
         peer.estimated_units = 0.0;
     }
