Take a negative waiting time of another region for none

What callers could see: a request that is forwarded by the report of a host which tells a negative waiting time loses its connection. No build of ours sends one; the test does.

Cause: the time after which an attempt is late is made of the prediction with `Duration::from_secs_f64`, which panics below zero.

Evidence: odd::extreme_numbers_of_other_hosts_make_nothing_panic (tests/proxy) changes one number of real reports to an extreme one and lets a host work on. It failed before the change.

--- a/src/proxy/core/region.rs
+++ b/src/proxy/core/region.rs
@@ -217,7 +217,9 @@
                 continue;
             }
             let prefill_ms = prompt_tokens / f64::from(spare.rate.max(1.0));
-            let predicted_ms = f64::from(spare.wait_ms) + prefill_ms + REGION_ROUND_TRIP_MS;
+            // A time is made of the prediction, which can't be negative.
+            let wait_ms = f64::from(spare.wait_ms).clamp(0.0, f64::MAX);
+            let predicted_ms = wait_ms + prefill_ms + REGION_ROUND_TRIP_MS;
             let is_on_time = elapsed_ms + predicted_ms <= REMOTE_ON_TIME_SHARE * job.objective_ms();
             let has_room = f64::from(spare.tokens) >= prompt_tokens
                 && self.free_slots(region, spare, job) >= 1.0;
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -26,6 +26,8 @@
 mod load;
 #[path = "proxy/memory.rs"]
 mod memory;
+#[path = "proxy/odd.rs"]
+mod odd;
 #[path = "proxy/origin.rs"]
 mod origin;
 #[path = "proxy/place.rs"]
