--- a/src/bin/greengagecleat/serve.rs
+++ b/src/bin/greengagecleat/serve.rs
@@ -1,16 +1,20 @@
 //! `greengagecleat serve`: runs a host until SIGTERM or SIGINT, then drains it.
 
 use {
-    crate::{EXIT_USAGE, arguments::Serve, log, setting},
+    crate::{EXIT_USAGE, PROGRAM, arguments::Serve, log, setting},
     greengagecleat::{
-        Error,
+        Error, Result,
         clock::Monotonic,
         entry::Entry,
-        log::{ignore_file_size_signal, report},
+        log::Writer,
         panic,
+        start::{
+            report,
+            signal::{Notice, Signals},
+        },
     },
-    std::{process::ExitCode, time::Duration},
-    tokio::signal::unix::{Signal, SignalKind, signal},
+    std::{fmt::Display, io, pin::pin, process::ExitCode, time::Duration},
+    tokio::runtime::Runtime,
 };
 
 /// Exit status if a second signal or the drain limit aborted running calls.
@@ -19,33 +23,29 @@
 const LOG_FLUSH_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Runs the host and returns the process's exit status.
-pub(crate) fn run(flags: &Serve) -> ExitCode {
+pub(crate) fn run(flags: &Serve, process: io::Result<(Runtime, Signals)>) -> ExitCode {
     panic::log_all();
+    let (runtime, signals) = match process {
+        Ok(process) => process,
+        Err(error) => {
+            report(PROGRAM, format_args!("starting the runtime: {error}"));
+            return ExitCode::FAILURE;
+        }
+    };
     let (settings, logging) = match setting::settings(flags).and_then(|settings| {
         let logging = setting::log(flags)?;
         Ok((settings, logging))
     }) {
         Ok(pair) => pair,
         Err(error) => {
-            report(&format!("greengagecleat: {error}"));
+            report(PROGRAM, error);
             return ExitCode::from(EXIT_USAGE);
         }
     };
     let log = log::start(logging);
-    let runtime = match tokio::runtime::Runtime::new() {
-        Ok(runtime) => runtime,
-        Err(error) => {
-            report(&format!("greengagecleat: starting the runtime: {error}"));
-            return ExitCode::FAILURE;
-        }
-    };
     let status = runtime.block_on(async {
-        let entry = match Entry::start(settings, Monotonic::new()).await {
-            Ok(entry) => entry,
-            Err(error) => return fail(&error.to_string()),
-        };
-        entry.metrics().register_lost_lines(log.lost());
-        run_until_drained(entry).await
+        let entry = Entry::start(settings, Monotonic::new());
+        run_until_drained(entry, signals, &log).await
     });
     // A stuck thread must not keep the process from ending.
     runtime.shutdown_background();
@@ -53,30 +53,42 @@
     status
 }
 
-/// Leaves the reason of a failed start on standard error and in the log.
-fn fail(reason: &str) -> ExitCode {
-    tracing::error!(reason, "the host failed");
-    report(&format!("greengagecleat: {reason}"));
+/// Leaves the reason of a failure on standard error and in the log.
+fn fail(reason: impl Display) -> ExitCode {
+    tracing::error!(%reason, "the host failed");
+    report(PROGRAM, reason);
     ExitCode::FAILURE
 }
 
-async fn run_until_drained(entry: Entry<Monotonic>) -> ExitCode {
-    let (mut terminate, mut interrupt) = match signals() {
-        Ok(pair) => pair,
-        Err(error) => return fail(&format!("listening for signals: {error}")),
+async fn run_until_drained(
+    starting: impl Future<Output = Result<Entry<Monotonic>>>,
+    mut signals: Signals,
+    log: &Writer,
+) -> ExitCode {
+    let mut starting = pin!(starting);
+    let started = tokio::select! {
+        biased;
+        started = &mut starting => started,
+        () = until_terminated(&mut signals) => {
+            tracing::info!("stopped before the host has started");
+            return ExitCode::SUCCESS;
+        }
+    };
+    let entry = match started {
+        Ok(entry) => entry,
+        Err(error) => return fail(error),
     };
+    entry.metrics().register_lost_lines(log.lost());
     let failed = tokio::select! {
-        _ = terminate.recv() => None,
-        _ = interrupt.recv() => None,
+        () = until_terminated(&mut signals) => None,
         task = entry.failed_task() => Some(task),
     };
     let cut = tokio::select! {
         cut = entry.drain() => cut,
-        _ = terminate.recv() => entry.running_calls(),
-        _ = interrupt.recv() => entry.running_calls(),
+        () = until_terminated(&mut signals) => entry.running_calls(),
     };
     if let Some(task) = failed {
-        return fail(&Error::Ended { task }.to_string());
+        return fail(Error::Ended { task });
     }
     if cut == 0 {
         tracing::info!("drained");
@@ -86,9 +98,10 @@
     ExitCode::from(EXIT_CUT)
 }
 
-fn signals() -> std::io::Result<(Signal, Signal)> {
-    ignore_file_size_signal()?;
-    let terminate = signal(SignalKind::terminate())?;
-    let interrupt = signal(SignalKind::interrupt())?;
-    Ok((terminate, interrupt))
+/// Waits for SIGTERM or SIGINT. The daemon's settings come from its arguments and environment, which
+/// don't change, so SIGHUP changes nothing.
+async fn until_terminated(signals: &mut Signals) {
+    while signals.next().await == Notice::Reload {
+        tracing::info!(event = "reload", "there is nothing to reload");
+    }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod route;
 pub mod settings;
 pub mod source;
+pub mod start;
 pub mod task;
 pub mod trace;
 pub mod upstream;
