Count a cached prefix by the tokens that it was given last

What callers could do: send a part of a prompt once more with another number of tokens. When the prefix was evicted, the count of the engine's cached tokens went below zero: a panic with arithmetic checked, a number near 2^64 in a release build, from which on every prompt evicts all prefixes of that engine (the latter by reading, not by a run).

Cause: a prefix that was there already replaced the entry, but not its part of the sum.

--- a/src/proxy/cache.rs
+++ b/src/proxy/cache.rs
@@ -92,9 +92,10 @@
                 tokens: prefix.tokens,
                 last_used_at: now,
             };
-            if self.prefixes.insert(prefix.hash, cached).is_none() {
-                self.tokens += u64::from(prefix.tokens);
-            }
+            // Callers may give a prefix another number of tokens than before.
+            let before = self.prefixes.insert(prefix.hash, cached);
+            let before = before.map_or(0, |cached| u64::from(cached.tokens));
+            self.tokens = self.tokens - before + u64::from(prefix.tokens);
         }
         if self.tokens > capacity {
             self.evict_until(capacity * 9 / 10);
--- a/tests/proxy/odd.rs
+++ b/tests/proxy/odd.rs
@@ -5,7 +5,10 @@
     crate::common::{POOL, entry, forwardable, identity, job, ms, plain_job, report, rows, setup},
     ciborium::Value,
     greengagecleat::proxy::{
+        cache,
+        catalog::News,
         core::{Core, Placement, Provenance},
+        dialect::Part,
         fleet::Report,
         load,
         reader::Reading,
@@ -190,3 +193,63 @@
     }
     assert!(found.is_empty(), "{found:#?}");
 }
+
+/// The same for what upstreams publish and answer, and for requests.
+#[test]
+fn extreme_numbers_of_upstreams_and_callers_make_nothing_panic() {
+    const NUMBERS: [u32; 5] = [0, 1, 6, u32::MAX - 1, u32::MAX];
+    const RATES: [f64; 4] = [f64::MIN_POSITIVE, 1e-9, 5.0, f64::MAX];
+    const TIMES: [Duration; 4] = [
+        Duration::ZERO,
+        Duration::from_nanos(1),
+        Duration::from_secs(86_400),
+        Duration::MAX,
+    ];
+    for seed in 0..SEEDS {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut core = host("n1", "north", 1, 4);
+        let mut now = ms(100);
+        for n in 0..MESSAGES {
+            let mut number = || NUMBERS[rng.random_range(0..NUMBERS.len())];
+            let mut published = entry(&format!("north-{}", n % 5), "north-a", POOL, n + 2);
+            published.slots = number();
+            published.cold_for = Duration::from_secs(u64::from(number()).min(86_400));
+            published.incarnation = u64::from(number()) << 21;
+            let reading = load::Reading {
+                running: number(),
+                waiting: number(),
+                slots: number(),
+                slowdown_percent: Some(number()),
+            };
+            let mut asked = job(&core, now, n % 3, n);
+            asked.tokens = (number(), number());
+            let parts = [number(), number()].map(|tokens| Part {
+                id: u64::from(tokens),
+                tokens,
+            });
+            asked.prefixes = cache::prefixes(&parts);
+            asked.deadline = now + TIMES[rng.random_range(0..3)];
+            core.catalog.apply(now, vec![News::Entry(published)]);
+            for job in [forwardable(&asked), asked] {
+                let placement = core.place(now, &job);
+                core.wait_limit(now, &job);
+                core.retry_after(now, &job);
+                core.enqueue(job);
+                if let Placement::Local(grant) = placement {
+                    let rate = Rate::new(RATES[rng.random_range(0..RATES.len())]);
+                    core.record_notice(now, grant.ticket, Notice::Limit(rate.unwrap()));
+                    core.record_load(now, grant.ticket, reading);
+                    core.record_rest(now, grant.ticket, TIMES[rng.random_range(0..4)]);
+                    core.record_first_byte(now + TIMES[rng.random_range(0..3)], grant.ticket);
+                    if rng.random() {
+                        core.release(now, grant.ticket, Outcome::Broken);
+                    }
+                }
+            }
+            work(&mut core, now, n);
+            // A clock that steps back, and one that leaps.
+            now =
+                [now + ms(60), now.saturating_sub(ms(500)), now + TIMES[2]][rng.random_range(0..3)];
+        }
+    }
+}
