Bear extreme load reports of replicas

What could be seen: the running and waiting requests of a replica's load report, added, overflowed. With arithmetic checked the task that follows the load panicked; a release build would take the replica for free (by reading).

Evidence: extreme_reports_and_digests_are_borne (tests/route.rs), 20,000 extreme reports and digests, failed at the first such sum and passes.

--- a/src/route/load.rs
+++ b/src/route/load.rs
@@ -54,7 +54,7 @@
         }
         self.at_ms = report.at_ms;
         let taken_at = self.taken_at(now, report.at_ms);
-        let total = report.running + report.waiting;
+        let total = report.running.saturating_add(report.waiting);
         self.others_outstanding = total.saturating_sub(self.own_at(taken_at));
         self.reported_at = Some(now);
     }
@@ -108,7 +108,7 @@
             .reported_at
             .is_some_and(|at| now.saturating_sub(at) <= ttl);
         if is_fresh {
-            self.own_outstanding + self.others_outstanding
+            self.own_outstanding.saturating_add(self.others_outstanding)
         } else {
             self.own_outstanding
         }
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -768,3 +768,69 @@
     assert_eq!(bed.engine.seen().len(), first);
     assert_eq!(second.seen().len(), before + 20);
 }
+
+/// Sums of the numbers that a replica reports overflowed: a replica full beyond measure counted as
+/// free. Extreme reports and digests must neither do that nor make the router panic.
+#[test]
+fn extreme_reports_and_digests_are_borne() {
+    const NUMBERS: [u32; 4] = [0, 1, u32::MAX - 1, u32::MAX];
+    const FLOATS: [f32; 6] = [f32::NAN, f32::INFINITY, -1.0, 0.0, 4.0, f32::MAX];
+    let mut rng = StdRng::seed_from_u64(3);
+    let route = open_route();
+    let mut router = router("north", Options::default());
+    let mut now = SECOND;
+    for n in 0..20_000 {
+        let mut number = || NUMBERS[rng.random_range(0..NUMBERS.len())];
+        let upstream = name::Upstream::from(format!("north-{}", n % REPLICAS));
+        let report = Report {
+            at_ms: u64::from(number()) << (n % 33),
+            running: number(),
+            waiting: number(),
+            slots: number(),
+            ..Report::default()
+        };
+        router.apply_report(now, &upstream, &report);
+        if report.at_ms > 0 && report.running == u32::MAX {
+            let summary = router.own_digest(now).pools["north"];
+            assert!(summary.outstanding >= 0.0, "{report:?}: {summary:?}");
+        }
+        let summary = Summary {
+            live: number(),
+            service_ms: number(),
+            backlog_ms: number(),
+            capacity: FLOATS[rng.random_range(0..FLOATS.len())],
+            outstanding: FLOATS[rng.random_range(0..FLOATS.len())],
+        };
+        router.apply_digest(
+            now,
+            Digest {
+                region: REGIONS[1 + n % 2].into(),
+                pools: [(REGIONS[1 + n % 2].into(), summary)].into(),
+                unreached: BTreeMap::new(),
+            },
+        );
+        if let Ok(choice) = router.choose(now, &request_for(&route))
+            && let Some(upstream) = choice.upstream
+        {
+            router.record_sent(now, &upstream, &request_for(&route));
+            match n % 3 {
+                0 => router.record_failed(now, &upstream),
+                _ => router.record_finished(now, &upstream, SECOND),
+            }
+        }
+        now += Duration::from_millis(rng.random_range(0..400));
+    }
+    // One that runs as many as a number holds, and has one waiting, counted as free.
+    let full = name::Upstream::from("north-0");
+    let mut router = self::router("north", Options::default());
+    let report = Report {
+        at_ms: u64::MAX,
+        running: u32::MAX,
+        waiting: 1,
+        slots: 4,
+        ..Report::default()
+    };
+    router.apply_report(SECOND, &full, &report);
+    let summary = router.own_digest(SECOND).pools["north"];
+    assert!(summary.outstanding >= u32::MAX as f32, "{summary:?}");
+}
