--- a/src/bin/greengagecleat/main.rs
+++ b/src/bin/greengagecleat/main.rs
@@ -19,7 +19,6 @@
         io::{self, BufRead},
         process::ExitCode,
     },
-    tokio::runtime::Runtime,
 };
 
 /// The program's name in messages.
@@ -28,14 +27,14 @@
 fn main() -> ExitCode {
     // The daemon handles signals before it does anything else. Signals end the other commands.
     let is_daemon = env::args_os().nth(1).is_some_and(|word| word == "serve");
-    let process = is_daemon.then(|| start::process(PROGRAM, Runtime::new));
+    let process = is_daemon.then(|| start::process(PROGRAM));
     let arguments: Arguments = match start::arguments(PROGRAM) {
         Ok(arguments) => arguments,
         Err(status) => return status,
     };
     match arguments.command {
         Command::Serve(flags) => {
-            let process = process.unwrap_or_else(|| start::process(PROGRAM, Runtime::new));
+            let process = process.unwrap_or_else(|| start::process(PROGRAM));
             serve::run(&flags, process)
         }
         Command::Check(flags) => check::run(&flags),
--- a/src/bin/greengagecleat/serve.rs
+++ b/src/bin/greengagecleat/serve.rs
@@ -7,7 +7,7 @@
         clock::Monotonic,
         entry::Entry,
         start::{
-            report,
+            self, report,
             signal::{Notice, Signals},
         },
     },
@@ -20,6 +20,12 @@
 
 /// Runs the host and returns the process's exit status.
 pub(crate) fn run(flags: &Serve, process: io::Result<(Runtime, Signals)>) -> ExitCode {
+    // The first runtime only installs the signal handlers: to start the threads of the other one takes
+    // longer, and more so on a machine with many cores. Signals reach the handlers through either.
+    let process = process.and_then(|(_, signals)| {
+        let runtime = start::runtime(PROGRAM, Runtime::new)?;
+        Ok((runtime, signals))
+    });
     let (runtime, signals) = match process {
         Ok(process) => process,
         Err(error) => {
--- a/src/start/mod.rs
+++ b/src/start/mod.rs
@@ -24,7 +24,10 @@
         process::ExitCode,
         thread,
     },
-    tokio::{runtime::Runtime, time::sleep},
+    tokio::{
+        runtime::{Builder, Runtime},
+        time::sleep,
+    },
 };
 
 /// Exit status for a setting or an argument that can't be used.
@@ -36,20 +39,33 @@
     writeln!(io::stderr(), "{program}: {message}").ok();
 }
 
-/// Creates a runtime with `build` and installs the signal handlers on it. Tries again for
-/// [`Plan::RUNTIME`] while descriptors, memory or threads are missing.
+/// Creates a runtime of one thread and installs the signal handlers on it, see [`runtime`]. The
+/// first thing that a process does: until then each of the signals ends it.
+///
+/// # Errors
+///
+/// The runtime or the handlers can't be created.
+pub fn process(program: &str) -> io::Result<(Runtime, Signals)> {
+    runtime(program, || {
+        let runtime = Builder::new_current_thread().enable_all().build()?;
+        let context = runtime.enter();
+        let signals = Signals::install()?;
+        drop(context);
+        Ok((runtime, signals))
+    })
+}
+
+/// Creates a runtime. Tries again, as [`Plan::RUNTIME`] says, while descriptors, memory or threads are
+/// missing.
 ///
 /// # Errors
 ///
-/// The runtime or the handlers still can't be created.
-pub fn process(
-    program: &str,
-    build: impl Fn() -> io::Result<Runtime>,
-) -> io::Result<(Runtime, Signals)> {
+/// The runtime still can't be created.
+pub fn runtime<T>(program: &str, create: impl Fn() -> io::Result<T>) -> io::Result<T> {
     let clock = Boot::new();
     let mut retry = Retry::new(Plan::RUNTIME, clock.now());
     loop {
-        let error = match try_process(&build) {
+        let error = match without_panic(&create) {
             Ok(created) => return Ok(created),
             Err(error) => error,
         };
@@ -65,16 +81,9 @@
     }
 }
 
-fn try_process(build: impl Fn() -> io::Result<Runtime>) -> io::Result<(Runtime, Signals)> {
-    let create = || {
-        let runtime = build()?;
-        let context = runtime.enter();
-        let signals = Signals::install()?;
-        drop(context);
-        Ok((runtime, signals))
-    };
-    // Tokio panics if it can't start a thread or open the signals' socket pair. Its message would
-    // come once for each try.
+/// Turns a panic into an error that passes. Tokio panics if it can't start a thread or open the
+/// signals' socket pair, and its message would come once for each try.
+fn without_panic<T>(create: impl Fn() -> io::Result<T>) -> io::Result<T> {
     let hook = panic::take_hook();
     panic::set_hook(Box::new(|_| {}));
     let created = panic::catch_unwind(AssertUnwindSafe(create));
