--- a/src/bin/greengagecleat/serve.rs
+++ b/src/bin/greengagecleat/serve.rs
@@ -9,7 +9,7 @@
         log::Writer,
         panic,
         start::{
-            report,
+            self, report,
             signal::{Notice, Signals},
         },
     },
@@ -25,6 +25,12 @@
 /// Runs the host and returns the process's exit status.
 pub(crate) fn run(flags: &Serve, process: io::Result<(Runtime, Signals)>) -> ExitCode {
     panic::log_all();
+    // The first runtime only installs the signal handlers: to start the threads of the other one takes
+    // longer, and more so on a machine with many cores. Signals reach the handlers through either.
+    let process = process.and_then(|(_, signals)| {
+        let runtime = start::runtime(PROGRAM, Runtime::new)?;
+        Ok((runtime, signals))
+    });
     let (runtime, signals) = match process {
         Ok(process) => process,
         Err(error) => {
