--- a/src/bin/greengagecleat/serve.rs
+++ b/src/bin/greengagecleat/serve.rs
@@ -2,7 +2,11 @@
 
 use {
     crate::{EXIT_USAGE, arguments::Serve, log, setting},
-    greengagecleat::{clock::Monotonic, entry::Entry},
+    greengagecleat::{
+        clock::Monotonic,
+        entry::Entry,
+        resource::{Limits, Setting},
+    },
     std::process::ExitCode,
     tokio::signal::unix::{Signal, SignalKind, signal},
 };
@@ -23,6 +27,7 @@
         }
     };
     log::start(logging);
+    Limits::read(Setting::default()).log();
     let runtime = match tokio::runtime::Runtime::new() {
         Ok(runtime) => runtime,
         Err(error) => {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -22,7 +22,7 @@
         listen,
         metric::Metrics,
         net::{Listener, Network},
-        queue, route,
+        queue, resource, route,
         settings::Settings,
         source::http::Platform,
         upstream, wire,
@@ -109,6 +109,9 @@
             admin: local_address("admin address", &admin)?,
         };
         let metrics = Metrics::new();
+        let limits = resource::Limits::read(resource::Setting::default());
+        let shares = limits.shares();
+        limits.register(&metrics, clock.wall());
         let (stop, stopped) = watch::channel(());
         let (phase, phase_reader) = watch::channel(Phase::Running);
         let mut kernel = Kernel::new();
@@ -264,9 +267,12 @@
         };
         kernel.spawn(
             "admin",
-            listen::serve(admin, pages.router(), stopped.clone()),
+            listen::serve(admin, pages.router(), shares.pages, stopped.clone()),
+        );
+        kernel.spawn(
+            "gateway",
+            listen::serve(callers, gateway.router(), shares.callers, stopped),
         );
-        kernel.spawn("gateway", listen::serve(callers, gateway.router(), stopped));
         tracing::info!(host = %settings.name, callers = %addresses.callers, peers = %addresses.peers, admin = %addresses.admin, "host started");
         Ok(Self {
             settings,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod proxy;
 pub mod queue;
 pub mod rendezvous;
+pub mod resource;
 pub mod rest;
 pub mod route;
 pub mod settings;
--- a/src/listen.rs
+++ b/src/listen.rs
@@ -22,17 +22,22 @@
 const READ_BUFFER_BYTES: usize = 32 * 1024;
 /// Most headers in a request.
 const MAX_HEADERS: usize = 64;
-/// Most open connections at once; further ones are not accepted until one closes.
-const MAX_CONNECTIONS: usize = 60_000;
 /// Pause before accepting again after an error.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// Serves HTTP until `stop` closes. Then it accepts no more connections, waits until the answers
 /// under way are complete, and returns when all connections are closed.
-pub async fn serve(mut listener: Listener, router: Router, mut stop: watch::Receiver<()>) {
+///
+/// At most `connections` are open at once; further ones are not accepted until one closes.
+pub async fn serve(
+    mut listener: Listener,
+    router: Router,
+    connections: usize,
+    mut stop: watch::Receiver<()>,
+) {
     let tree: Arc<Tree> = Arc::new(router.into());
     let graceful = GracefulShutdown::new();
-    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    let permits = Arc::new(Semaphore::new(connections));
     loop {
         let Ok(permit) = permits.clone().acquire_owned().await else {
             break;
--- a/src/net.rs
+++ b/src/net.rs
@@ -2,6 +2,7 @@
 //! sessions and for embedders that run a whole host under paused time, or TCP that a switch cuts.
 
 pub mod gate;
+pub mod room;
 
 use {
     self::gate::Gate,
--- a/src/proxy/memory.rs
+++ b/src/proxy/memory.rs
@@ -11,9 +11,7 @@
     prometheus_client::metrics::{counter::Counter, gauge::Gauge},
     std::{
         collections::BTreeMap,
-        fs,
         future::{Future, pending},
-        io,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
     },
     tokio::sync::oneshot,
@@ -27,29 +25,6 @@
 const MEMORY_SHARE: u64 = 8;
 /// Least and most bytes of one ledger's limit.
 const LIMIT_RANGE: (u64, u64) = (8 << 20, 24 << 20);
-/// Where the system tells the machine's memory.
-const MEMORY_INFO: &str = "/proc/meminfo";
-
-/// The machine's memory in bytes, as the system tells it.
-fn system_memory() -> io::Result<u64> {
-    let page = fs::read_to_string(MEMORY_INFO)?;
-    let line = page.lines().find_map(|line| line.strip_prefix("MemTotal:"));
-    let kibibytes = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
-    kibibytes
-        .map(|kibibytes| kibibytes.saturating_mul(1_024))
-        .ok_or_else(|| io::Error::new(io::ErrorKind::InvalidData, "no MemTotal"))
-}
-
-/// The limit of one ledger on this machine, in bytes: the least one if the system doesn't tell its memory.
-pub fn system_limit() -> usize {
-    let memory = system_memory().unwrap_or_else(|error| {
-        tracing::warn!(event = "memory", %error, "the machine's memory is not known");
-        0
-    });
-    let limit = limit(memory);
-    tracing::info!(event = "memory", memory, limit);
-    limit
-}
 
 /// The limit of one ledger on a machine with this memory, in bytes.
 pub fn limit(memory: u64) -> usize {
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -4,11 +4,16 @@
 //! Answers of a leaving host say that they are the last on their connection. One whose head went out
 //! before does not, so a connection is closed only while it is idle: the next request may already have
 //! arrived.
+//!
+//! A listener has [`Room`] for so many connections. Those beyond are answered 503 and closed.
 
 use {
     crate::{
         entry::Phase,
-        net::{Listener, Stream},
+        net::{
+            Listener, Stream,
+            room::{Place, Room},
+        },
     },
     bytes::Bytes,
     http::{Request, Response},
@@ -31,9 +36,9 @@
         time::Duration,
     },
     tokio::{
-        io::{AsyncRead, AsyncWrite, ReadBuf},
-        sync::{mpsc, watch},
-        time::sleep,
+        io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf},
+        sync::{Semaphore, mpsc, watch},
+        time::{sleep, timeout},
     },
 };
 
@@ -49,16 +54,29 @@
 /// How long a connection to a leaving host must be idle before it is closed.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
+/// Most connections at a time that are told that there is no room for them. Others are just closed.
+const MAX_REFUSALS: usize = 8;
+/// Longest time for which a connection without room stays open, so that its caller gets the answer.
+const REFUSAL_TIME: Duration = Duration::from_millis(200);
+/// The answer on a connection without room.
+const REFUSAL: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+
 /// Accepts connections from a listener and serves their requests until the host has closed and every
 /// connection has ended. The service gets each request with the address of its caller.
-pub async fn serve<S, F, B>(mut listener: Listener, service: S, mut phase: watch::Receiver<Phase>)
-where
+pub async fn serve<S, F, B>(
+    mut listener: Listener,
+    room: Room,
+    service: S,
+    mut phase: watch::Receiver<Phase>,
+) where
     S: Fn(SocketAddr, Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Response<B>> + Send + 'static,
     B: Body<Data = Bytes> + Send + 'static,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     let (open, mut all_ended) = mpsc::channel::<Infallible>(1);
+    let refusals = Arc::new(Semaphore::new(MAX_REFUSALS));
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -66,7 +84,16 @@
         };
         match accepted {
             Ok((stream, from)) => {
-                let serving = connection(stream, from, service.clone(), phase.clone());
+                let Some(place) = room.enter() else {
+                    if let Ok(permit) = refusals.clone().try_acquire_owned() {
+                        tokio::spawn(async move {
+                            timeout(REFUSAL_TIME, refuse(stream)).await.ok();
+                            drop(permit);
+                        });
+                    }
+                    continue;
+                };
+                let serving = connection(stream, from, place, service.clone(), phase.clone());
                 let open = open.clone();
                 tokio::spawn(async move {
                     serving.await;
@@ -88,10 +115,21 @@
     phase.wait_for(|phase| condition(*phase)).await.ok();
 }
 
+/// Answers that there is no room for a connection. Reads what the caller sends, as closing a connection
+/// with unread bytes discards the answer.
+async fn refuse(mut stream: Stream) -> io::Result<()> {
+    stream.write_all(REFUSAL).await?;
+    stream.shutdown().await?;
+    let mut unread = [0; 1_024];
+    while stream.read(&mut unread).await? > 0 {}
+    Ok(())
+}
+
 /// Serves one connection until it is closed.
 async fn connection<S, F, B>(
     stream: Stream,
     from: SocketAddr,
+    place: Place,
     service: S,
     mut phase: watch::Receiver<Phase>,
 ) where
@@ -100,7 +138,7 @@
     B: Body<Data = Bytes> + Send + 'static,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
-    let activity = Arc::new(Activity::default());
+    let activity = Arc::new(Activity::new(place));
     let counted = activity.clone();
     let service = service_fn(move |request| {
         let exchange = Exchange::start(&counted);
@@ -124,9 +162,13 @@
     let mut serving = pin!(serving);
     let result = tokio::select! {
         result = serving.as_mut() => result,
+        () = activity.place.evicted() => return,
         () = wait_until_closable(&activity, &mut phase) => {
             serving.as_mut().graceful_shutdown();
-            serving.await
+            tokio::select! {
+                result = serving => result,
+                () = activity.place.evicted() => return,
+            }
         }
     };
     if let Err(error) = result {
@@ -151,8 +193,9 @@
 }
 
 /// What happens on a connection.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Activity {
+    place: Place,
     has_served: AtomicBool,
     /// Requests whose answers have not been passed to the connection in full.
     exchanges: AtomicUsize,
@@ -162,6 +205,16 @@
 }
 
 impl Activity {
+    fn new(place: Place) -> Self {
+        Self {
+            place,
+            has_served: AtomicBool::new(false),
+            exchanges: AtomicUsize::new(0),
+            is_write_blocked: AtomicBool::new(false),
+            bytes_read: AtomicU64::new(0),
+        }
+    }
+
     fn is_busy(&self) -> bool {
         self.exchanges.load(Ordering::Relaxed) > 0 || self.is_write_blocked.load(Ordering::Relaxed)
     }
@@ -175,6 +228,7 @@
     fn start(activity: &Arc<Activity>) -> Self {
         activity.has_served.store(true, Ordering::Relaxed);
         activity.exchanges.fetch_add(1, Ordering::Relaxed);
+        activity.place.set_busy(true);
         Self(activity.clone())
     }
 }
@@ -182,6 +236,7 @@
 impl Drop for Exchange {
     fn drop(&mut self) {
         self.0.exchanges.fetch_sub(1, Ordering::Relaxed);
+        self.0.place.set_busy(self.0.is_busy());
     }
 }
 
@@ -208,7 +263,9 @@
     fn note_write(&self, result: &Poll<io::Result<usize>>) {
         let is_blocked = result.is_pending();
         let noted = &self.activity.is_write_blocked;
-        noted.store(is_blocked, Ordering::Relaxed);
+        if noted.swap(is_blocked, Ordering::Relaxed) != is_blocked {
+            self.activity.place.set_busy(self.activity.is_busy());
+        }
     }
 }
 
@@ -223,6 +280,9 @@
         let read = buffer.filled().len() - filled;
         let bytes_read = &self.activity.bytes_read;
         bytes_read.fetch_add(read as u64, Ordering::Relaxed);
+        if read > 0 {
+            self.activity.place.touch();
+        }
         result
     }
 }
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -19,7 +19,7 @@
     crate::{
         failure::{Code, Failure, Ran},
         metric::Metrics,
-        net::Network,
+        net::{Network, Stream},
         wire,
     },
     bytes::{Bytes, BytesMut},
@@ -32,6 +32,7 @@
     },
     hyper_util::rt::TokioIo,
     prometheus_client::metrics::counter::Counter,
+    rustix::io::Errno,
     std::{
         collections::BTreeMap,
         future::Future,
@@ -40,7 +41,10 @@
         sync::{Arc, Mutex, PoisonError},
         time::Duration,
     },
-    tokio::time::{Instant, timeout},
+    tokio::{
+        task::yield_now,
+        time::{Instant, timeout},
+    },
 };
 
 /// Longest time to open a connection.
@@ -264,6 +268,11 @@
         idle.remove(&address);
     }
 
+    fn close_all_idle(&self) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.clear();
+    }
+
     /// Whether the address refuses a new connection, which means that nothing listens there.
     pub async fn is_refused(&self, address: SocketAddr) -> bool {
         let connected = timeout(CONNECT_TIMEOUT, self.network.connect(address)).await;
@@ -315,6 +324,20 @@
         }
     }
 
+    /// Opens a stream. Without a free descriptor it closes the idle connections first.
+    async fn open_stream(&self, address: SocketAddr) -> io::Result<Stream> {
+        match self.network.connect(address).await {
+            Err(error) if error.raw_os_error() == Some(Errno::MFILE.raw_os_error()) => {
+                tracing::warn!(%error, "idle connections are closed for a new one");
+                self.close_all_idle();
+                // The connections' tasks close them.
+                yield_now().await;
+                self.network.connect(address).await
+            }
+            opened => opened,
+        }
+    }
+
     async fn connect(&self, address: SocketAddr) -> Result<Sender, Failure> {
         let unreachable = |reason: String| {
             Failure::not_run(
@@ -322,7 +345,7 @@
                 format!("connecting to the upstream: {reason}"),
             )
         };
-        let stream = timeout(CONNECT_TIMEOUT, self.network.connect(address))
+        let stream = timeout(CONNECT_TIMEOUT, self.open_stream(address))
             .await
             .map_err(|_| unreachable("timed out".into()))?
             .map_err(|error| unreachable(error.to_string()))?;
