--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -21,7 +21,7 @@
         link::{self, Identity, Mailboxes, Peers, exchange},
         listen,
         metric::Metrics,
-        net::{Listener, Network},
+        net::{Listener, Network, room::Evictions},
         queue, resource, route,
         settings::Settings,
         source::http::Platform,
@@ -112,6 +112,8 @@
         let limits = resource::Limits::read(resource::Setting::default());
         let shares = limits.shares();
         limits.register(&metrics, clock.wall());
+        let evictions = Evictions::default();
+        evictions.register(&metrics);
         let (stop, stopped) = watch::channel(());
         let (phase, phase_reader) = watch::channel(Phase::Running);
         let mut kernel = Kernel::new();
@@ -242,7 +244,7 @@
             queue,
             register,
             limit: limit.clone(),
-            exchanges: exchange::Client::new(identity.clone()),
+            exchanges: exchange::Client::new(identity),
             peers: peer_addresses,
             metrics: metrics.clone(),
         });
@@ -250,11 +252,11 @@
             "link",
             link::serve(
                 peers,
-                identity,
                 mailboxes,
                 link,
                 clock,
                 gateway.clone(),
+                link::Limits::new(&shares, &evictions, &metrics),
                 stopped.clone(),
             ),
         );
--- a/src/link/control.rs
+++ b/src/link/control.rs
@@ -145,6 +145,11 @@
         }
     }
 
+    /// How the host identifies itself.
+    pub(super) fn identity(&self) -> &Identity {
+        &self.identity
+    }
+
     /// The addresses to which this handle connects.
     pub fn peers(&self) -> &Peers {
         &self.peers
@@ -257,6 +262,7 @@
             Ok(None) => return,
             Err(error) => return tracing::debug!(peer = %from, %error, "control connection ended"),
         };
+        socket.release_memory();
         match frame.message {
             wire::Message::Probe(probe) => handle.send(&from, wire::Message::Echo(probe)),
             wire::Message::Echo(probe) => {
--- a/src/link/exchange.rs
+++ b/src/link/exchange.rs
@@ -37,6 +37,10 @@
 /// trip, and the delay until the pong is read.
 const MAX_SILENCE_UNREPEATABLE: Duration = Duration::from_secs(4);
 
+/// Largest body of a call whose connection is used again. Both ends of a connection keep a buffer of the
+/// size of its largest message.
+const MAX_POOLED_BODY_BYTES: usize = 256 * 1024;
+
 /// Opens exchanges and pools idle connections. Clones share the pool.
 #[derive(Debug, Clone)]
 pub struct Client {
@@ -88,6 +92,8 @@
     id: wire::ExchangeId,
     address: SocketAddr,
     client: Client,
+    /// Whether the connection is closed at the end.
+    is_last: bool,
 }
 
 impl Client {
@@ -115,6 +121,7 @@
         is_repeatable: bool,
     ) -> Result<(Head, Body), Failure> {
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
+        let is_last = call.body.len() > MAX_POOLED_BODY_BYTES;
         let mut socket = self.acquire(address, is_repeatable).await?;
         let request = wire::Request::Call {
             id,
@@ -129,6 +136,7 @@
             id,
             address,
             client: self.clone(),
+            is_last,
         };
         match body.next_answer().await? {
             // A host of an older build passes such an answer of its upstream on.
@@ -341,7 +349,9 @@
 
     /// Returns the connection to the pool for the next exchange.
     fn release(&mut self) {
-        if let Some(socket) = self.socket.take() {
+        if let Some(socket) = self.socket.take()
+            && !self.is_last
+        {
             self.client.connections().add_idle(self.address, socket);
         }
     }
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -3,11 +3,13 @@
 
 mod control;
 pub mod exchange;
+mod metered;
 mod server;
 mod socket;
 
 pub use {
     control::{Handle, Mailboxes, Peers, Received},
-    server::{Handler, serve},
+    metered::Memory,
+    server::{Handler, Limits, serve},
     socket::Identity,
 };
--- a/src/link/server.rs
+++ b/src/link/server.rs
@@ -5,14 +5,19 @@
     super::{
         control::{self, Handle, Mailboxes},
         exchange::Head,
-        socket::{Accepted, Identity, Purpose, Socket},
+        metered::Memory,
+        socket::{Accepted, Purpose, Socket},
     },
     crate::{
         clock::Clock,
         failure::Failure,
+        metric::Metrics,
         name,
-        net::{Listener, Stream},
-        wire,
+        net::{
+            Listener, Stream,
+            room::{Evictions, Place, Room},
+        },
+        resource, wire,
     },
     bytes::Bytes,
     std::{future::Future, net::SocketAddr, time::Duration},
@@ -45,38 +50,73 @@
     ) -> impl Future<Output = Result<Option<Bytes>, Failure>> + Send;
 }
 
+/// What peers may use of this host.
+#[derive(Debug, Clone)]
+pub struct Limits {
+    /// Room for their connections.
+    pub room: Room,
+    /// Memory for their large messages.
+    pub memory: Memory,
+}
+
+impl Limits {
+    /// A host's limits by its shares. Registers metrics of what is held.
+    pub fn new(shares: &resource::Shares, evictions: &Evictions, metrics: &Metrics) -> Self {
+        let memory = Memory::new(shares.messages);
+        metrics.register(|registry| {
+            registry.register(
+                "peer_bytes_held",
+                "Bytes of memory for large messages of other hosts, forwarded requests above all",
+                memory.held(),
+            );
+            registry.register(
+                "peer_messages_waited",
+                "Large messages of other hosts that waited for memory",
+                memory.waits(),
+            );
+        });
+        Self {
+            room: Room::new(shares.peers, evictions.clone()),
+            memory,
+        }
+    }
+}
+
 /// The dependencies of each connection's task.
 #[derive(Debug, Clone)]
 struct Context<C, H> {
-    identity: Identity,
     mailboxes: Mailboxes,
     handle: Handle,
     clock: C,
     handler: H,
+    limits: Limits,
 }
 
-/// Accepts connections from peers until `stop` closes.
+/// Accepts connections from peers until `stop` closes. The host identifies itself as `handle` does.
 pub async fn serve<C: Clock, H: Handler>(
     mut listener: Listener,
-    identity: Identity,
     mailboxes: Mailboxes,
     handle: Handle,
     clock: C,
     handler: H,
+    limits: Limits,
     mut stop: watch::Receiver<()>,
 ) {
     let context = Context {
-        identity,
         mailboxes,
         handle,
         clock,
         handler,
+        limits,
     };
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, address)) => {
-                    tokio::spawn(serve_connection(stream, address, context.clone(), stop.clone()));
+                    if let Some(place) = context.limits.room.enter() {
+                        let (context, stop) = (context.clone(), stop.clone());
+                        tokio::spawn(serve_connection(stream, address, place, context, stop));
+                    }
                 }
                 Err(error) => {
                     tracing::warn!(%error, "failed to accept a peer connection");
@@ -91,6 +131,7 @@
 async fn serve_connection<C: Clock, H: Handler>(
     stream: Stream,
     address: SocketAddr,
+    place: Place,
     context: Context<C, H>,
     mut stop: watch::Receiver<()>,
 ) {
@@ -98,10 +139,23 @@
         socket,
         from,
         purpose,
-    } = match Socket::accept(stream, address, &context.identity).await {
-        Ok(accepted) => accepted,
-        Err(error) => return tracing::debug!(%error, "peer connection rejected"),
+    } = match unless_evicted(
+        &place,
+        Socket::accept(
+            stream,
+            address,
+            context.handle.identity(),
+            &context.limits.memory,
+        ),
+    )
+    .await
+    {
+        Some(Ok(accepted)) => accepted,
+        Some(Err(error)) => return tracing::debug!(%error, "peer connection rejected"),
+        None => return,
     };
+    // A known peer's connection is not closed for another one.
+    place.set_busy(true);
     match purpose {
         Purpose::Control => {
             tokio::select! {
@@ -119,6 +173,14 @@
     }
 }
 
+/// Waits for `work` unless the connection has to be closed for another one.
+async fn unless_evicted<T>(place: &Place, work: impl Future<Output = T>) -> Option<T> {
+    tokio::select! {
+        output = work => Some(output),
+        () = place.evicted() => None,
+    }
+}
+
 /// Serves the exchanges of one connection, one after another.
 async fn serve_exchanges<H: Handler>(
     mut socket: Socket,
@@ -140,6 +202,7 @@
         {
             return;
         }
+        socket.release_memory();
     }
 }
 
--- a/src/link/socket.rs
+++ b/src/link/socket.rs
@@ -2,6 +2,7 @@
 //! authentication by the fleet's secret, framing and pings.
 
 use {
+    super::metered::{Grant, Memory, Metered},
     crate::{
         Error, Result, name,
         net::{Network, Stream},
@@ -10,13 +11,13 @@
     bytes::Bytes,
     futures::{FutureExt, SinkExt, StreamExt},
     serde::{Serialize, de::DeserializeOwned},
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{future::poll_fn, net::SocketAddr, sync::Arc, task::Poll, time::Duration},
     subtle::ConstantTimeEq,
-    tokio::time::{Instant, sleep_until, timeout},
+    tokio::time::{Instant, sleep_until, timeout, timeout_at},
     tokio_tungstenite::{
         WebSocketStream, accept_hdr_async_with_config, client_async_with_config,
         tungstenite::{
-            Message,
+            self, Message,
             handshake::server::{ErrorResponse, Request, Response},
             http::{HeaderMap, StatusCode},
             protocol::WebSocketConfig,
@@ -32,6 +33,12 @@
 const PING_AFTER: Duration = Duration::from_secs(3);
 /// Silence after which a pinged connection is closed.
 const MAX_SILENCE: Duration = Duration::from_secs(9);
+/// Longest time for which a large message waits for memory. Its sender then knows that the call has not
+/// run, and has time to make it elsewhere.
+const MAX_MEMORY_WAIT: Duration = Duration::from_millis(1_500);
+/// Longest time in which a large message has to arrive once there is memory for it: a sender that is cut
+/// off would keep that from others.
+const MAX_RECEIVE_TIME: Duration = Duration::from_secs(5);
 /// Read buffer of a connection, in bytes.
 const READ_BUFFER_BYTES: usize = 8 * 1024;
 /// Header that names the connecting host.
@@ -77,8 +84,12 @@
 /// One open connection to a peer.
 #[derive(Debug)]
 pub(super) struct Socket {
-    stream: WebSocketStream<Stream>,
+    stream: WebSocketStream<Metered>,
     peer: String,
+    /// Memory for large messages; `None` on connections that this host has opened.
+    memory: Option<Memory>,
+    /// Memory of the last message.
+    grant: Option<Grant>,
 }
 
 /// What arrived on a connection that should be idle.
@@ -139,7 +150,7 @@
                 .body(())
                 .expect("the parts of the request are valid");
             let config = Some(websocket_config(identity.message_limit));
-            let (stream, _) = client_async_with_config(request, stream, config)
+            let (stream, _) = client_async_with_config(request, Metered::new(stream), config)
                 .await
                 .map_err(|error| protocol_error("opening a peer connection", &peer, error))?;
             Ok(stream)
@@ -150,14 +161,21 @@
                 step: "connecting to a peer",
                 peer: peer.clone(),
             })??;
-        Ok(Self { stream, peer })
+        Ok(Self {
+            stream,
+            peer,
+            memory: None,
+            grant: None,
+        })
     }
 
-    /// Completes the handshake with a connecting peer, which must present the fleet's secret.
+    /// Completes the handshake with a connecting peer, which must present the fleet's secret. The bytes
+    /// of its large messages need `memory`.
     pub(super) async fn accept(
         stream: Stream,
         from: SocketAddr,
         identity: &Identity,
+        memory: &Memory,
     ) -> Result<Accepted> {
         let peer = from.to_string();
         let mut admitted = None;
@@ -173,9 +191,9 @@
             }
         };
         let config = Some(websocket_config(identity.message_limit));
-        let stream = timeout(
+        let mut stream = timeout(
             CONNECT_TIMEOUT,
-            accept_hdr_async_with_config(stream, check, config),
+            accept_hdr_async_with_config(Metered::new(stream), check, config),
         )
         .await
         .map_err(|_| Error::Timeout {
@@ -183,13 +201,19 @@
             peer: peer.clone(),
         })?
         .map_err(|error| protocol_error("accepting a peer connection", &peer, error))?;
+        stream.get_mut().follow();
         let (host, purpose) = admitted.ok_or_else(|| Error::Protocol {
             step: "accepting a peer connection",
             peer: peer.clone(),
             reason: "no handshake".into(),
         })?;
         Ok(Accepted {
-            socket: Self { stream, peer },
+            socket: Self {
+                stream,
+                peer,
+                memory: Some(memory.clone()),
+                grant: None,
+            },
             from: host,
             purpose,
         })
@@ -205,6 +229,40 @@
             .map_err(|error| protocol_error("sending to a peer", &self.peer, error))
     }
 
+    /// Gives back the memory of the message that was received last.
+    pub(super) fn release_memory(&mut self) {
+        self.grant = None;
+    }
+
+    /// Waits for the next frame of a message or a ping. A large message is read once there is memory for it,
+    /// which is held until [`Self::release_memory`].
+    async fn next(&mut self) -> Option<tungstenite::Result<Message>> {
+        let mut receive_by = None;
+        loop {
+            let stream = &mut self.stream;
+            let receiving = poll_fn(|context| match stream.poll_next_unpin(context) {
+                Poll::Ready(message) => Poll::Ready(Ok(message)),
+                Poll::Pending => match stream.get_ref().wanted() {
+                    Some(size) => Poll::Ready(Err(size)),
+                    None => Poll::Pending,
+                },
+            });
+            let received = match receive_by {
+                Some(receive_by) => timeout_at(receive_by, receiving).await.ok()?,
+                None => receiving.await,
+            };
+            let size = match received {
+                Ok(message) => return message,
+                Err(size) => size,
+            };
+            if let Some(memory) = &self.memory {
+                self.grant = timeout(MAX_MEMORY_WAIT, memory.grant(size)).await.ok()?;
+                receive_by = Some(Instant::now() + MAX_RECEIVE_TIME);
+            }
+            self.stream.get_mut().go_on();
+        }
+    }
+
     /// The next message; `None` if the peer closed the connection. Times out if the peer doesn't
     /// answer a ping.
     pub(super) async fn receive<M: DeserializeOwned>(&mut self) -> Result<Option<M>> {
@@ -227,7 +285,7 @@
         limit: Duration,
     ) -> Result<Option<M>> {
         loop {
-            let message = timeout(limit, self.stream.next()).await;
+            let message = timeout(limit, self.next()).await;
             let message = message.map_err(|_| Error::Timeout {
                 step: "waiting for a peer",
                 peer: self.peer.clone(),
@@ -272,7 +330,7 @@
         loop {
             let deadline = last_heard_at + if pinged { MAX_SILENCE } else { PING_AFTER };
             let message = tokio::select! {
-                message = self.stream.next() => message,
+                message = self.next() => message,
                 () = sleep_until(deadline) => {
                     if pinged {
                         return Err(Error::Timeout { step: "waiting for a peer", peer: self.peer.clone() });
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -6,12 +6,15 @@
         clock::Monotonic,
         failure::{Code, Failure, Ran},
         link::{
-            Handle, Handler, Identity, Mailboxes, Peers,
+            Handle, Handler, Identity, Limits, Mailboxes, Memory as MessageMemory, Peers,
             exchange::{Client, Head},
             serve,
         },
         name,
-        net::{Memory, Network},
+        net::{
+            Memory, Network,
+            room::{Evictions, Room},
+        },
         proxy::origin,
         wire,
     },
@@ -64,13 +67,14 @@
 
 /// Starts a host that serves calls; it stops when the returned sender is dropped.
 async fn start_server(network: &Network) -> (SocketAddr, watch::Sender<()>) {
-    start_server_with(network, Mailboxes::default()).await
+    start_server_with(network, Mailboxes::default(), MessageMemory::new(1 << 20)).await
 }
 
 /// Like [`start_server`], but delivers control messages to `mailboxes`.
 async fn start_server_with(
     network: &Network,
     mailboxes: Mailboxes,
+    memory: MessageMemory,
 ) -> (SocketAddr, watch::Sender<()>) {
     let listener = network
         .bind(([10, 0, 0, 1], 90).into())
@@ -79,15 +83,18 @@
     let address = listener.local_addr().expect("bound");
     let (stop, stopped) = watch::channel(());
     let own = identity(network, "serving", "secret");
-    let handle = Handle::new(own.clone(), Peers::default());
+    let handle = Handle::new(own, Peers::default());
     let clock = Monotonic::new();
     tokio::spawn(serve(
         listener,
-        own,
         mailboxes,
         handle,
         clock,
         FixedPieces,
+        Limits {
+            room: Room::new(64, Evictions::default()),
+            memory,
+        },
         stopped,
     ));
     (address, stop)
@@ -263,7 +270,8 @@
     let peers = Peers::default();
     let handle = Handle::new(identity(&network, "asking", "secret"), peers.clone());
     for _ in 0..2 {
-        let (address, stop) = start_server_with(&network, mailboxes.clone()).await;
+        let (address, stop) =
+            start_server_with(&network, mailboxes.clone(), MessageMemory::new(1 << 20)).await;
         peers.insert("serving".into(), address);
         // Two messages are lost while the sender finds out that the connection has ended.
         let mut tickets = Vec::new();
@@ -287,3 +295,52 @@
         sleep(Duration::from_secs(15)).await;
     }
 }
+
+/// Guards against large calls of many peers that are read at once, and against memory that isn't given
+/// back: with memory for one of them, the calls are made one after another.
+#[tokio::test(start_paused = true)]
+async fn large_calls_are_read_one_after_another_where_memory_is_short() {
+    let network = Network::Memory(Memory::new());
+    let memory = MessageMemory::new(1 << 20);
+    let (to, _stop) = start_server_with(&network, Mailboxes::default(), memory.clone()).await;
+    let asking = (0..4).map(|number| {
+        let client = Client::new(identity(&network, &format!("asking-{number}"), "secret"));
+        let call = wire::Call {
+            body: vec![b'x'; 600_000].into(),
+            ..call()
+        };
+        async move {
+            let (head, mut body) = client.open(to, call, true).await?;
+            while body.next().await?.is_some() {}
+            // A connection keeps a buffer of the size of its largest message.
+            assert_eq!(client.ready_count(to), 0);
+            Ok::<_, Failure>(head.status)
+        }
+    });
+    let answers = futures::future::join_all(asking).await;
+    assert!(
+        answers.iter().all(|answer| *answer == Ok(200)),
+        "{answers:?}"
+    );
+    assert!(memory.waits().get() >= 1);
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(memory.held().get(), 0);
+}
+
+/// A peer that begins a large message and is cut off may not keep the memory from others.
+#[tokio::test(start_paused = true)]
+async fn a_large_call_that_finds_no_memory_has_not_run() {
+    let network = Network::Memory(Memory::new());
+    let memory = MessageMemory::new(1 << 20);
+    let (to, _stop) = start_server_with(&network, Mailboxes::default(), memory.clone()).await;
+    let large = || wire::Call {
+        body: vec![b'x'; 600_000].into(),
+        ..call()
+    };
+    let holding = Client::new(identity(&network, "holding", "secret"));
+    let (_, _unread) = holding.open(to, large(), true).await.expect("a head");
+    let asking = Client::new(identity(&network, "asking", "secret"));
+    let refused = asking.open(to, large(), false).await;
+    let refused = refused.err().map(|failure| (failure.code, failure.ran));
+    assert_eq!(refused, Some((Code::Unreachable, Ran::No)));
+}
