--- a/src/bin/greengagecleat/serve.rs
+++ b/src/bin/greengagecleat/serve.rs
@@ -8,6 +8,7 @@
         entry::Entry,
         log::Writer,
         panic,
+        resource::{Limits, Setting},
         start::{
             self, report,
             signal::{Notice, Signals},
@@ -49,6 +50,7 @@
         }
     };
     let log = log::start(logging);
+    Limits::read(Setting::default()).log();
     let status = runtime.block_on(async {
         let entry = Entry::start(settings, Monotonic::new());
         run_until_drained(entry, signals, &log).await
