--- a/src/proxy/fleet.rs
+++ b/src/proxy/fleet.rs
@@ -73,7 +73,7 @@
     pub callers: SocketAddr,
     /// Address for other hosts.
     pub peers: SocketAddr,
-    /// Number that grows with each start of the process.
+    /// Number that grows with each start of the process, unless its clock is set back in between.
     pub incarnation: u64,
     /// Computing capacity, in thousandths of a core; `None` if the host doesn't know it, or is of a
     /// build that doesn't tell.
@@ -263,6 +263,17 @@
     Unchanged,
 }
 
+impl Peer {
+    /// Whether a report is older than the last one of this peer. Once the peer has been silent for
+    /// [`GONE_AFTER`], a report of another incarnation counts as newer: the clock that numbers the
+    /// incarnations may have been set back between two starts.
+    fn is_newer_than(&self, report: &Report, now: Duration) -> bool {
+        let (known, other) = (self.identity.incarnation, report.from.incarnation);
+        let is_gone = now.saturating_sub(self.last_heard_at) >= GONE_AFTER;
+        (other, report.sequence) <= (known, self.sequence) && !(is_gone && other != known)
+    }
+}
+
 impl Fleet {
     /// Creates the view of a host that knows no other host yet, but the addresses of `seeds`.
     pub fn new(identity: Identity, seeds: Vec<SocketAddr>) -> Self {
@@ -294,8 +305,7 @@
             }
         }
         let peer = self.peers.get(&report.from.host);
-        let order = (report.from.incarnation, report.sequence);
-        if peer.is_some_and(|peer| order <= (peer.identity.incarnation, peer.sequence)) {
+        if peer.is_some_and(|peer| peer.is_newer_than(report, now)) {
             return Update::Stale;
         }
         let has_joined =
--- a/tests/proxy/fleet.rs
+++ b/tests/proxy/fleet.rs
@@ -276,3 +276,29 @@
     fleet.record_report(ms(0), &told(2, false));
     assert_eq!(directory_at(&fleet, ms(1), "north"), [address(2)]);
 }
+
+/// The incarnation is the wall clock's time of the start. A process that starts after its machine's
+/// clock was set back was ignored for a minute by the hosts that knew the one before.
+#[test]
+fn a_process_that_started_with_an_earlier_clock_counts_once_the_one_before_is_gone() {
+    let mut fleet = fleet();
+    fleet.record_report(ms(0), &report("n2", "north", 2, 5, 9));
+    let early = GONE_AFTER - ms(1);
+    assert_eq!(
+        fleet.record_report(early, &report("n2", "north", 2, 4, 1)),
+        Update::Stale
+    );
+    let gone = GONE_AFTER;
+    assert_eq!(
+        fleet.record_report(gone, &report("n2", "north", 2, 4, 2)),
+        Update::Joined
+    );
+    assert_eq!(
+        directory_at(&fleet, gone, "north"),
+        [address(1), address(2)]
+    );
+    assert_eq!(
+        fleet.record_report(gone, &report("n2", "north", 2, 4, 2)),
+        Update::Stale
+    );
+}
