--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -21,7 +21,10 @@
         link::{self, Identity, Mailboxes, Peers, exchange},
         listen,
         metric::Metrics,
-        net::{Listener, Network, room::Evictions},
+        net::{
+            Listener, Network,
+            room::{Evictions, Room},
+        },
         queue, resource, route,
         settings::Settings,
         source::http::Platform,
@@ -114,6 +117,7 @@
         limits.register(&metrics, clock.wall());
         let evictions = Evictions::default();
         evictions.register(&metrics);
+        let room = |connections| Room::new(connections, evictions.clone());
         let (stop, stopped) = watch::channel(());
         let (phase, phase_reader) = watch::channel(Phase::Running);
         let mut kernel = Kernel::new();
@@ -269,11 +273,11 @@
         };
         kernel.spawn(
             "admin",
-            listen::serve(admin, pages.router(), shares.pages, stopped.clone()),
+            listen::serve(admin, pages.router(), room(shares.pages), stopped.clone()),
         );
         kernel.spawn(
             "gateway",
-            listen::serve(callers, gateway.router(), shares.callers, stopped),
+            listen::serve(callers, gateway.router(), room(shares.callers), stopped),
         );
         tracing::info!(host = %settings.name, callers = %addresses.callers, peers = %addresses.peers, admin = %addresses.admin, "host started");
         Ok(Self {
--- a/src/link/server.rs
+++ b/src/link/server.rs
@@ -113,7 +113,7 @@
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, address)) => {
-                    if let Some(place) = context.limits.room.enter() {
+                    if let Some(place) = context.limits.room.enter().await {
                         let (context, stop) = (context.clone(), stop.clone());
                         tokio::spawn(serve_connection(stream, address, place, context, stop));
                     }
--- a/src/net/room.rs
+++ b/src/net/room.rs
@@ -14,7 +14,7 @@
             atomic::{AtomicBool, AtomicU64, Ordering},
         },
     },
-    tokio::sync::Notify,
+    tokio::{sync::Notify, task::yield_now},
 };
 
 /// The connections of a listener and the limit on their number. Clones share them.
@@ -86,9 +86,20 @@
 
     /// A place for a new connection, for which an idle one may be closed; `None` if it has to be turned
     /// away.
-    pub fn enter(&self) -> Option<Place> {
+    pub async fn enter(&self) -> Option<Place> {
+        let (place, evicts) = self.take_place()?;
+        if evicts {
+            // Or many could be accepted before the first descriptor is free again.
+            yield_now().await;
+        }
+        Some(place)
+    }
+
+    /// A place, and whether a connection is closed for it.
+    fn take_place(&self) -> Option<(Place, bool)> {
         let mut open = self.open();
-        if open.len() >= self.0.limit {
+        let is_full = open.len() >= self.0.limit;
+        if is_full {
             let idle = open
                 .iter()
                 .filter(|(_, usage)| !usage.is_busy.load(Ordering::Relaxed));
@@ -111,7 +122,7 @@
             usage,
         };
         place.touch();
-        Some(place)
+        Some((place, is_full))
     }
 
     fn open(&self) -> MutexGuard<'_, BTreeMap<u64, Arc<Usage>>> {
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -76,7 +76,7 @@
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     let (open, mut all_ended) = mpsc::channel::<Infallible>(1);
-    let refusals = Arc::new(Semaphore::new(MAX_REFUSALS));
+    let refusals = Refusals::new();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -84,13 +84,8 @@
         };
         match accepted {
             Ok((stream, from)) => {
-                let Some(place) = room.enter() else {
-                    if let Ok(permit) = refusals.clone().try_acquire_owned() {
-                        tokio::spawn(async move {
-                            timeout(REFUSAL_TIME, refuse(stream)).await.ok();
-                            drop(permit);
-                        });
-                    }
+                let Some(place) = room.enter().await else {
+                    refusals.refuse(stream);
                     continue;
                 };
                 let serving = connection(stream, from, place, service.clone(), phase.clone());
@@ -115,9 +110,30 @@
     phase.wait_for(|phase| condition(*phase)).await.ok();
 }
 
+/// Tells callers that there is no room for their connections.
+#[derive(Debug)]
+pub(crate) struct Refusals(Arc<Semaphore>);
+
+impl Refusals {
+    pub(crate) fn new() -> Self {
+        Self(Arc::new(Semaphore::new(MAX_REFUSALS)))
+    }
+
+    /// Answers on a connection and closes it, in a task of its own; just closes it if many are answered
+    /// already.
+    pub(crate) fn refuse(&self, stream: Stream) {
+        if let Ok(permit) = self.0.clone().try_acquire_owned() {
+            tokio::spawn(async move {
+                timeout(REFUSAL_TIME, write_refusal(stream)).await.ok();
+                drop(permit);
+            });
+        }
+    }
+}
+
 /// Answers that there is no room for a connection. Reads what the caller sends, as closing a connection
 /// with unread bytes discards the answer.
-async fn refuse(mut stream: Stream) -> io::Result<()> {
+async fn write_refusal(mut stream: Stream) -> io::Result<()> {
     stream.write_all(REFUSAL).await?;
     stream.shutdown().await?;
     let mut unread = [0; 1_024];
@@ -149,10 +165,7 @@
             Ok::<_, Infallible>(response)
         }
     });
-    let stream = CountedStream {
-        stream,
-        activity: activity.clone(),
-    };
+    let stream = CountedStream::new(stream, activity.clone());
     let serving = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(IDLE_TIMEOUT)
@@ -194,8 +207,8 @@
 
 /// What happens on a connection.
 #[derive(Debug)]
-struct Activity {
-    place: Place,
+pub(crate) struct Activity {
+    pub(crate) place: Place,
     has_served: AtomicBool,
     /// Requests whose answers have not been passed to the connection in full.
     exchanges: AtomicUsize,
@@ -205,7 +218,7 @@
 }
 
 impl Activity {
-    fn new(place: Place) -> Self {
+    pub(crate) fn new(place: Place) -> Self {
         Self {
             place,
             has_served: AtomicBool::new(false),
@@ -222,10 +235,10 @@
 
 /// Counts a request until it is dropped.
 #[derive(Debug)]
-struct Exchange(Arc<Activity>);
+pub(crate) struct Exchange(Arc<Activity>);
 
 impl Exchange {
-    fn start(activity: &Arc<Activity>) -> Self {
+    pub(crate) fn start(activity: &Arc<Activity>) -> Self {
         activity.has_served.store(true, Ordering::Relaxed);
         activity.exchanges.fetch_add(1, Ordering::Relaxed);
         activity.place.set_busy(true);
@@ -241,7 +254,7 @@
 }
 
 /// Counts a request until the body of its answer is dropped.
-fn count_until_end<B: Body>(
+pub(crate) fn count_until_end<B: Body>(
     body: B,
     exchange: Exchange,
 ) -> impl Body<Data = B::Data, Error = B::Error> {
@@ -254,12 +267,16 @@
 
 /// A connection whose reads and blocked writes are noted.
 #[derive(Debug)]
-struct CountedStream {
+pub(crate) struct CountedStream {
     stream: Stream,
     activity: Arc<Activity>,
 }
 
 impl CountedStream {
+    pub(crate) fn new(stream: Stream, activity: Arc<Activity>) -> Self {
+        Self { stream, activity }
+    }
+
     fn note_write(&self, result: &Poll<io::Result<usize>>) {
         let is_blocked = result.is_pending();
         let noted = &self.activity.is_write_blocked;
--- a/tests/daemon.rs
+++ b/tests/daemon.rs
@@ -16,8 +16,11 @@
         platform::{Host, Hosts, Kind, State},
         serve::own_address,
     },
+    tokio::{net::TcpStream, time::timeout},
 };
 
+/// Longest time for an answer beside idle connections.
+const ANSWER_TIME: Duration = Duration::from_secs(3);
 const PROGRAM: &str = env!("CARGO_BIN_EXE_greengagecleat");
 
 fn run_program(arguments: &[&str], variables: &[(&str, &str)]) -> Output {
@@ -144,9 +147,14 @@
 }
 
 fn start(bed: &Bed, drain_limit: &str) -> Daemon {
+    start_with(Command::new(PROGRAM), bed, drain_limit)
+}
+
+/// Starts the daemon by a command that passes its arguments on.
+fn start_with(mut command: Command, bed: &Bed, drain_limit: &str) -> Daemon {
     let own = own_address();
     let [callers, peers, admin] = [8301, 8302, 8303].map(|port| SocketAddr::from((own, port)));
-    let child = Command::new(PROGRAM)
+    let child = command
         .args([
             "serve", "--name", "south-a", "--region", "south", "--domain", "south-1",
         ])
@@ -277,3 +285,33 @@
         assert!(printed.contains(part), "{part} is not in {printed}");
     }
 }
+
+/// Idle connections of callers took all descriptors: calls and the operators' pages hung.
+#[tokio::test]
+async fn idle_connections_leave_descriptors_for_calls_and_pages() {
+    let bed = Bed::start().await;
+    let mut limited = Command::new("sh");
+    let script = format!("ulimit -n 64 && exec {PROGRAM} \"$@\"");
+    limited.args(["-c", &script, "sh"]);
+    let daemon = start_with(limited, &bed, "60");
+    wait_until_ready(&bed, &daemon).await;
+    let mut idle = Vec::new();
+    for _ in 0..100 {
+        idle.push(
+            TcpStream::connect(daemon.callers)
+                .await
+                .expect("a connection"),
+        );
+    }
+    for path in ["/readyz", "/metrics"] {
+        let ask = testbed::client::Call::get(path);
+        let answer = timeout(ANSWER_TIME, bed.caller.whole(daemon.admin, &ask)).await;
+        let answer = answer.unwrap_or_else(|_| panic!("{path} hangs"));
+        assert_eq!(answer.expect("an answer").status, 200, "{path}");
+    }
+    let answer = timeout(ANSWER_TIME, stream_answer(&bed, &daemon, 4)).await;
+    assert_eq!(
+        answer.expect("a call in time").expect("an answer").status,
+        200
+    );
+}
--- a/tests/resource.rs
+++ b/tests/resource.rs
@@ -73,22 +73,23 @@
 }
 
 /// Guards against connections in use that are closed for new ones.
-#[test]
-fn the_connection_that_has_been_idle_for_longest_makes_room() {
+#[tokio::test]
+async fn the_connection_that_has_been_idle_for_longest_makes_room() {
     let room = Room::new(3, Evictions::default());
-    let places: Vec<_> = (0..3).map(|_| room.enter().unwrap()).collect();
+    let places = futures::future::join_all((0..3).map(|_| room.enter())).await;
+    let places: Vec<_> = places.into_iter().flatten().collect();
     let is_evicted = |at: usize| futures::FutureExt::now_or_never(places[at].evicted()).is_some();
     places[0].touch();
     places[1].set_busy(true);
-    let _fourth = room.enter().unwrap();
+    let fourth = room.enter().await.unwrap();
     assert_eq!([0, 1, 2].map(is_evicted), [false, false, true]);
-    let fifth = room.enter().unwrap();
+    let fifth = room.enter().await.unwrap();
     assert_eq!([0, 1, 2].map(is_evicted), [true, false, false]);
     fifth.set_busy(true);
-    _fourth.set_busy(true);
-    assert!(room.enter().is_none(), "all are in use");
+    fourth.set_busy(true);
+    assert!(room.enter().await.is_none(), "all are in use");
     drop(fifth);
-    assert!(room.enter().is_some());
+    assert!(room.enter().await.is_some());
 }
 
 #[test]
