--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -21,7 +21,10 @@
         link::{self, Identity, Mailboxes, Peers, exchange},
         listen,
         metric::Metrics,
-        net::{Listener, Network, room::Evictions},
+        net::{
+            Listener, Network,
+            room::{Evictions, Room},
+        },
         queue, resource, route,
         settings::Settings,
         source::http::Platform,
@@ -128,6 +131,7 @@
         limits.register(&metrics, clock.wall());
         let evictions = Evictions::default();
         evictions.register(&metrics);
+        let room = |connections| Room::new(connections, evictions.clone());
         let (stop, stopped) = watch::channel(());
         let (phase, phase_reader) = watch::channel(Phase::Running);
         let mut kernel = Kernel::new(&metrics);
@@ -284,16 +288,16 @@
             limit,
         };
         kernel.spawn("admin", {
-            let stopped = stopped.clone();
+            let (stopped, room) = (stopped.clone(), room(shares.pages));
             async move {
                 if let Some(admin) = admin.listener_until(closed(stopped.clone())).await {
-                    listen::serve(admin, pages.router(), shares.pages, stopped).await;
+                    listen::serve(admin, pages.router(), room, stopped).await;
                 }
             }
         });
         kernel.spawn(
             "gateway",
-            listen::serve(callers, gateway.router(), shares.callers, stopped),
+            listen::serve(callers, gateway.router(), room(shares.callers), stopped),
         );
         tracing::info!(host = %settings.name, callers = %addresses.callers, peers = %addresses.peers, admin = %addresses.admin, "host started");
         Ok(Self {
