--- a/src/start/address.rs
+++ b/src/start/address.rs
@@ -7,7 +7,7 @@
         clock::Clock,
         net::{Listener, Network},
     },
-    std::{future::Future, io, net::SocketAddr},
+    std::{future::Future, io, net::SocketAddr, pin::pin},
     tokio::time::sleep,
 };
 
@@ -90,20 +90,24 @@
     }
 
     /// Waits for the listener of an address that the process can do without, until `stop` completes.
-    /// A reason that lasts is logged.
+    /// A reason that lasts is logged, and waits for `stop` too, so that it doesn't pass for the end of
+    /// the task that serves the address.
     pub async fn listener_until(self, stop: impl Future<Output = ()>) -> Option<Listener> {
         let (step, address) = (self.place.step, self.place.address);
-        tokio::select! {
+        let mut stop = pin!(stop);
+        let listener = tokio::select! {
             biased;
-            listener = self.listener() => match listener {
-                Ok(listener) => Some(listener),
-                Err(error) => {
-                    tracing::error!(event = "listen", state = "failed", step, %address, %error,
-                        "going on without this address");
-                    None
-                }
-            },
-            () = stop => None,
+            listener = self.listener() => listener,
+            () = &mut stop => return None,
+        };
+        match listener {
+            Ok(listener) => Some(listener),
+            Err(error) => {
+                tracing::error!(event = "listen", state = "failed", step, %address, %error,
+                    "going on without this address");
+                stop.await;
+                None
+            }
         }
     }
 }
