--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -21,11 +21,12 @@
         link::{self, Identity, Mailboxes, Peers, exchange},
         listen,
         metric::Metrics,
-        net::{Listener, Network},
-        queue, route,
+        net::{Listener, Network, room::Evictions},
+        queue, resource, route,
         settings::Settings,
         source::http::Platform,
         start::address::Claim,
+        task::Failure,
         upstream, wire,
     },
     std::{
@@ -73,6 +74,7 @@
     stop: Mutex<Option<watch::Sender<()>>>,
     metrics: Metrics,
     gateway: Gateway<C>,
+    failure: Failure,
     kernel: Mutex<Option<Kernel>>,
 }
 
@@ -121,9 +123,14 @@
             admin: admin.address(),
         };
         let metrics = Metrics::new();
+        let limits = resource::Limits::read(resource::Setting::default());
+        let shares = limits.shares();
+        limits.register(&metrics, clock.wall());
+        let evictions = Evictions::default();
+        evictions.register(&metrics);
         let (stop, stopped) = watch::channel(());
         let (phase, phase_reader) = watch::channel(Phase::Running);
-        let mut kernel = Kernel::new();
+        let mut kernel = Kernel::new(&metrics);
 
         let platform = Platform::new(network.clone(), settings.platform);
         let peer_addresses = Peers::default();
@@ -168,30 +175,34 @@
         kernel.publish("route", router.clone());
         let queue = queue::Handle::new(queue::Options::default(), clock.clone(), router.clone());
         queue.register(&metrics);
-        kernel.spawn("queue", queue.clone().run(stopped.clone()));
+        let (running, stop_queue) = (queue.clone(), stopped.clone());
+        kernel.keep("queue", move || running.clone().run(stop_queue.clone()));
         let upstreams = upstream::Client::new(upstream_network.clone());
         upstreams.register(&metrics);
         let (digest_mailbox, digest_inbox) = mpsc::channel(DIGEST_MAILBOX_CAPACITY);
-        kernel.spawn(
-            "load",
-            route::follow_load(
-                router.clone(),
-                upstream::Client::new(upstream_network.clone()),
-                stopped.clone(),
-            ),
-        );
-        kernel.spawn(
-            "reach",
-            route::follow_reach(
-                router.clone(),
-                upstream_network,
-                link.clone(),
-                listing.clone(),
-                home.clone(),
-                metrics.clone(),
-                stopped.clone(),
-            ),
-        );
+        kernel.keep("load", {
+            let (router, network) = (router.clone(), upstream_network.clone());
+            let stopped = stopped.clone();
+            move || {
+                let client = upstream::Client::new(network.clone());
+                route::follow_load(router.clone(), client, stopped.clone())
+            }
+        });
+        kernel.keep("reach", {
+            let (router, link, listing) = (router.clone(), link.clone(), listing.clone());
+            let (home, metrics, stopped) = (home.clone(), metrics.clone(), stopped.clone());
+            move || {
+                route::follow_reach(
+                    router.clone(),
+                    upstream_network.clone(),
+                    link.clone(),
+                    listing.clone(),
+                    home.clone(),
+                    metrics.clone(),
+                    stopped.clone(),
+                )
+            }
+        });
         kernel.spawn(
             "route",
             route::exchange_digests(
@@ -251,17 +262,18 @@
             queue,
             register,
             limit: limit.clone(),
-            exchanges: exchange::Client::new(identity.clone()),
+            exchanges: exchange::Client::new(identity),
             peers: peer_addresses,
             metrics: metrics.clone(),
         });
         kernel.spawn("link", {
             let (stopped, gateway) = (stopped.clone(), gateway.clone());
+            let limits = link::Limits::new(&shares, &evictions, &metrics);
             async move {
                 let Some(peers) = peers.listener_until(closed(stopped.clone())).await else {
                     return;
                 };
-                link::serve(peers, identity, mailboxes, link, clock, gateway, stopped).await;
+                link::serve(peers, mailboxes, link, clock, gateway, limits, stopped).await;
             }
         });
         let pages = admin::Admin {
@@ -275,11 +287,14 @@
             let stopped = stopped.clone();
             async move {
                 if let Some(admin) = admin.listener_until(closed(stopped.clone())).await {
-                    listen::serve(admin, pages.router(), stopped).await;
+                    listen::serve(admin, pages.router(), shares.pages, stopped).await;
                 }
             }
         });
-        kernel.spawn("gateway", listen::serve(callers, gateway.router(), stopped));
+        kernel.spawn(
+            "gateway",
+            listen::serve(callers, gateway.router(), shares.callers, stopped),
+        );
         tracing::info!(host = %settings.name, callers = %addresses.callers, peers = %addresses.peers, admin = %addresses.admin, "host started");
         Ok(Self {
             settings,
@@ -288,6 +303,7 @@
             stop: Mutex::new(Some(stop)),
             metrics,
             gateway,
+            failure: kernel.failure(),
             kernel: Mutex::new(Some(kernel)),
         })
     }
@@ -302,6 +318,17 @@
         &self.gateway
     }
 
+    /// Returns the name of a task that has ended and that the host can't go on without, once there is
+    /// one. The host should then be drained.
+    pub async fn failed_task(&self) -> &'static str {
+        self.failure.clone().wait().await
+    }
+
+    /// The metrics of the host.
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
     /// Number of calls that are running now.
     pub fn running_calls(&self) -> usize {
         usize::try_from(self.metrics.running.get()).unwrap_or(0)
@@ -319,12 +346,13 @@
         while self.running_calls() > 0 && Instant::now() < limit {
             sleep(DRAIN_POLL_INTERVAL).await;
         }
-        self.stop
+        let kernel = self
+            .kernel
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .take();
-        let kernel = self
-            .kernel
+        kernel.as_ref().inspect(|kernel| kernel.stop());
+        self.stop
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .take();
--- a/src/start/address.rs
+++ b/src/start/address.rs
@@ -7,7 +7,11 @@
         clock::Clock,
         net::{Listener, Network},
     },
-    std::{future::Future, io, net::SocketAddr, pin::pin},
+    std::{
+        future::{Future, pending},
+        io,
+        net::SocketAddr,
+    },
     tokio::time::sleep,
 };
 
@@ -94,20 +98,20 @@
     /// the task that serves the address.
     pub async fn listener_until(self, stop: impl Future<Output = ()>) -> Option<Listener> {
         let (step, address) = (self.place.step, self.place.address);
-        let mut stop = pin!(stop);
-        let listener = tokio::select! {
-            biased;
-            listener = self.listener() => listener,
-            () = &mut stop => return None,
-        };
-        match listener {
-            Ok(listener) => Some(listener),
-            Err(error) => {
-                tracing::error!(event = "listen", state = "failed", step, %address, %error,
-                    "going on without this address");
-                stop.await;
-                None
+        let bound = async {
+            match self.listener().await {
+                Ok(listener) => listener,
+                Err(error) => {
+                    tracing::error!(event = "listen", state = "failed", step, %address, %error,
+                        "going on without this address");
+                    pending().await
+                }
             }
+        };
+        tokio::select! {
+            biased;
+            listener = bound => Some(listener),
+            () = stop => None,
         }
     }
 }
--- a/src/start/mod.rs
+++ b/src/start/mod.rs
@@ -13,7 +13,10 @@
         retry::{Cause, Plan, Retry, Step},
         signal::{Notice, Signals},
     },
-    crate::clock::{Boot, Clock},
+    crate::{
+        clock::{Boot, Clock},
+        log,
+    },
     argh::TopLevelCommand,
     derive_more::{Display, Error},
     std::{
@@ -33,10 +36,9 @@
 /// Exit status for a setting or an argument that can't be used.
 pub const EXIT_USAGE: u8 = 2;
 
-/// Writes one line to standard error. A line that can't be written is lost: `eprintln` panics then,
-/// which would end the process for the sake of its last words.
+/// Writes one line of a program to standard error, as [`log::report`] does.
 pub fn report(program: &str, message: impl Display) {
-    writeln!(io::stderr(), "{program}: {message}").ok();
+    log::report(&format!("{program}: {message}"));
 }
 
 /// Creates a runtime of one thread and installs the signal handlers on it, see [`runtime`]. The
--- a/src/start/signal.rs
+++ b/src/start/signal.rs
@@ -1,6 +1,7 @@
 //! The signals that a running process handles.
 
 use {
+    crate::log::ignore_file_size_signal,
     std::io,
     tokio::signal::unix::{Signal, SignalKind, signal},
 };
@@ -24,8 +25,9 @@
 }
 
 impl Signals {
-    /// Installs the handlers. Must be called within a runtime.
+    /// Installs the handlers, also that of [`ignore_file_size_signal`]. Must be called within a runtime.
     pub fn install() -> io::Result<Self> {
+        ignore_file_size_signal()?;
         Ok(Self {
             terminate: signal(SignalKind::terminate())?,
             interrupt: signal(SignalKind::interrupt())?,
