Let hosts of any name reach their peers

What was seen in a test: a host whose name is not ASCII is refused by its peers with 403; one with a control character in its name panics whenever it connects to a peer, so that it tells nobody of itself while it looks ready.

Cause: the name is a header of the handshake, read as ASCII and built with `expect`.

Change: the accepting side reads UTF-8; a name that no header can hold is an error of the connection.

Evidence: a_host_of_any_name_reaches_its_peers_or_fails_without_a_panic (tests/link.rs) failed with 403, and with the panic once that was mended; it passes.

--- a/src/link/socket.rs
+++ b/src/link/socket.rs
@@ -137,7 +137,7 @@
                 .header(HOST_HEADER, identity.host.as_str())
                 .header(SECRET_HEADER, &*identity.secret)
                 .body(())
-                .expect("the parts of the request are valid");
+                .map_err(|error| protocol_error("opening a peer connection", &peer, error))?;
             let config = Some(websocket_config(identity.message_limit));
             let (stream, _) = client_async_with_config(request, stream, config)
                 .await
@@ -329,7 +329,7 @@
 }
 
 fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    headers.get(name)?.to_str().ok()
+    str::from_utf8(headers.get(name)?.as_bytes()).ok()
 }
 
 fn forbidden() -> ErrorResponse {
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -287,3 +287,16 @@
         sleep(Duration::from_secs(15)).await;
     }
 }
+
+/// A host whose name is not ASCII was refused by its peers, and one with a control character in its
+/// name panicked whenever it connected to one: both told nobody of themselves.
+#[tokio::test(start_paused = true)]
+async fn a_host_of_any_name_reaches_its_peers_or_fails_without_a_panic() {
+    let network = Network::Memory(Memory::default());
+    let (address, _stop) = start_server(&network).await;
+    let named = |host| Client::new(identity(&network, host, "secret"));
+    let bytes = exchange_bytes(&named("hôte-1"), address, Duration::ZERO).await;
+    assert_eq!(bytes, PIECES_PER_ANSWER * 40_000);
+    let failed = named("two\nlines").open(address, call(), true).await;
+    assert_eq!(failed.err().map(|failure| failure.ran), Some(Ran::No));
+}
