--- a/src/bin/greengagecleat/serve.rs
+++ b/src/bin/greengagecleat/serve.rs
@@ -8,8 +8,9 @@
         entry::Entry,
         log::Writer,
         panic,
+        resource::{Limits, Setting},
         start::{
-            report,
+            self, report,
             signal::{Notice, Signals},
         },
     },
@@ -25,6 +26,12 @@
 /// Runs the host and returns the process's exit status.
 pub(crate) fn run(flags: &Serve, process: io::Result<(Runtime, Signals)>) -> ExitCode {
     panic::log_all();
+    // The first runtime only installs the signal handlers: to start the threads of the other one takes
+    // longer, and more so on a machine with many cores. Signals reach the handlers through either.
+    let process = process.and_then(|(_, signals)| {
+        let runtime = start::runtime(PROGRAM, Runtime::new)?;
+        Ok((runtime, signals))
+    });
     let (runtime, signals) = match process {
         Ok(process) => process,
         Err(error) => {
@@ -43,6 +50,7 @@
         }
     };
     let log = log::start(logging);
+    Limits::read(Setting::default()).log();
     let status = runtime.block_on(async {
         let entry = Entry::start(settings, Monotonic::new());
         run_until_drained(entry, signals, &log).await
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -21,8 +21,8 @@
         link::{self, Identity, Mailboxes, Peers, exchange},
         listen,
         metric::Metrics,
-        net::{Listener, Network},
-        queue, route,
+        net::{Listener, Network, room::Evictions},
+        queue, resource, route,
         settings::Settings,
         source::http::Platform,
         start::address::Claim,
@@ -123,6 +123,11 @@
             admin: admin.address(),
         };
         let metrics = Metrics::new();
+        let limits = resource::Limits::read(resource::Setting::default());
+        let shares = limits.shares();
+        limits.register(&metrics, clock.wall());
+        let evictions = Evictions::default();
+        evictions.register(&metrics);
         let (stop, stopped) = watch::channel(());
         let (phase, phase_reader) = watch::channel(Phase::Running);
         let mut kernel = Kernel::new(&metrics);
@@ -257,17 +262,18 @@
             queue,
             register,
             limit: limit.clone(),
-            exchanges: exchange::Client::new(identity.clone()),
+            exchanges: exchange::Client::new(identity),
             peers: peer_addresses,
             metrics: metrics.clone(),
         });
         kernel.spawn("link", {
             let (stopped, gateway) = (stopped.clone(), gateway.clone());
+            let limits = link::Limits::new(&shares, &evictions, &metrics);
             async move {
                 let Some(peers) = peers.listener_until(closed(stopped.clone())).await else {
                     return;
                 };
-                link::serve(peers, identity, mailboxes, link, clock, gateway, stopped).await;
+                link::serve(peers, mailboxes, link, clock, gateway, limits, stopped).await;
             }
         });
         let pages = admin::Admin {
@@ -281,11 +287,14 @@
             let stopped = stopped.clone();
             async move {
                 if let Some(admin) = admin.listener_until(closed(stopped.clone())).await {
-                    listen::serve(admin, pages.router(), stopped).await;
+                    listen::serve(admin, pages.router(), shares.pages, stopped).await;
                 }
             }
         });
-        kernel.spawn("gateway", listen::serve(callers, gateway.router(), stopped));
+        kernel.spawn(
+            "gateway",
+            listen::serve(callers, gateway.router(), shares.callers, stopped),
+        );
         tracing::info!(host = %settings.name, callers = %addresses.callers, peers = %addresses.peers, admin = %addresses.admin, "host started");
         Ok(Self {
             settings,
