--- a/src/bin/greengagecleat/check.rs
+++ b/src/bin/greengagecleat/check.rs
@@ -1,8 +1,12 @@
 //! `greengagecleat check`: validates configuration documents offline.
 
 use {
-    crate::{EXIT_USAGE, arguments::Check},
-    greengagecleat::config::{Document, Severity, accept},
+    crate::{EXIT_USAGE, PROGRAM, arguments::Check, print},
+    greengagecleat::{
+        config::{Document, Severity, accept},
+        log,
+        start::report,
+    },
     std::{
         collections::BTreeMap,
         fs,
@@ -14,7 +18,10 @@
 /// Validates the files together and prints every error and warning.
 pub(crate) fn run(flags: &Check) -> ExitCode {
     if flags.files.is_empty() {
-        eprintln!("greengagecleat: no files: give routes.toml, pools.toml and customers.toml");
+        report(
+            PROGRAM,
+            "no files: give routes.toml, pools.toml and customers.toml",
+        );
         return ExitCode::from(EXIT_USAGE);
     }
     let mut files = BTreeMap::new();
@@ -26,24 +33,28 @@
                 texts.insert(document, text);
             }
             Err(reason) => {
-                eprintln!("{}: {reason}", file.display());
+                log::report(&format!("{}: {reason}", file.display()));
                 return ExitCode::from(EXIT_USAGE);
             }
         }
     }
-    report(&files, &texts)
+    print_faults(&files, &texts)
 }
 
 /// Prints each fault with its file and line, then the totals.
-fn report(files: &BTreeMap<Document, &PathBuf>, texts: &BTreeMap<Document, String>) -> ExitCode {
+fn print_faults(
+    files: &BTreeMap<Document, &PathBuf>,
+    texts: &BTreeMap<Document, String>,
+) -> ExitCode {
     let faults = accept::check(texts);
+    let mut output = String::new();
     for fault in &faults {
         let file = files.get(&fault.document).map_or_else(
             || fault.document.to_string(),
             |file| file.display().to_string(),
         );
-        println!(
-            "{file}:{}: {}: {}; {}",
+        output += &format!(
+            "{file}:{}: {}: {}; {}\n",
             fault.line, fault.severity, fault.reason, fault.remedy
         );
     }
@@ -52,15 +63,15 @@
         .filter(|fault| fault.severity == Severity::Error)
         .count();
     if errors > 0 {
-        println!("{errors} errors, {} warnings", faults.len() - errors);
-        return ExitCode::from(EXIT_USAGE);
+        output += &format!("{errors} errors, {} warnings\n", faults.len() - errors);
+        return print(&output, ExitCode::from(EXIT_USAGE));
     }
-    println!(
-        "{} documents accepted, {} warnings",
+    output += &format!(
+        "{} documents accepted, {} warnings\n",
         texts.len(),
         faults.len()
     );
-    ExitCode::SUCCESS
+    print(&output, ExitCode::SUCCESS)
 }
 
 /// Reads a file; its name selects the document.
--- a/src/bin/greengagecleat/main.rs
+++ b/src/bin/greengagecleat/main.rs
@@ -12,11 +12,11 @@
     arguments::{Arguments, Command, KeyCommand},
     greengagecleat::{
         key::Digest,
-        start::{self, EXIT_USAGE},
+        start::{self, EXIT_USAGE, report},
     },
     std::{
         env,
-        io::{self, BufRead},
+        io::{self, BufRead, Write},
         process::ExitCode,
     },
 };
@@ -50,14 +50,33 @@
 fn digest() -> ExitCode {
     let mut line = String::new();
     if let Err(error) = io::stdin().lock().read_line(&mut line) {
-        eprintln!("greengagecleat: standard input: {error}");
+        report(PROGRAM, format_args!("standard input: {error}"));
         return ExitCode::FAILURE;
     }
     let key = line.trim_end_matches(['\r', '\n']);
     if key.is_empty() {
-        eprintln!("greengagecleat: no key on standard input: give the key on one line");
+        report(
+            PROGRAM,
+            "no key on standard input: give the key on one line",
+        );
         return ExitCode::from(EXIT_USAGE);
     }
-    println!("{}", Digest::of(key.as_bytes()));
-    ExitCode::SUCCESS
+    print(
+        &format!("{}\n", Digest::of(key.as_bytes())),
+        ExitCode::SUCCESS,
+    )
+}
+
+/// Prints the output of a command and returns `status`, or a failure if the output can't be written, as
+/// to a full disk. `println!` panics then.
+fn print(output: &str, status: ExitCode) -> ExitCode {
+    let mut stdout = io::stdout().lock();
+    let written = stdout.write_all(output.as_bytes());
+    match written.and_then(|()| stdout.flush()) {
+        Ok(()) => status,
+        Err(error) => {
+            report(PROGRAM, format_args!("standard output: {error}"));
+            ExitCode::FAILURE
+        }
+    }
 }
--- a/src/bin/greengagecleat/status.rs
+++ b/src/bin/greengagecleat/status.rs
@@ -1,9 +1,9 @@
 //! `greengagecleat status`: prints the status of a host as tables.
 
 use {
-    crate::{EXIT_USAGE, arguments::Status},
+    crate::{EXIT_USAGE, PROGRAM, arguments::Status, print},
     bytes::Bytes,
-    greengagecleat::{net::Network, upstream::Client},
+    greengagecleat::{net::Network, start::report, upstream::Client},
     http::Request,
     http_body_util::Full,
     serde_json::Value,
@@ -17,9 +17,9 @@
 /// Requests the host's status and prints it.
 pub(crate) fn run(flags: &Status) -> ExitCode {
     let Ok(address) = flags.address.parse::<SocketAddr>() else {
-        eprintln!(
-            "greengagecleat: {:?} is not an IP address with a port",
-            flags.address
+        report(
+            PROGRAM,
+            format_args!("{:?} is not an IP address with a port", flags.address),
         );
         return ExitCode::from(EXIT_USAGE);
     };
@@ -29,21 +29,28 @@
     let runtime = match runtime {
         Ok(runtime) => runtime,
         Err(error) => {
-            eprintln!("greengagecleat: starting the runtime: {error}");
+            report(PROGRAM, format_args!("starting the runtime: {error}"));
             return ExitCode::FAILURE;
         }
     };
     match runtime.block_on(async { timeout(ANSWER_TIMEOUT, fetch(address)).await }) {
         Ok(Ok(status)) => {
-            print(&status);
-            ExitCode::SUCCESS
+            let mut output = String::new();
+            format_status(&mut output, &status);
+            print(&output, ExitCode::SUCCESS)
         }
         Ok(Err(error)) => {
-            eprintln!("greengagecleat: requesting the status of {address}: {error}");
+            report(
+                PROGRAM,
+                format_args!("requesting the status of {address}: {error}"),
+            );
             ExitCode::FAILURE
         }
         Err(_) => {
-            eprintln!("greengagecleat: requesting the status of {address}: timed out");
+            report(
+                PROGRAM,
+                format_args!("requesting the status of {address}: timed out"),
+            );
             ExitCode::FAILURE
         }
     }
@@ -64,37 +71,38 @@
     Ok(serde_json::from_slice(&bytes)?)
 }
 
-/// Prints scalars as `name value` and lists of objects as tables.
-fn print(status: &Value) {
+/// Writes scalars as `name value` and lists of objects as tables.
+fn format_status(output: &mut String, status: &Value) {
     let Some(fields) = status.as_object() else {
-        return println!("{status}");
+        *output += &format!("{status}\n");
+        return;
     };
     for (name, value) in fields {
         match value {
-            Value::Array(rows) => print_rows(name, rows),
+            Value::Array(rows) => format_rows(output, name, rows),
             Value::Object(inner) => {
-                println!("{name}");
-                inner
-                    .iter()
-                    .for_each(|(name, value)| println!("  {name:<14}{}", format_scalar(value)));
+                *output += &format!("{name}\n");
+                for (name, value) in inner {
+                    *output += &format!("  {name:<14}{}\n", format_scalar(value));
+                }
             }
-            _ => println!("{name:<16}{}", format_scalar(value)),
+            _ => *output += &format!("{name:<16}{}\n", format_scalar(value)),
         }
     }
 }
 
-fn print_rows(name: &str, rows: &[Value]) {
-    println!("{name}");
+fn format_rows(output: &mut String, name: &str, rows: &[Value]) {
+    *output += &format!("{name}\n");
     for row in rows {
         let Some(row) = row.as_object() else {
-            println!("  {}", format_scalar(row));
+            *output += &format!("  {}\n", format_scalar(row));
             continue;
         };
         let cells: Vec<_> = row
             .values()
             .map(|value| format!("{:<22}", format_scalar(value)))
             .collect();
-        println!("  {}", cells.join(" ").trim_end());
+        *output += &format!("  {}\n", cells.join(" ").trim_end());
     }
 }
 
--- a/src/bin/greengagecleat/trace.rs
+++ b/src/bin/greengagecleat/trace.rs
@@ -1,8 +1,8 @@
 //! `greengagecleat trace`: prints the timeline of one request from several hosts' logs.
 
 use {
-    crate::{EXIT_USAGE, arguments::Trace},
-    greengagecleat::trace::Collector,
+    crate::{EXIT_USAGE, PROGRAM, arguments::Trace, print},
+    greengagecleat::{start::report, trace::Collector},
     std::{
         fs::File,
         io::{self, BufRead, BufReader},
@@ -17,7 +17,7 @@
     if flags.files.is_empty()
         && let Err(error) = collect(io::stdin().lock(), "-", &mut collector)
     {
-        eprintln!("greengagecleat: standard input: {error}");
+        report(PROGRAM, format_args!("standard input: {error}"));
         return ExitCode::FAILURE;
     }
     for path in &flags.files {
@@ -25,19 +25,21 @@
         let result =
             open(path).and_then(|log| collect(log, &name.to_string_lossy(), &mut collector));
         if let Err(error) = result {
-            eprintln!("greengagecleat: {}: {error}", path.display());
+            report(PROGRAM, format_args!("{}: {error}", path.display()));
             return ExitCode::from(EXIT_USAGE);
         }
     }
     let Some(timeline) = collector.finish() else {
-        eprintln!(
-            "greengagecleat: no log line of request {}; logs of successful requests are sampled under load",
-            flags.request
+        report(
+            PROGRAM,
+            format_args!(
+                "no log line of request {}; logs of successful requests are sampled under load",
+                flags.request
+            ),
         );
         return ExitCode::FAILURE;
     };
-    print!("{timeline}");
-    ExitCode::SUCCESS
+    print(&timeline.to_string(), ExitCode::SUCCESS)
 }
 
 fn open(path: &Path) -> io::Result<BufReader<File>> {
--- a/tests/daemon.rs
+++ b/tests/daemon.rs
@@ -374,3 +374,45 @@
     assert_eq!(status, Some(2), "{log}");
     assert!(log.contains("--admin-listen"), "{log}");
 }
+
+/// The commands panicked, with status 101, where their output or errors could not be written.
+#[test]
+fn commands_whose_output_is_full_end_with_their_statuses() {
+    let full = || Stdio::from(std::fs::File::create("/dev/full").expect("a device"));
+    let run = |arguments: &[&str], input: &str, errors: Stdio| {
+        let mut child = Command::new(PROGRAM)
+            .args(arguments)
+            .stdin(Stdio::piped())
+            .stdout(full())
+            .stderr(errors)
+            .spawn()
+            .expect("the program runs");
+        let mut stdin = child.stdin.take().expect("piped");
+        stdin.write_all(input.as_bytes()).expect("written");
+        drop(stdin);
+        child.wait_with_output().expect("ended")
+    };
+    let log =
+        r#"{"timestamp":"2026-01-01T00:00:00Z","level":"INFO","message":"m","request":"r-1"}"#;
+    let table = "examples/tables/kerala/pools.toml";
+    for (arguments, input) in [
+        (&["key", "digest"][..], "key-1\n"),
+        (&["check", table], ""),
+        (&["trace", "r-1"], log),
+    ] {
+        let told = run(arguments, input, Stdio::piped());
+        let errors = text(&told.stderr);
+        assert_eq!(told.status.code(), Some(1), "{errors}");
+        assert!(
+            errors.starts_with("greengagecleat: standard output: "),
+            "{errors}"
+        );
+        assert_eq!(errors.lines().count(), 1, "{errors}");
+        let untold = run(arguments, input, full());
+        assert_eq!(untold.status, told.status, "{arguments:?}");
+    }
+    for arguments in [&["status", "nonsense"][..], &["check"], &["key", "digest"]] {
+        let untold = run(arguments, "", full());
+        assert_eq!(untold.status.code(), Some(2), "{arguments:?}");
+    }
+}
