--- a/src/start/address.rs
+++ b/src/start/address.rs
@@ -94,7 +94,8 @@
     }
 
     /// Waits for the listener of an address that the process can do without, until `stop` completes.
-    /// A reason that lasts is logged.
+    /// A reason that lasts is logged, and waits for `stop` too, so that it doesn't pass for the end of
+    /// the task that serves the address.
     pub async fn listener_until(self, stop: impl Future<Output = ()>) -> Option<Listener> {
         let (step, address) = (self.place.step, self.place.address);
         let bound = async {
