--- a/src/start/mod.rs
+++ b/src/start/mod.rs
@@ -141,7 +141,7 @@
 pub async fn wait_for<T, E>(
     clock: impl Clock,
     signals: &mut Signals,
-    attempt: impl Fn() -> Result<T, E>,
+    attempt: impl AsyncFn() -> Result<T, E>,
     warn: impl Fn(&E),
 ) -> Result<T, Unmet<E>>
 where
@@ -149,7 +149,12 @@
 {
     let mut retry = Retry::new(Plan::SETTINGS, clock.now());
     loop {
-        let error = match attempt() {
+        let result = tokio::select! {
+            biased;
+            result = attempt() => result,
+            () = terminated(signals) => return Err(Unmet::Terminated),
+        };
+        let error = match result {
             Ok(value) => return Ok(value),
             Err(error) => error,
         };
@@ -169,3 +174,7 @@
         }
     }
 }
+
+async fn terminated(signals: &mut Signals) {
+    while signals.next().await != Notice::Terminate {}
+}
