--- a/src/log.rs
+++ b/src/log.rs
@@ -28,6 +28,9 @@
 /// Lines that may wait to be written; further ones are dropped, so that a slow reader of the log
 /// doesn't block the host.
 pub const MAX_BUFFERED_LINES: usize = 4_096;
+/// Bytes of lines that may wait. Lines hold what callers send, such as long ids of requests, so that their
+/// number alone doesn't bound the memory that they take.
+const MAX_BUFFERED_BYTES: usize = 8 << 20;
 /// Longest time that [`report`] waits until standard error takes a line.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -49,6 +52,8 @@
 #[derive(Debug, Default)]
 struct Queue {
     lines: VecDeque<Vec<u8>>,
+    /// Sum of the lengths of the lines.
+    bytes: usize,
     /// Whether the thread waits for lines.
     is_idle: bool,
     /// Whether a flush waits.
@@ -109,10 +114,13 @@
 
     fn push(&self, line: &[u8]) {
         let mut queue = self.queue();
-        if queue.is_dead || queue.lines.len() >= self.capacity {
+        let has_room = queue.lines.len() < self.capacity
+            && queue.bytes.saturating_add(line.len()) <= MAX_BUFFERED_BYTES;
+        if queue.is_dead || !has_room {
             self.lost.inc();
             return;
         }
+        queue.bytes += line.len();
         queue.lines.push_back(line.to_vec());
         // Waking a thread costs a system call, so a busy one isn't woken.
         let is_idle = mem::take(&mut queue.is_idle);
@@ -126,6 +134,7 @@
         let mut queue = self.queue();
         loop {
             if let Some(line) = queue.lines.pop_front() {
+                queue.bytes -= line.len();
                 queue.is_idle = false;
                 return line;
             }
--- a/tests/ends.rs
+++ b/tests/ends.rs
@@ -2,6 +2,7 @@
 //! real processes, whose log and signals are disturbed from outside.
 
 use {
+    greengagecleat::log::{MAX_BUFFERED_LINES, Writer},
     std::{
         io::{Read, Write},
         net::{SocketAddr, TcpStream},
@@ -166,6 +167,34 @@
     daemon.assert_runs_and_drains("nobody reads the log");
 }
 
+/// An output that takes nothing.
+struct Stuck;
+
+impl Write for Stuck {
+    fn write(&mut self, _: &[u8]) -> std::io::Result<usize> {
+        loop {
+            std::thread::park();
+        }
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Lines with long ids of requests took 129 MB while nobody read the log.
+#[test]
+fn long_lines_that_wait_are_bounded_in_bytes() {
+    const LINE: usize = 30 << 10;
+    const LINES: usize = 4_000;
+    let mut log = Writer::start(MAX_BUFFERED_LINES, Stuck);
+    for _ in 0..LINES {
+        log.write_all(&[b'x'; LINE]).expect("the log takes lines");
+    }
+    let kept = LINES - usize::try_from(log.lost().get()).expect("a count");
+    assert!(kept * LINE <= 16 << 20, "{kept} lines are kept");
+}
+
 /// A panic was logged and not counted, so that a part that fails again and again showed in no metric.
 #[test]
 fn panics_are_counted_by_place() {
