--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -29,7 +29,7 @@
         settings::Settings,
         source::http::Platform,
         start::address::Claim,
-        task::Failure,
+        task::{Failure, closed},
         upstream, wire,
     },
     std::{
@@ -399,11 +399,6 @@
     limit::Handle::new(setup, settings.region_hosts, clock, metrics)
 }
 
-/// Waits until the host stops.
-async fn closed(mut stop: watch::Receiver<()>) {
-    stop.changed().await.ok();
-}
-
 fn local_address(step: &'static str, listener: &Listener) -> Result<SocketAddr> {
     listener.local_addr().map_err(|source| Error::Io {
         step,
--- a/src/task.rs
+++ b/src/task.rs
@@ -233,3 +233,8 @@
         );
     }
 }
+
+/// Waits until the channel that tells tasks to stop is closed.
+pub async fn closed(mut stop: watch::Receiver<()>) {
+    stop.changed().await.ok();
+}
