--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod metric;
 pub mod name;
 pub mod net;
+pub mod pace;
 pub mod panic;
 pub mod proxy;
 pub mod queue;
--- a/src/proxy/follow.rs
+++ b/src/proxy/follow.rs
@@ -22,7 +22,7 @@
         server::wait_for_phase,
         table::Table,
     },
-    crate::{Error, Result, clock::Clock, entry::Phase, name},
+    crate::{Error, Result, clock::Clock, entry::Phase, name, pace::Turns},
     rand::{RngExt, SeedableRng, rngs::StdRng},
     std::{collections::BTreeSet, future::Future, net::SocketAddr, time::Duration},
     tokio::{
@@ -36,6 +36,8 @@
 const WATCH_WAIT: Duration = Duration::from_millis(1_000);
 /// Time limit of a list call, and of a watch beyond its wait.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// Least time between the starts of two calls, for stores that answer at once.
+const CALL_INTERVAL: Duration = Duration::from_millis(200);
 /// Pause between two batches of changes of upstreams; a leaving upstream must be known well within
 /// three seconds.
 const BATCH_INTERVAL: Duration = Duration::from_millis(900);
@@ -144,6 +146,7 @@
         after_revision: None,
         change_count: 0,
         consecutive_failures: 0,
+        calls: Turns::every(CALL_INTERVAL),
         rng: StdRng::from_rng(&mut rand::rng()),
     };
     loop {
@@ -164,6 +167,7 @@
     /// Batches with changes so far.
     change_count: u64,
     consecutive_failures: u32,
+    calls: Turns,
     rng: StdRng,
 }
 
@@ -174,6 +178,11 @@
             self.after_revision = None;
             return self.wait_for_reader(limit).await;
         }
+        let wait = self.calls.wait(self.host.clock.now());
+        if !wait.is_zero() {
+            sleep(wait).await;
+        }
+        self.calls.begin(self.host.clock.now());
         let (token, reported_version, era) = {
             let core = self.host.core();
             let token = core.reader_role.begin_read(self.section);
