--- a/src/start/signal.rs
+++ b/src/start/signal.rs
@@ -1,11 +1,21 @@
 //! The signals that a running process handles.
 
 use {
-    crate::log::ignore_file_size_signal,
-    std::io,
-    tokio::signal::unix::{Signal, SignalKind, signal},
+    crate::{
+        clock::{Boot, Clock},
+        log::ignore_file_size_signal,
+        pace::Turns,
+    },
+    std::{io, time::Duration},
+    tokio::{
+        signal::unix::{Signal, SignalKind, signal},
+        time::sleep,
+    },
 };
 
+/// Least time between two notices to look for changed settings.
+const RELOAD_INTERVAL: Duration = Duration::from_millis(200);
+
 /// What a signal asks for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Notice {
@@ -22,6 +32,8 @@
     terminate: Signal,
     interrupt: Signal,
     hangup: Signal,
+    clock: Boot,
+    reloads: Turns,
 }
 
 impl Signals {
@@ -32,16 +44,27 @@
             terminate: signal(SignalKind::terminate())?,
             interrupt: signal(SignalKind::interrupt())?,
             hangup: signal(SignalKind::hangup())?,
+            clock: Boot::new(),
+            reloads: Turns::every(RELOAD_INTERVAL),
         })
     }
 
-    /// Waits for the next signal. A call that is dropped loses none.
+    /// Waits for the next signal. SIGHUPs that come in quick succession are one notice, given after the
+    /// last. A call that is dropped loses none.
     pub async fn next(&mut self) -> Notice {
+        let wait = self.reloads.wait(self.clock.now());
+        let reload = async {
+            sleep(wait).await;
+            self.hangup.recv().await;
+        };
         tokio::select! {
             biased;
             _ = self.terminate.recv() => Notice::Terminate,
             _ = self.interrupt.recv() => Notice::Terminate,
-            _ = self.hangup.recv() => Notice::Reload,
+            () = reload => {
+                self.reloads.begin(self.clock.now());
+                Notice::Reload
+            }
         }
     }
 }
