--- a/src/start/signal.rs
+++ b/src/start/signal.rs
@@ -49,8 +49,8 @@
         })
     }
 
-    /// Waits for the next signal. SIGHUPs that come in quick succession are one notice, given after the
-    /// last. A call that is dropped loses none.
+    /// Waits for the next signal. A SIGHUP soon after another one is told once [`RELOAD_INTERVAL`] is over,
+    /// with those that follow it. A call that is dropped loses none.
     pub async fn next(&mut self) -> Notice {
         let wait = self.reloads.wait(self.clock.now());
         let reload = async {
