--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -46,6 +46,7 @@
             hosts,
             hops: call.hops_left.saturating_sub(1),
             version: 0,
+            long_version: None,
             version_digest: None,
             elapsed: Duration::ZERO,
             build: None,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod member;
 pub mod metric;
 pub mod name;
+pub mod natural;
 pub mod net;
 pub mod pace;
 pub mod panic;
--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -603,7 +603,7 @@
             .framing
             .map_or_else(|| "link".into(), |framing| framing.to_string());
         tracing::info!(event = "answered", request = self.inbound.id(), outcome,
-            route = %self.job.matched.route.name, version = self.job.matched.edition.version,
+            route = %self.job.matched.route.name, version = self.job.matched.edition.version.short(), long_version = self.job.matched.edition.version.long(),
             status = self.head.status.as_u16(), upstream = %self.upstream, framing, within_event, first_ms, total_ms,
             bytes = self.byte_count, runs = self.tries.runs, predicted_ms = self.tries.predicted_ms as u64,
             placed_ms = self.tries.placed_after.as_millis() as u64);
--- a/src/proxy/brief.rs
+++ b/src/proxy/brief.rs
@@ -17,7 +17,7 @@
         reach,
         revision::Era,
     },
-    crate::name,
+    crate::{name, natural::Natural},
     bytes::Bytes,
     serde::{Deserialize, Serialize},
     std::{
@@ -42,6 +42,8 @@
     ready: bool,
     #[serde(rename = "v")]
     version: u64,
+    #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
+    long_version: Option<Natural>,
     #[serde(rename = "d", default, skip_serializing_if = "Option::is_none")]
     digest: Option<u64>,
     #[serde(rename = "e", default, skip_serializing_if = "Era::is_unnamed")]
@@ -162,6 +164,7 @@
             ready,
             leaving: _,
             version,
+            long_version,
             digest,
             era,
             hosts,
@@ -183,6 +186,7 @@
             base,
             ready,
             version,
+            long_version,
             digest,
             era,
             hosts,
@@ -242,6 +246,7 @@
             ready: self.ready,
             leaving: false,
             version: self.version,
+            long_version: self.long_version,
             digest: self.digest,
             era: self.era,
             hosts: self.hosts,
--- a/src/proxy/core/mod.rs
+++ b/src/proxy/core/mod.rs
@@ -37,6 +37,7 @@
     crate::{
         attempt::budget::{self, Budget as _, TokenBucket},
         name,
+        natural::Natural,
         rest::Turn,
         route::affinity,
     },
@@ -235,7 +236,7 @@
     replaced_texts: BTreeSet<u64>,
     /// Era of the last list of the operator's section, and the newest version that another host had
     /// reported before it.
-    listed_version: Option<(Era, u64)>,
+    listed_version: Option<(Era, Natural)>,
     /// When each pool was last asked for by its most urgent route.
     urgent_at: BTreeMap<name::Pool, Duration>,
     /// How busy this region's pools are.
@@ -315,22 +316,23 @@
     /// One with the same version and another text is newer if a later era of the store shows it, unless
     /// it was replaced before and only a copy may show it again.
     pub fn configure(&mut self, now: Duration, table: Table, provenance: Provenance) -> bool {
-        let (version, digest) = (self.version(), self.digest());
-        if version > table.version {
-            return false;
-        }
-        if version < table.version {
-            self.replaced_texts.clear();
-        } else if digest == Some(table.digest) {
-            self.table_era = self.table_era.max(provenance.era);
-            return false;
-        } else {
-            let was_replaced = self.replaced_texts.contains(&table.digest);
-            let is_written = provenance.is_change || !was_replaced;
-            if provenance.era <= self.table_era || !is_written {
-                return false;
+        if let Some(known) = &self.table {
+            match known.version.cmp(&table.version) {
+                Ordering::Greater => return false,
+                Ordering::Less => self.replaced_texts.clear(),
+                Ordering::Equal if known.digest == table.digest => {
+                    self.table_era = self.table_era.max(provenance.era);
+                    return false;
+                }
+                Ordering::Equal => {
+                    let was_replaced = self.replaced_texts.contains(&table.digest);
+                    let is_written = provenance.is_change || !was_replaced;
+                    if provenance.era <= self.table_era || !is_written {
+                        return false;
+                    }
+                    self.replaced_texts.insert(known.digest);
+                }
             }
-            self.replaced_texts.extend(digest);
         }
         self.table_era = provenance.era;
         self.limiter.configure(now, table.customers());
@@ -339,8 +341,9 @@
     }
 
     /// The version of the configuration in force; zero before the first.
-    pub fn version(&self) -> u64 {
-        self.table.as_ref().map_or(0, |table| table.version)
+    pub fn version(&self) -> Natural {
+        let version = self.table.as_ref().map(|table| table.version.clone());
+        version.unwrap_or_default()
     }
 
     /// Hash of the text of the configuration in force; `None` before the first.
@@ -350,15 +353,17 @@
 
     /// Records that the operator's section was listed in an era, after another host had reported this
     /// version of the configuration.
-    pub fn record_list(&mut self, era: Era, reported_version: u64) {
+    pub fn record_list(&mut self, era: Era, reported_version: Natural) {
         self.listed_version = Some((era, reported_version));
     }
 
     /// Whether the store may have a version of the configuration that another host reports and this one
     /// lacks. A restored store may lack it as well; it is not asked for it again and again.
-    pub fn lacks_version(&self, version: u64) -> bool {
-        let was_listed = |(era, listed)| era == self.reader_role.era() && version <= listed;
-        version > self.version() && !self.listed_version.is_some_and(was_listed)
+    pub fn lacks_version(&self, version: &Natural) -> bool {
+        let listed = self.listed_version.as_ref();
+        let was_listed =
+            |(era, listed): &(Era, Natural)| *era == self.reader_role.era() && version <= listed;
+        *version > self.version() && !listed.is_some_and(was_listed)
     }
 
     /// Records an era that the store or another host names. Returns how it compares with the newest
@@ -482,7 +487,7 @@
             .peers()
             .map(|peer| (peer.identity.host.clone(), peer.identity.peers))
             .collect();
-        let (version, digest) = (self.version(), self.digest());
+        let ((version, long_version), digest) = (self.version().split(), self.digest());
         let era = self.reader_role.era();
         let mut reports = Vec::with_capacity(recipients.len());
         for recipient in recipients {
@@ -492,6 +497,7 @@
                 ready,
                 leaving,
                 version,
+                long_version: long_version.clone(),
                 digest,
                 era,
                 hosts,
--- a/src/proxy/core/region.rs
+++ b/src/proxy/core/region.rs
@@ -199,7 +199,7 @@
             job.matched.allows(own) && is_any_open && !self.is_out_of_reach(now, job);
         let time_limit_ms = millis(job.deadline.saturating_sub(job.arrived_at));
         // A host with an older or another configuration would refuse the request without running it.
-        let is_behind = |peer: &Peer| !peer.edition.covers(job.matched.edition);
+        let is_behind = |peer: &Peer| !peer.edition.covers(&job.matched.edition);
         let is_avoided = |peer: &Peer| job.avoided_hosts.contains(&peer.identity.host);
         let mut best: Option<(f64, name::Region)> = None;
         for peer in self.relays(now) {
--- a/src/proxy/core/relay.rs
+++ b/src/proxy/core/relay.rs
@@ -237,7 +237,7 @@
         let key = session.map_or(job.arrived_at.as_nanos() as u64, |prefix| prefix.hash);
         let neighbours = self.fleet.neighbours(now).filter(|peer| {
             witnesses.contains(&&peer.identity.host)
-                && peer.edition.covers(job.matched.edition)
+                && peer.edition.covers(&job.matched.edition)
                 && !job.avoided_hosts.contains(&peer.identity.host)
         });
         neighbours.max_by_key(|peer| affinity::weight(key, peer.point))
--- a/src/proxy/fleet.rs
+++ b/src/proxy/fleet.rs
@@ -20,7 +20,7 @@
         table::Edition,
         throttle,
     },
-    crate::{name, route::affinity},
+    crate::{name, natural::Natural, route::affinity},
     serde::{Deserialize, Serialize},
     std::{
         cmp::Reverse,
@@ -92,8 +92,12 @@
     pub ready: bool,
     /// Whether the sender is shutting down.
     pub leaving: bool,
-    /// Version of the sender's configuration; zero before the first.
+    /// Version of the sender's configuration; zero before the first. The largest number of 64 bits if
+    /// it is larger.
     pub version: u64,
+    /// That version if it is larger.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub long_version: Option<Natural>,
     /// Hash of the text of that configuration.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub digest: Option<u64>,
@@ -140,6 +144,13 @@
     pub heard: Option<Heard>,
 }
 
+impl Report {
+    /// Version of the sender's configuration; zero before the first.
+    pub fn version(&self) -> Natural {
+        Natural::join(self.version, self.long_version.clone())
+    }
+}
+
 /// Spare capacity of a pool's upstreams in one region.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Spare {
@@ -324,7 +335,7 @@
             is_ready: report.ready,
             is_leaving: report.leaving,
             edition: Edition {
-                version: report.version,
+                version: report.version(),
                 digest: report.digest,
             },
             spare: report.spare.iter().cloned().collect(),
@@ -568,9 +579,9 @@
     }
 
     /// The newest version of the configuration that another host has; zero if none is known.
-    pub fn newest_version(&self) -> u64 {
-        let versions = self.peers.values().map(|peer| peer.edition.version);
-        versions.max().unwrap_or(0)
+    pub fn newest_version(&self) -> Natural {
+        let versions = self.peers.values().map(|peer| &peer.edition.version);
+        versions.max().cloned().unwrap_or_default()
     }
 
     /// Number of hosts of this region that are known and not leaving, this one included.
--- a/src/proxy/follow.rs
+++ b/src/proxy/follow.rs
@@ -22,7 +22,7 @@
         server::wait_for_phase,
         table::Table,
     },
-    crate::{Error, Result, clock::Clock, entry::Phase, name, pace::Turns},
+    crate::{Error, Result, clock::Clock, entry::Phase, name, natural::Natural, pace::Turns},
     rand::{RngExt, SeedableRng, rngs::StdRng},
     std::{collections::BTreeSet, future::Future, net::SocketAddr, time::Duration},
     tokio::{
@@ -188,9 +188,9 @@
             let token = core.reader_role.begin_read(self.section);
             (token, core.fleet.newest_version(), core.reader_role.era())
         };
-        self.after_revision = self.after_revision.filter(|after| after.era() == era);
+        self.after_revision.take_if(|after| after.era() != era);
         let is_list = self.after_revision.is_none();
-        let result = match self.after_revision {
+        let result = match self.after_revision.clone() {
             None => timeout(CALL_TIMEOUT, self.store.list(self.section))
                 .await
                 .map(|listed| listed.map(Watched::Changes)),
@@ -246,7 +246,7 @@
                 sleep(READER_LAG).await;
                 let now = self.host.clock.now();
                 let mut core = self.host.core();
-                if core.lacks_version(core.fleet.newest_version()) {
+                if core.lacks_version(&core.fleet.newest_version()) {
                     core.reader_role.invalidate(now, self.section);
                 }
             }
@@ -277,7 +277,7 @@
 
     /// Records that the operator's section was listed in an era. The list has any version of the
     /// configuration that another host had read in that era before.
-    fn record_list(&self, era: Era, reported_version: u64) {
+    fn record_list(&self, era: Era, reported_version: Natural) {
         if self.section == Section::Operator {
             self.host.core().record_list(era, reported_version);
         }
@@ -289,7 +289,7 @@
         self.record_success();
         let now = self.host.clock.now();
         let revision = batch.revision;
-        if let Some(after) = self.after_revision
+        if let Some(after) = &self.after_revision
             && after.era() != revision.era()
         {
             // The changes are those since a revision of another history.
@@ -297,15 +297,15 @@
             return false;
         }
         let is_full = self.after_revision.is_none();
-        let known = self.host.core().reader_role.revision(self.section);
-        if let Some(known) = known.filter(|known| revision.is_before(*known)) {
+        let known = self.host.core().reader_role.revision(self.section).cloned();
+        if let Some(known) = known.filter(|known| revision.is_before(known)) {
             tracing::info!(event = "store", section = ?self.section, state = "old answer",
-                era = %revision.era(), revision = revision.number(), known = known.number());
+                era = %revision.era(), revision = revision.number().short(), known = known.number().short());
             sleep(MIN_BACKOFF).await;
             return false;
         }
         let has_changes = !batch.items.is_empty();
-        self.after_revision = Some(revision);
+        self.after_revision = Some(revision.clone());
         self.apply_items(batch.items, is_full, revision.era());
         if has_changes && self.section == Section::Operator {
             self.change_count += 1;
--- a/src/proxy/host.rs
+++ b/src/proxy/host.rs
@@ -493,22 +493,24 @@
 
     /// Installs a configuration unless the one in force is as new or newer.
     pub fn configure(&self, table: Table, provenance: Provenance) {
-        let (version, digest, now) = (table.version, table.digest, self.clock.now());
+        let (version, digest, now) = (table.version.clone(), table.digest, self.clock.now());
         let (before, era) = (self.core().version(), provenance.era);
         let is_installed = self.core().configure(now, table, provenance);
         if is_installed {
             tracing::info!(
                 event = "configured",
-                version,
-                before,
+                version = version.short(),
+                long_version = version.long(),
+                before = before.short(),
                 %era,
                 "configuration installed"
             );
         } else if self.core().digest() != Some(digest) {
             tracing::warn!(
                 event = "configuration",
-                version,
-                in_force = before,
+                version = version.short(),
+                long_version = version.long(),
+                in_force = before.short(),
                 %era,
                 "the store shows a configuration that is not newer than the one in force"
             );
@@ -860,12 +862,12 @@
             }
         };
         let (host, incarnation) = (report.from.host.clone(), report.from.incarnation);
-        let (version, now) = (report.version, self.clock.now());
+        let (version, now) = (report.version(), self.clock.now());
         let (before, reception, lacks_version) = {
             let mut core = self.core();
             let before = core.reader_role.era();
             let reception = core.receive_report(now, report);
-            (before, reception, core.lacks_version(version))
+            (before, reception, core.lacks_version(&version))
         };
         self.log_era(before, host.as_str());
         for (upstream, change) in reception.limits {
@@ -1076,7 +1078,7 @@
     });
     let (hosts, remote_hosts) = core.peer_counts(now);
     let reserved = core.reserved_slots(now, job);
-    tracing::info!(event = "unplaced", request, pool = %job.pool, version = job.matched.edition.version,
+    tracing::info!(event = "unplaced", request, pool = %job.pool, version = job.matched.edition.version.short(), long_version = job.matched.edition.version.long(),
         build = job.build.as_ref().map(name::Build::as_str),
         upstreams, open, resting, reserved, waiting = core.queue_len(), hosts, hosts_away = remote_hosts, may_leave = job.may_forward,
         waited_ms = now.saturating_sub(job.arrived_at).as_millis() as u64);
--- a/src/proxy/intake.rs
+++ b/src/proxy/intake.rs
@@ -19,7 +19,9 @@
     crate::{
         clock::Clock,
         failure::{Code, Failure, Ran},
-        name, wire,
+        name,
+        natural::Natural,
+        wire,
     },
     bytes::Bytes,
     futures::stream::{self, Stream},
@@ -348,15 +350,16 @@
     *request.headers_mut() = headers;
     let (head, ()) = request.into_parts();
     let metadata = host.dialect.parse_request(&head);
+    let version = Natural::join(call.version, call.long_version);
     let matched = {
         let core = host.core();
         let needed = Edition {
-            version: call.version,
+            version: version.clone(),
             digest: call.version_digest,
         };
         let table = core
             .table()
-            .filter(|table| table.edition().covers(needed))
+            .filter(|table| table.edition().covers(&needed))
             .ok_or_else(|| not_ready("the configuration here is older or another one"))?;
         table
             .match_forwarded(&call.route, call.customer.as_ref())
@@ -384,7 +387,7 @@
     refuse_when_leaving(host, &job)?;
     if host.should_log(&call.request) {
         tracing::info!(event = "taken", request = call.request, from = %from, route = %call.route,
-            version = call.version, elapsed_ms = call.elapsed.as_millis() as u64);
+            version = version.short(), long_version = version.long(), elapsed_ms = call.elapsed.as_millis() as u64);
     }
     Ok((inbound, job))
 }
--- a/src/proxy/race.rs
+++ b/src/proxy/race.rs
@@ -200,7 +200,7 @@
                 tracing::info!(event = "placed", request = inbound.id(), upstream = %grant.upstream,
                     build = %grant.build,
                     predicted_ms = grant.predicted_ms as u64, uncached = grant.uncached_tokens,
-                    version = job.matched.edition.version, resume_after = resume, resumes = inbound.metadata.resumes.as_deref(),
+                    version = job.matched.edition.version.short(), long_version = job.matched.edition.version.long(), resume_after = resume, resumes = inbound.metadata.resumes.as_deref(),
                     waited_ms = tries.placed_after.as_millis() as u64);
             }
         }
--- a/src/proxy/reader.rs
+++ b/src/proxy/reader.rs
@@ -14,7 +14,7 @@
         follow::Section,
         revision::{Era, Revision},
     },
-    crate::name,
+    crate::{name, natural::Natural},
     serde::{Deserialize, Serialize},
     std::{cmp::Ordering, collections::BTreeMap, time::Duration},
 };
@@ -66,7 +66,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Listing {
     /// Number of the store's revision, in the era of the reading, at which the entries were read.
-    pub revision: u64,
+    pub revision: Natural,
     /// Every upstream, with its remaining cold time.
     pub entries: Vec<Entry>,
 }
@@ -142,7 +142,7 @@
 }
 
 /// The announcement that is due.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Announcement {
     /// Era of the store in which both sections were read.
     pub era: Era,
@@ -151,7 +151,7 @@
     /// State of the upstreams.
     pub upstreams: Freshness,
     /// Number of the revision of the listing to send along; `None` if the upstreams have not changed.
-    pub listing: Option<u64>,
+    pub listing: Option<Natural>,
 }
 
 /// The effect of a received announcement.
@@ -312,10 +312,11 @@
         if era != self.era {
             return false;
         }
-        let revision = Revision::new(era, listing.revision);
+        let revision = Revision::new(era, listing.revision.clone());
         let progress = self.progress(Section::Upstreams);
         let is_older = progress
             .revision
+            .as_ref()
             .is_some_and(|known| revision.is_before(known));
         if is_older || progress.announced_version.as_ref() != Some(&version) {
             return false;
@@ -365,8 +366,10 @@
         let progress = self.progress(section);
         progress.has_read = true;
         progress.read_at = Some(now);
-        let newer = progress.revision.filter(|known| revision.is_before(*known));
-        progress.revision = newer.or(Some(revision));
+        let known = progress.revision.as_ref();
+        if !known.is_some_and(|known| revision.is_before(known)) {
+            progress.revision = Some(revision);
+        }
         if let Some(version) = token.0 {
             let is_current = progress.announced_version.as_ref() == Some(&version);
             progress.known_version = Some(version);
@@ -382,8 +385,8 @@
     }
 
     /// Revision up to which a section is known; `None` before the first reading.
-    pub fn revision(&self, section: Section) -> Option<Revision> {
-        self.sections.get(&section)?.revision
+    pub fn revision(&self, section: Section) -> Option<&Revision> {
+        self.sections.get(&section)?.revision.as_ref()
     }
 
     /// Marks a section as wrong, so that this host reads it again soon.
@@ -429,7 +432,7 @@
             upstreams,
             listing: revision
                 .filter(|_| has_changed)
-                .map(|revision| revision.number()),
+                .map(|revision| revision.number().clone()),
         })
     }
 
--- a/src/proxy/revision.rs
+++ b/src/proxy/revision.rs
@@ -5,6 +5,7 @@
 //! has no order of its own: each comparison has to say what it does about another era.
 
 use {
+    crate::natural::Natural,
     serde::{Deserialize, Serialize},
     std::{cmp::Ordering, fmt},
 };
@@ -13,11 +14,11 @@
 /// that names none, which is earlier than all others.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
-pub struct Era(Option<u64>);
+pub struct Era(Option<u128>);
 
 impl Era {
     /// The era with a number that the store named.
-    pub fn new(number: u64) -> Self {
+    pub fn new(number: u128) -> Self {
         Self(Some(number))
     }
 
@@ -37,35 +38,38 @@
 }
 
 /// A revision of the store within one era.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Revision {
     era: Era,
-    number: u64,
+    number: Natural,
 }
 
 impl Revision {
     /// The revision with a number that was given out in an era.
-    pub fn new(era: Era, number: u64) -> Self {
-        Self { era, number }
+    pub fn new(era: Era, number: impl Into<Natural>) -> Self {
+        Self {
+            era,
+            number: number.into(),
+        }
     }
 
     /// The era in which it was given out.
-    pub fn era(self) -> Era {
+    pub fn era(&self) -> Era {
         self.era
     }
 
     /// Its number, which means nothing without the era.
-    pub fn number(self) -> u64 {
-        self.number
+    pub fn number(&self) -> &Natural {
+        &self.number
     }
 
     /// The order of two revisions; `None` if they are of different eras.
-    pub fn compare(self, other: Self) -> Option<Ordering> {
+    pub fn compare(&self, other: &Self) -> Option<Ordering> {
         (self.era == other.era).then(|| self.number.cmp(&other.number))
     }
 
     /// Whether it was given out before another one of its era.
-    pub fn is_before(self, other: Self) -> bool {
+    pub fn is_before(&self, other: &Self) -> bool {
         self.compare(other) == Some(Ordering::Less)
     }
 }
--- a/src/proxy/send.rs
+++ b/src/proxy/send.rs
@@ -403,6 +403,7 @@
         host.dialect.set_resume(&mut headers, after);
     }
     let customer = job.matched.customer.as_ref();
+    let (version, long_version) = job.matched.edition.version.split();
     let call = wire::Call {
         request: inbound.id().to_owned(),
         route: job.matched.route.name.clone(),
@@ -416,7 +417,8 @@
         visited: vec![host.identity.region.clone()],
         hosts: vec![host.identity.host.clone()],
         hops: 0,
-        version: job.matched.edition.version,
+        version,
+        long_version,
         version_digest: job.matched.edition.digest,
         elapsed: now.saturating_sub(job.arrived_at),
         build: job.build.clone(),
@@ -432,7 +434,7 @@
     tracing::info!(event = "forwarded", request = inbound.id(), host = %remote.host, region = %remote.region,
         own_pressure = pressures.map(|(own, _)| own.value()), pressure = pressures.map(|(_, other)| other.value()),
         predicted_ms = remote.predicted_ms as u64, report_age_ms = remote.report_age.as_millis() as u64,
-        version = job.matched.edition.version);
+        version = job.matched.edition.version.short(), long_version = job.matched.edition.version.long());
     let is_repeatable = job.matched.route.kind.is_repeatable();
     let remaining = job.deadline.saturating_sub(now);
     let limit = late_after(remote.predicted_ms);
--- a/src/proxy/table.rs
+++ b/src/proxy/table.rs
@@ -2,7 +2,7 @@
 //! keys.
 
 use {
-    crate::{key::Digest, name},
+    crate::{key::Digest, name, natural::Natural},
     std::{
         collections::{BTreeMap, BTreeSet},
         sync::Arc,
@@ -14,7 +14,7 @@
 #[derive(Debug, Default)]
 pub struct Table {
     /// Increases with each change; a lower version never replaces a higher one.
-    pub version: u64,
+    pub version: Natural,
     /// Hash of the published text. A store that was restored may show one version with two texts.
     pub digest: u64,
     routes: BTreeMap<String, Vec<Arc<Route>>>,
@@ -140,17 +140,17 @@
 }
 
 /// Identifies a configuration.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct Edition {
     /// Its version; zero before the first.
-    pub version: u64,
+    pub version: Natural,
     /// Hash of its text; `None` if that is not known, as hosts of older builds don't tell it.
     pub digest: Option<u64>,
 }
 
 impl Edition {
     /// Whether it is at least as new as another one. Of two texts with the same version, none is newer.
-    pub fn covers(self, other: Self) -> bool {
+    pub fn covers(&self, other: &Self) -> bool {
         let is_same_text = || {
             let texts = self.digest.zip(other.digest);
             texts.is_none_or(|(own, other)| own == other)
@@ -163,7 +163,7 @@
 #[derive(Debug, Default)]
 pub struct Rows {
     /// Version of the configuration.
-    pub version: u64,
+    pub version: Natural,
     /// Hash of the published text.
     pub digest: u64,
     /// All routes.
@@ -206,7 +206,7 @@
     /// Identifies the configuration.
     pub fn edition(&self) -> Edition {
         Edition {
-            version: self.version,
+            version: self.version.clone(),
             digest: Some(self.digest),
         }
     }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -7,6 +7,7 @@
         attempt::register,
         config::spread,
         limit, member, name,
+        natural::Natural,
         proxy::{brief, fleet, origin, reader},
         route,
     },
@@ -109,6 +110,9 @@
     /// Version of the configuration by which it was admitted; 0 if configurations have none.
     #[serde(default)]
     pub version: u64,
+    /// That version if it is larger than 64 bits hold.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub long_version: Option<Natural>,
     /// Hash of the text of that configuration.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub version_digest: Option<u64>,
--- a/testbed/src/fuzz.rs
+++ b/testbed/src/fuzz.rs
@@ -278,6 +278,7 @@
             hosts: vec!["a".into()],
             hops: 2,
             version: 0,
+            long_version: None,
             version_digest: None,
             elapsed: Duration::ZERO,
             build: None,
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -115,6 +115,7 @@
         hosts: Vec::new(),
         hops: 1,
         version: 0,
+        long_version: None,
         version_digest: None,
         elapsed: Duration::ZERO,
         build: None,
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -58,3 +58,5 @@
 mod throttle;
 #[path = "proxy/upstreams.rs"]
 mod upstreams;
+#[path = "proxy/version.rs"]
+mod version;
--- a/tests/proxy/common.rs
+++ b/tests/proxy/common.rs
@@ -81,7 +81,7 @@
 
 pub(crate) fn rows(version: u64) -> Rows {
     Rows {
-        version,
+        version: version.into(),
         digest: version,
         routes: vec![
             route("digest", "/digest/", Kind::Resumable, POOL),
@@ -128,6 +128,7 @@
         ready: true,
         leaving: false,
         version: 1,
+        long_version: None,
         digest: None,
         era: Era::default(),
         hosts: 1,
--- a/tests/proxy/era.rs
+++ b/tests/proxy/era.rs
@@ -5,6 +5,7 @@
     crate::common::{POOL, core, entry, identity, ms, report, rows, setup},
     greengagecleat::{
         name,
+        natural::Natural,
         proxy::{
             catalog::{Catalog, News},
             core::{Core, Provenance},
@@ -31,7 +32,7 @@
 
 fn listed(era: u64) -> Provenance {
     Provenance {
-        era: Era::new(era),
+        era: Era::new(era.into()),
         is_change: false,
     }
 }
@@ -70,7 +71,7 @@
 
 fn read(core: &mut Core, at: u64, section: Section, era: u64, number: u64) {
     let token = core.reader_role.begin_read(section);
-    let revision = Revision::new(Era::new(era), number);
+    let revision = Revision::new(Era::new(era.into()), number);
     core.reader_role
         .finish_read(ms(at), section, token, revision);
 }
@@ -87,7 +88,7 @@
         operator: freshness,
         upstreams: freshness,
         listing: Some(Listing {
-            revision: 40,
+            revision: 40.into(),
             entries: vec![entry("e0", "north-a", POOL, 6)],
         }),
     }
@@ -95,10 +96,10 @@
 
 #[test]
 fn revisions_of_different_eras_have_no_order() {
-    let revision = |era, number| Revision::new(Era::new(era), number);
-    assert!(revision(1, 5).compare(revision(1, 6)).unwrap().is_lt());
-    assert_eq!(revision(2, 5).compare(revision(1, 6)), None);
-    assert_eq!(revision(2, 6).compare(revision(1, 6)), None);
+    let revision = |era, number: u64| Revision::new(Era::new(era), number);
+    assert!(revision(1, 5).compare(&revision(1, 6)).unwrap().is_lt());
+    assert_eq!(revision(2, 5).compare(&revision(1, 6)), None);
+    assert_eq!(revision(2, 6).compare(&revision(1, 6)), None);
     assert!(Era::default() < Era::new(0));
 }
 
@@ -134,8 +135,11 @@
 #[test]
 fn hosts_with_two_texts_of_one_version_do_not_forward_to_each_other() {
     let covers = |own, other| {
-        let edition = |(version, digest)| Edition { version, digest };
-        edition(own).covers(edition(other))
+        let edition = |(version, digest): (u64, _)| Edition {
+            version: version.into(),
+            digest,
+        };
+        edition(own).covers(&edition(other))
     };
     assert!(covers((8, Some(1)), (8, Some(1))));
     assert!(!covers((8, Some(1)), (8, Some(2))));
@@ -151,12 +155,12 @@
 #[test]
 fn a_version_that_the_restored_store_lacks_is_asked_for_once() {
     let mut core = core_in_first_era();
-    assert!(core.lacks_version(9));
-    core.record_list(Era::new(1), 9);
-    assert!(!core.lacks_version(9));
-    assert!(core.lacks_version(10), "reported after the list");
+    assert!(core.lacks_version(&9.into()));
+    core.record_list(Era::new(1), 9.into());
+    assert!(!core.lacks_version(&9.into()));
+    assert!(core.lacks_version(&10.into()), "reported after the list");
     core.observe_era(ms(10), Era::new(2));
-    assert!(core.lacks_version(9), "the new era may have it");
+    assert!(core.lacks_version(&9.into()), "the new era may have it");
 }
 
 #[test]
@@ -253,7 +257,7 @@
     let (update, _) = core.receive_reading(ms(10), reading("a", Era::new(2)));
     assert_eq!(update, Update::NewSource);
     let revision = core.reader_role.revision(Section::Upstreams);
-    assert_eq!(revision, Some(Revision::new(Era::new(2), 40)));
+    assert_eq!(revision, Some(&Revision::new(Era::new(2), 40)));
     assert_eq!(core.catalog.get(&"e0".into()).unwrap().entry.sequence, 6);
     let operator = core.reader_role.time_until_read(ms(10), Section::Operator);
     assert_eq!(operator, None, "each host reads the configuration itself");
@@ -271,7 +275,7 @@
 fn a_reading_without_an_era_is_used_until_the_store_is_restored() {
     let mut core = core_in_first_era();
     let mut unnamed = reading("a", Era::default());
-    unnamed.listing.as_mut().unwrap().revision = 101;
+    unnamed.listing.as_mut().unwrap().revision = 101.into();
     let (update, _) = core.receive_reading(ms(10), unnamed.clone());
     assert_eq!(update, Update::NewSource);
     assert_eq!(core.catalog.get(&"e0".into()).unwrap().entry.sequence, 6);
@@ -321,7 +325,7 @@
 /// A host of the model, with what it must not go back on.
 struct Node {
     core: Core,
-    version: u64,
+    version: Natural,
     /// The last state of upstreams that were removed, and processes that are leaving.
     removed: BTreeMap<name::Upstream, (u64, u64)>,
     leaving: BTreeSet<(name::Upstream, u64)>,
@@ -331,7 +335,7 @@
     fn new(name: &str, at: u64) -> Self {
         Self {
             core: Core::new(ms(at), setup(name, "north", 1)),
-            version: 0,
+            version: Natural::default(),
             removed: BTreeMap::new(),
             leaving: BTreeSet::new(),
         }
@@ -339,7 +343,7 @@
 
     /// Takes a complete list of both sections, as the store's follower does.
     fn list(&mut self, at: u64, era: u64, contents: &Contents) {
-        let (now, era) = (ms(at), Era::new(era));
+        let (now, era) = (ms(at), Era::new(era.into()));
         if self.core.observe_era(now, era).is_lt() {
             return;
         }
@@ -365,7 +369,7 @@
             let token = self.core.reader_role.begin_read(section);
             self.core
                 .reader_role
-                .finish_read(now, section, token, revision);
+                .finish_read(now, section, token, revision.clone());
         }
     }
 
--- a/tests/proxy/reader.rs
+++ b/tests/proxy/reader.rs
@@ -179,7 +179,7 @@
                 };
             }
             *known = store;
-            let revision = Revision::new(Era::new(era), number);
+            let revision = Revision::new(Era::new(era.into()), number);
             node.role.finish_read(now, section, token, revision);
             node.role.set_generation(section, store);
         }
@@ -370,8 +370,8 @@
     let mut role = role("b");
     let announced = reading("a", 1, ms(0));
     role.receive(ms(10), &announced);
-    let listing = |revision| Listing {
-        revision,
+    let listing = |revision: u64| Listing {
+        revision: revision.into(),
         entries: Vec::new(),
     };
     assert!(!role.accept_listing(&announced, &listing(4)));
@@ -385,7 +385,7 @@
     let announced = reading("a", 1, ms(0));
     role.receive(ms(10), &announced);
     let listing = Listing {
-        revision: 5,
+        revision: 5.into(),
         entries: Vec::new(),
     };
     role.accept_listing(&announced, &listing);
