--- a/src/proxy/follow.rs
+++ b/src/proxy/follow.rs
@@ -17,14 +17,17 @@
         dialect::Dialect,
         entry::Entry,
         host::Host,
+        pages::{Pages, Progress},
         reader::Token,
         revision::{Era, Revision},
         server::wait_for_phase,
         table::Table,
+        tries::{Due, Tries},
     },
     crate::{Error, Result, clock::Clock, entry::Phase, name, natural::Natural, pace::Turns},
+    futures::{StreamExt, future::BoxFuture, stream::FuturesUnordered},
     rand::{RngExt, SeedableRng, rngs::StdRng},
-    std::{collections::BTreeSet, future::Future, net::SocketAddr, time::Duration},
+    std::{collections::BTreeSet, future::Future, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         sync::watch,
         time::{sleep, timeout},
@@ -36,18 +39,18 @@
 const WATCH_WAIT: Duration = Duration::from_millis(1_000);
 /// Time limit of a list call, and of a watch beyond its wait.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// Longest time for which a late answer is waited for, beside further tries.
+const MAX_ANSWER_TIME: Duration = Duration::from_secs(15);
 /// Least time between the starts of two calls, for stores that answer at once.
 const CALL_INTERVAL: Duration = Duration::from_millis(200);
 /// Pause between two batches of changes of upstreams; a leaving upstream must be known well within
 /// three seconds.
 const BATCH_INTERVAL: Duration = Duration::from_millis(900);
+/// Pause after an answer that is older than what is known.
+const OLD_ANSWER_PAUSE: Duration = Duration::from_millis(150);
 /// How long the reader may take to learn of a configuration that another host reports; after that,
 /// this host reads the store itself.
 const READER_LAG: Duration = Duration::from_millis(500);
-/// Pause after the first failed call.
-const MIN_BACKOFF: Duration = Duration::from_millis(150);
-/// Upper bound on the pause after consecutive failed calls.
-const MAX_BACKOFF: Duration = Duration::from_millis(1_000);
 
 /// A part of the store that is listed and watched separately.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -104,6 +107,15 @@
     pub items: Vec<Item>,
 }
 
+/// A page of a list.
+#[derive(Debug)]
+pub struct Page {
+    /// Its entries, and the revision at which it was read.
+    pub batch: Batch,
+    /// The last key of the page if further pages follow.
+    pub next: Option<Arc<str>>,
+}
+
 /// The result of a watch.
 #[derive(Debug)]
 pub enum Watched {
@@ -119,8 +131,12 @@
     /// Address of the store, for errors.
     fn address(&self) -> SocketAddr;
 
-    /// Returns all entries of a section.
-    fn list(&self, section: Section) -> impl Future<Output = Result<Batch>> + Send;
+    /// Returns a page of the entries of a section: the first one, or that after a key.
+    fn list(
+        &self,
+        section: Section,
+        after: Option<&str>,
+    ) -> impl Future<Output = Result<Page>> + Send;
 
     /// Returns the changes of a section after a revision: as soon as there are any, or none after
     /// `wait`.
@@ -144,8 +160,12 @@
         store,
         section,
         after_revision: None,
+        list: None,
+        question: None,
+        tries: Tries::default(),
+        running: FuturesUnordered::new(),
         change_count: 0,
-        consecutive_failures: 0,
+        is_lost: false,
         calls: Turns::every(CALL_INTERVAL),
         rng: StdRng::from_rng(&mut rand::rng()),
     };
@@ -157,6 +177,56 @@
     }
 }
 
+/// What the store is asked.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Question {
+    /// For the first page of the section's list, or the one after a key.
+    Page(Option<Arc<str>>),
+    /// For the changes after a revision.
+    Watch(Revision),
+}
+
+impl Question {
+    /// Time within which an answer should come.
+    fn limit(&self) -> Duration {
+        match self {
+            Self::Page(_) => CALL_TIMEOUT,
+            Self::Watch(_) => WATCH_WAIT + CALL_TIMEOUT,
+        }
+    }
+}
+
+/// What was known when a question was asked.
+#[derive(Debug)]
+struct Asked {
+    at: Duration,
+    token: Token,
+    /// The newest version of the configuration that another host had reported.
+    reported_version: Natural,
+}
+
+/// A list under way.
+#[derive(Debug)]
+struct List {
+    pages: Pages,
+    /// When its first page was asked for.
+    asked: Asked,
+}
+
+/// The result of one try.
+#[derive(Debug)]
+struct Answer {
+    number: u64,
+    asked: Asked,
+    reply: Result<Reply>,
+}
+
+#[derive(Debug)]
+enum Reply {
+    Page(Page),
+    Watched(Watched),
+}
+
 /// The state of the loop that follows one section.
 struct Follower<D, C, S> {
     host: Host<D, C>,
@@ -164,66 +234,198 @@
     section: Section,
     /// Revision after which to watch; `None` if the section must be listed.
     after_revision: Option<Revision>,
+    /// The pages that have come of a list.
+    list: Option<List>,
+    /// What is asked at present.
+    question: Option<Question>,
+    tries: Tries,
+    /// The tries of that question that have no answer.
+    running: FuturesUnordered<BoxFuture<'static, Answer>>,
     /// Batches with changes so far.
     change_count: u64,
-    consecutive_failures: u32,
+    /// Whether the last try has failed.
+    is_lost: bool,
     calls: Turns,
     rng: StdRng,
 }
 
 impl<D: Dialect, C: Clock, S: Store> Follower<D, C, S> {
-    /// Makes one call to the store, or waits while another host reads.
+    /// Starts a try of the question that is due, waits for an answer, or waits while another host reads.
     async fn step(&mut self) {
         if let Some(limit) = self.time_until_read() {
-            self.after_revision = None;
+            self.list_again();
             return self.wait_for_reader(limit).await;
         }
-        let wait = self.calls.wait(self.host.clock.now());
+        let question = self.question();
+        if self.question.as_ref() != Some(&question) {
+            self.running.clear();
+            self.tries.reset();
+            self.question = Some(question.clone());
+        }
+        let wait = match self.tries.due(self.host.clock.now()) {
+            Due::Try => return self.ask(question).await,
+            Due::Late => return self.fail("call timed out"),
+            Due::Nothing(wait) => wait,
+        };
+        let is_interrupted =
+            self.section == Section::Operator && matches!(question, Question::Watch(_));
+        tokio::select! {
+            biased;
+            Some(answer) = self.running.next() => self.receive(&question, answer).await,
+            () = sleep(wait) => {}
+            () = self.host.wait_for_newer_configuration(), if is_interrupted => {
+                self.host.count_store_call(true);
+                self.list_again();
+            }
+        }
+    }
+
+    /// The question that brings this host further.
+    fn question(&mut self) -> Question {
+        let era = self.host.core().reader_role.era();
+        self.after_revision.take_if(|after| after.era() != era);
+        self.list.take_if(|list| list.pages.revision().era() != era);
+        match (&self.after_revision, &self.list) {
+            (Some(after), _) => Question::Watch(after.clone()),
+            (None, Some(list)) => Question::Page(list.pages.after().cloned()),
+            (None, None) => Question::Page(None),
+        }
+    }
+
+    /// Forgets what was asked and what pages have come.
+    fn list_again(&mut self) {
+        self.after_revision = None;
+        self.list = None;
+        self.question = None;
+        self.running.clear();
+    }
+
+    /// Starts a try.
+    async fn ask(&mut self, question: Question) {
+        let wait = match &self.list {
+            Some(list) => list.pages.pause(),
+            None => self.calls.wait(self.host.clock.now()),
+        };
         if !wait.is_zero() {
             sleep(wait).await;
         }
-        self.calls.begin(self.host.clock.now());
-        let (token, reported_version, era) = {
+        let now = self.host.clock.now();
+        self.calls.begin(now);
+        let asked = {
             let core = self.host.core();
-            let token = core.reader_role.begin_read(self.section);
-            (token, core.fleet.newest_version(), core.reader_role.era())
+            Asked {
+                at: now,
+                token: core.reader_role.begin_read(self.section),
+                reported_version: core.fleet.newest_version(),
+            }
         };
-        self.after_revision.take_if(|after| after.era() != era);
-        let is_list = self.after_revision.is_none();
-        let result = match self.after_revision.clone() {
-            None => timeout(CALL_TIMEOUT, self.store.list(self.section))
-                .await
-                .map(|listed| listed.map(Watched::Changes)),
-            Some(after) => {
-                let watching = self.store.watch(self.section, after, WATCH_WAIT);
-                let is_operator = self.section == Section::Operator;
-                tokio::select! {
-                    watched = timeout(WATCH_WAIT + CALL_TIMEOUT, watching) => watched,
-                    () = self.host.wait_for_newer_configuration(), if is_operator => {
-                        self.host.count_store_call(true);
-                        self.after_revision = None;
-                        return;
+        let number = self.tries.start(now, question.limit());
+        let (store, section) = (self.store.clone(), self.section);
+        self.running.push(Box::pin(async move {
+            let asking = async {
+                match question {
+                    Question::Page(after) => {
+                        let page = store.list(section, after.as_deref()).await;
+                        page.map(Reply::Page)
+                    }
+                    Question::Watch(after) => {
+                        let watched = store.watch(section, after, WATCH_WAIT).await;
+                        watched.map(Reply::Watched)
                     }
                 }
+            };
+            let reply = timeout(MAX_ANSWER_TIME, asking).await;
+            let reply = reply.unwrap_or_else(|_| {
+                Err(Error::Protocol {
+                    step: "reading the store",
+                    peer: store.address().to_string(),
+                    reason: "no answer".to_owned(),
+                })
+            });
+            Answer {
+                number,
+                asked,
+                reply,
             }
+        }));
+    }
+
+    /// Handles the answer of a try.
+    async fn receive(&mut self, question: &Question, answer: Answer) {
+        let Answer {
+            number,
+            asked,
+            reply,
+        } = answer;
+        let is_open = self.tries.is_open(number);
+        let reply = match reply {
+            Ok(reply) => reply,
+            Err(error) if is_open => return self.fail(&error.to_string()),
+            // It was late, and counted as failed then.
+            Err(_) => return,
         };
-        self.host.count_store_call(!matches!(result, Ok(Ok(_))));
-        match result {
-            Ok(Ok(Watched::Changes(batch))) => {
-                let era = batch.revision.era();
-                if self.observe_era(era).await && self.apply_batch(batch, token).await && is_list {
-                    self.record_list(era, reported_version);
-                }
+        let era = match &reply {
+            Reply::Page(page) => page.batch.revision.era(),
+            Reply::Watched(Watched::Changes(batch)) => batch.revision.era(),
+            Reply::Watched(Watched::Lost(era)) => *era,
+        };
+        if !self.observe_era(era) {
+            return;
+        }
+        if is_open {
+            self.host.count_store_call(false);
+        }
+        let time = self.host.clock.now().saturating_sub(asked.at);
+        self.tries.succeed(time, question.limit());
+        self.running.clear();
+        self.question = None;
+        match reply {
+            Reply::Page(page) => self.receive_page(page, asked).await,
+            Reply::Watched(Watched::Changes(batch)) => {
+                self.apply_batch(batch, None, asked).await;
             }
-            Ok(Ok(Watched::Lost(era))) => {
-                if self.observe_era(era).await {
-                    self.record_success();
-                    tracing::info!(event = "store", section = ?self.section, state = "history lost");
-                    self.after_revision = None;
-                }
+            Reply::Watched(Watched::Lost(_)) => {
+                self.record_success();
+                tracing::info!(event = "store", section = ?self.section, state = "history lost");
+                self.after_revision = None;
             }
-            Ok(Err(error)) => self.back_off(&error.to_string()).await,
-            Err(_) => self.back_off("call timed out").await,
+        }
+    }
+
+    /// Handles a page of a list.
+    async fn receive_page(&mut self, page: Page, asked: Asked) {
+        let era = page.batch.revision.era();
+        let begin = |asked| List {
+            pages: Pages::new(page.batch.revision.clone()),
+            asked,
+        };
+        let mut list = self.list.take().unwrap_or_else(|| begin(asked));
+        if list.pages.revision().era() != era {
+            // Pages of two histories don't make one list.
+            return;
+        }
+        let progress = list.pages.push(page);
+        match progress {
+            Progress::More => {
+                self.list = Some(list);
+                return;
+            }
+            Progress::Whole => {}
+            Progress::Stalled => {
+                let after = list.pages.after();
+                tracing::warn!(event = "store", section = ?self.section, state = "list cut short", after = after.map(|key| &**key),
+                    "a page of the list does not advance");
+            }
+            Progress::TooLong => return self.fail("the list has too many entries"),
+        }
+        let is_whole = progress == Progress::Whole;
+        let reported_version = list.asked.reported_version.clone();
+        let batch = Batch {
+            revision: list.pages.revision().clone(),
+            items: list.pages.into_items(),
+        };
+        if self.apply_batch(batch, Some(is_whole), list.asked).await {
+            self.record_list(era, reported_version);
         }
     }
 
@@ -255,12 +457,12 @@
 
     /// Records the era that an answer names. Returns whether the answer can be used: one of an earlier
     /// era than the newest known is as good as none.
-    async fn observe_era(&mut self, era: Era) -> bool {
+    fn observe_era(&mut self, era: Era) -> bool {
         let known = self.host.observe_era(era, "the store");
         if era >= known {
             return true;
         }
-        self.after_revision = None;
+        self.list_again();
         let reason = if era.is_unnamed() {
             format!("the answer names no era, after {known}")
         } else {
@@ -271,7 +473,7 @@
             peer: self.store.address().to_string(),
             reason,
         };
-        self.back_off(&error.to_string()).await;
+        self.fail(&error.to_string());
         false
     }
 
@@ -284,8 +486,8 @@
     }
 
     /// Applies the result of a list or watch of the present era, unless it is older than what this
-    /// host knows. Returns whether it did.
-    async fn apply_batch(&mut self, batch: Batch, token: Token) -> bool {
+    /// host knows. For a list, `is_whole` says whether no entry is missing. Returns whether it did.
+    async fn apply_batch(&mut self, batch: Batch, is_whole: Option<bool>, asked: Asked) -> bool {
         self.record_success();
         let now = self.host.clock.now();
         let revision = batch.revision;
@@ -296,24 +498,35 @@
             self.after_revision = None;
             return false;
         }
-        let is_full = self.after_revision.is_none();
         let known = self.host.core().reader_role.revision(self.section).cloned();
-        if let Some(known) = known.filter(|known| revision.is_before(known)) {
-            tracing::info!(event = "store", section = ?self.section, state = "old answer",
-                era = %revision.era(), revision = revision.number().short(), known = known.number().short());
-            sleep(MIN_BACKOFF).await;
+        let is_old = known
+            .as_ref()
+            .is_some_and(|known| revision.is_before(known));
+        if let Some(known) = known.as_ref().filter(|_| is_old) {
+            tracing::info!(event = "store", section = ?self.section, state = "old answer", era = %revision.era(),
+                revision = revision.number().short(), known = known.number().short());
+            sleep(OLD_ANSWER_PAUSE).await;
             return false;
         }
+        // What is missing from a list that was cut short is not gone. Where nothing is known, it is all
+        // there is.
+        let is_full = is_whole.is_some_and(|is_whole| is_whole || known.is_none());
         let has_changes = !batch.items.is_empty();
         self.after_revision = Some(revision.clone());
-        self.apply_items(batch.items, is_full, revision.era());
+        let provenance = Provenance {
+            era: revision.era(),
+            is_change: is_whole.is_none(),
+        };
+        self.apply_items(batch.items, is_full, provenance);
         if has_changes && self.section == Section::Operator {
             self.change_count += 1;
         }
         {
+            // An answer that was late, or a list of many pages, may be as old as its question.
+            let read_at = now.min(asked.at + WATCH_WAIT + CALL_TIMEOUT);
             let mut core = self.host.core();
             core.reader_role
-                .finish_read(now, self.section, token, revision);
+                .finish_read(read_at, self.section, asked.token, revision);
             if self.section == Section::Operator {
                 core.reader_role
                     .set_generation(self.section, self.change_count);
@@ -327,7 +540,7 @@
     }
 
     fn record_success(&mut self) {
-        if std::mem::take(&mut self.consecutive_failures) > 0 {
+        if std::mem::take(&mut self.is_lost) {
             tracing::info!(event = "store", section = ?self.section, state = "back");
         }
         if self.section == Section::Upstreams {
@@ -336,32 +549,27 @@
         }
     }
 
-    /// Records a failed call and pauses; the pause doubles with each consecutive failure.
-    async fn back_off(&mut self, reason: &str) {
-        if self.consecutive_failures == 0 {
+    /// Records that a try has failed.
+    fn fail(&mut self, reason: &str) {
+        self.host.count_store_call(true);
+        if !std::mem::replace(&mut self.is_lost, true) {
             tracing::warn!(event = "store", section = ?self.section, state = "lost", reason);
         }
-        self.consecutive_failures += 1;
+        let now = self.host.clock.now();
         if self.section == Section::Upstreams {
-            let now = self.host.clock.now();
             self.host.core().catalog.set_reachable(now, false);
         }
-        let pause = MIN_BACKOFF * 2_u32.saturating_pow(self.consecutive_failures.min(4) - 1);
         let jitter = self.rng.random_range(0.7..1.3);
-        sleep(pause.min(MAX_BACKOFF).mul_f64(jitter)).await;
+        self.tries.fail(now, jitter);
     }
 
     /// Applies entries of the present era to the core. `is_full` says that they are the whole
     /// section, not changes.
-    fn apply_items(&mut self, items: Vec<Item>, is_full: bool, era: Era) {
+    fn apply_items(&mut self, items: Vec<Item>, is_full: bool, provenance: Provenance) {
         let now = self.host.clock.now();
         let mut news = Vec::new();
         let mut evacuated = BTreeSet::new();
         let before = self.host.core().catalog.evacuated().clone();
-        let provenance = Provenance {
-            era,
-            is_change: !is_full,
-        };
         for item in items {
             match item {
                 Item::Table(table) => self.host.configure(table, provenance),
@@ -389,7 +597,7 @@
                     let is_first = core.reader_role.is_of_earlier_era(Section::Operator);
                     let held = core.catalog.list_evacuated(now, evacuated, is_first);
                     if !held.is_empty() {
-                        tracing::warn!(event = "evacuation", %era, held = ?held,
+                        tracing::warn!(event = "evacuation", era = %provenance.era, held = ?held,
                             "the restored store lacks evacuations, which stay in force");
                     }
                 }
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -30,6 +30,8 @@
 mod odd;
 #[path = "proxy/origin.rs"]
 mod origin;
+#[path = "proxy/pages.rs"]
+mod pages;
 #[path = "proxy/place.rs"]
 mod place;
 #[path = "proxy/quarantine.rs"]
@@ -56,6 +58,8 @@
 mod table;
 #[path = "proxy/throttle.rs"]
 mod throttle;
+#[path = "proxy/tries.rs"]
+mod tries;
 #[path = "proxy/upstreams.rs"]
 mod upstreams;
 #[path = "proxy/version.rs"]
