--- a/src/proxy/host.rs
+++ b/src/proxy/host.rs
@@ -64,7 +64,8 @@
 const REPORT_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// How often to renew connections to other regions; well below the time an idle one stays usable.
 const WARM_INTERVAL: Duration = Duration::from_millis(500);
-
+/// Rows of a configuration that can't be read whose reasons are logged.
+const MAX_LOGGED_ROWS: usize = 3;
 /// Upper bounds of the histogram buckets for measured over predicted time to the first byte.
 const RATIO_BUCKETS: [f64; 9] = [0.25, 0.5, 0.75, 1.0, 1.25, 1.5, 2.0, 4.0, 10.0];
 
@@ -495,6 +496,12 @@
     pub fn configure(&self, table: Table, provenance: Provenance) {
         let (version, digest, now) = (table.version.clone(), table.digest, self.clock.now());
         let (before, era) = (self.core().version(), provenance.era);
+        let unreadable = table.unreadable.iter().map(|row| row.reason.as_str());
+        let reasons: Vec<_> = unreadable
+            .take(MAX_LOGGED_ROWS)
+            .map(str::to_owned)
+            .collect();
+        let unreadable_count = table.unreadable.len();
         let is_installed = self.core().configure(now, table, provenance);
         if is_installed {
             tracing::info!(
@@ -505,6 +512,16 @@
                 %era,
                 "configuration installed"
             );
+            if unreadable_count > 0 {
+                tracing::warn!(
+                    event = "configuration",
+                    version = version.short(),
+                    long_version = version.long(),
+                    unreadable = unreadable_count,
+                    ?reasons,
+                    "rows of the configuration can't be read"
+                );
+            }
         } else if self.core().digest() != Some(digest) {
             tracing::warn!(
                 event = "configuration",
--- a/src/proxy/intake.rs
+++ b/src/proxy/intake.rs
@@ -39,6 +39,8 @@
 
 /// Retry time given to callers while the host has no configuration yet.
 const RETRY_AFTER_AT_START: Duration = Duration::from_millis(300);
+/// When a caller should retry whose route can't be read; a new version of the configuration is needed.
+const RETRY_AFTER_UNREADABLE: Duration = Duration::from_secs(2);
 /// A leaving host accepts any request while more than this share of its grace is left, and later only
 /// those that must end within the rest.
 const FREE_GRACE_SHARE: f64 = 0.7;
@@ -279,6 +281,11 @@
                 Code::Residency,
                 "route and customer have no region in common",
             ),
+            Denial::Unreadable => Failure::not_run(
+                Code::NotReady,
+                "the configuration's row for the request can't be read",
+            )
+            .retry_after(RETRY_AFTER_UNREADABLE),
         })
 }
 
--- a/src/proxy/table.rs
+++ b/src/proxy/table.rs
@@ -23,8 +23,14 @@
     pool_routes: BTreeMap<name::Pool, Vec<Arc<Route>>>,
     customers: BTreeMap<name::Customer, Arc<Customer>>,
     keys: BTreeMap<Digest, name::Customer>,
+    /// Path prefixes of each host, with the name of the host, of routes that can't be read or have no pool that can.
+    withheld_paths: BTreeMap<String, Vec<String>>,
+    /// Keys of customers that can't be read.
+    withheld_keys: BTreeSet<Digest>,
     /// Limits on what callers may send.
     pub limits: Limits,
+    /// The rows that could not be decoded.
+    pub unreadable: Vec<Unreadable>,
 }
 
 /// Maps requests of one host and path prefix to pools.
@@ -174,6 +180,35 @@
     pub customers: Vec<(Customer, Vec<Digest>)>,
     /// Limits on what callers may send.
     pub limits: Limits,
+    /// Rows that could not be decoded.
+    pub unreadable: Vec<Unreadable>,
+}
+
+/// A row that could not be decoded as a whole.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Unreadable {
+    /// What is known of it.
+    pub row: Row,
+    /// Which row it is, and why it could not be decoded.
+    pub reason: String,
+}
+
+/// What is known of a row that could not be decoded as a whole.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Row {
+    /// A route, by the requests that it takes.
+    Route {
+        /// The authority in the `Host` header of requests.
+        host: String,
+        /// Path prefix.
+        prefix: String,
+    },
+    /// A pool, by its name.
+    Pool(name::Pool),
+    /// A customer, by its keys.
+    Customer(Vec<Digest>),
+    /// Nothing that requests could be told by.
+    Unknown,
 }
 
 /// Why the configuration does not allow a request.
@@ -185,6 +220,8 @@
     KeyUnknown,
     /// No region is a home of both the route and the customer.
     NoHome,
+    /// The row of the route, of its pools or of the customer can't be read.
+    Unreadable,
 }
 
 /// The result of looking up a request in the configuration.
@@ -211,7 +248,8 @@
         }
     }
 
-    /// Builds the indexes of one version.
+    /// Builds the indexes of one version. Requests that need a row that can't be read are rejected, even
+    /// where a route with a shorter prefix would take them; all others are served.
     pub fn new(rows: Rows) -> Self {
         let mut table = Self {
             version: rows.version,
@@ -219,7 +257,27 @@
             limits: rows.limits,
             ..Self::default()
         };
-        for route in rows.routes.into_iter().map(Arc::new) {
+        let mut withheld_pools = BTreeSet::new();
+        for unreadable in &rows.unreadable {
+            match &unreadable.row {
+                Row::Route { host, prefix } => table.withhold(host, prefix),
+                Row::Pool(pool) => {
+                    withheld_pools.insert(pool);
+                }
+                Row::Customer(keys) => table.withheld_keys.extend(keys.iter().copied()),
+                Row::Unknown => {}
+            }
+        }
+        for mut route in rows.routes {
+            let pool_count = route.pools.len();
+            route
+                .pools
+                .retain(|(pool, _)| !withheld_pools.contains(pool));
+            if route.pools.is_empty() && pool_count > 0 {
+                table.withhold(&route.host, &route.prefix);
+                continue;
+            }
+            let route = Arc::new(route);
             let pools: BTreeSet<_> = route.pools.iter().map(|(pool, _)| pool).collect();
             for pool in pools {
                 let pool_routes = table.pool_routes.entry(pool.clone()).or_default();
@@ -242,9 +300,35 @@
                 .customers
                 .insert(customer.name.clone(), Arc::new(customer));
         }
+        table.unreadable = rows.unreadable;
         table
     }
 
+    fn withhold(&mut self, host: &str, prefix: &str) {
+        let paths = self.withheld_paths.entry(host.to_owned()).or_default();
+        paths.push(prefix.to_owned());
+    }
+
+    /// Whether a request belongs to a route that can't be read: none that can be read has a prefix that is
+    /// as long.
+    fn is_withheld(&self, host: &str, path: &str) -> bool {
+        let Some(prefixes) = self.withheld_paths.get(host) else {
+            return false;
+        };
+        let prefixes = prefixes
+            .iter()
+            .filter(|prefix| path.starts_with(&***prefix));
+        let length = self.route(host, path).map(|route| route.prefix.len());
+        prefixes.map(String::len).max() > length
+    }
+
+    /// Whether anybody may send requests, as there are no customers.
+    fn is_open(&self) -> bool {
+        let mut unreadable = self.unreadable.iter();
+        self.customers.is_empty()
+            && !unreadable.any(|unreadable| matches!(unreadable.row, Row::Customer(_)))
+    }
+
     /// The route of a host with the longest matching path prefix.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let routes = self.routes.get(host)?;
@@ -315,11 +399,20 @@
 
     /// Looks up a caller's request by host, path and key.
     pub fn resolve(&self, host: &str, path: &str, key: Option<&[u8]>) -> Result<Match, Denial> {
+        if self.is_withheld(host, path) {
+            return Err(Denial::Unreadable);
+        }
         let route = self.route(host, path).ok_or(Denial::RouteUnknown)?;
-        let known = key.and_then(|key| self.keys.get(&Digest::of(key)));
+        let key = key.map(Digest::of);
+        let known = key.and_then(|key| self.keys.get(&key));
         let customer = known.and_then(|name| self.customers.get(name));
-        if customer.is_none() && !route.is_public && !self.customers.is_empty() {
-            return Err(Denial::KeyUnknown);
+        if customer.is_none() && !route.is_public && !self.is_open() {
+            let is_withheld = key.is_some_and(|key| self.withheld_keys.contains(&key));
+            return Err(if is_withheld {
+                Denial::Unreadable
+            } else {
+                Denial::KeyUnknown
+            });
         }
         self.join(route, customer).ok_or(Denial::NoHome)
     }
--- a/tests/proxy/common.rs
+++ b/tests/proxy/common.rs
@@ -90,6 +90,7 @@
         pools: vec![engines(), records()],
         customers: vec![(customer("c", 10_000.0), vec![Digest::of(b"key")])],
         limits: Limits::default(),
+        unreadable: Vec::new(),
     }
 }
 
--- a/tests/proxy/table.rs
+++ b/tests/proxy/table.rs
@@ -2,7 +2,7 @@
     crate::common::{customer, route, rows},
     greengagecleat::{
         key::Digest,
-        proxy::table::{Denial, Kind, Table},
+        proxy::table::{Denial, Kind, Row, Table, Unreadable},
     },
     std::collections::BTreeSet,
 };
@@ -110,3 +110,55 @@
     assert_eq!(suits("a.example", "east"), 2);
     assert_eq!(suits("b.example", "south"), 2);
 }
+
+fn unreadable(row: Row) -> Unreadable {
+    Unreadable {
+        row,
+        reason: String::new(),
+    }
+}
+
+#[test]
+fn a_path_whose_route_cannot_be_read_is_served_by_no_shorter_one() {
+    let mut rows = rows(1);
+    rows.unreadable.push(unreadable(Row::Route {
+        host: "a.example".to_owned(),
+        prefix: "/digest/deep/".to_owned(),
+    }));
+    let table = Table::new(rows);
+    let denied = |path| table.resolve("a.example", path, Some(b"key")).err();
+    assert_eq!(denied("/digest/deep/1"), Some(Denial::Unreadable));
+    assert_eq!(denied("/digest/1"), None);
+    assert_eq!(denied("/none/1"), Some(Denial::RouteUnknown));
+}
+
+#[test]
+fn a_pool_that_cannot_be_read_is_left_out_of_its_routes() {
+    let mut rows = rows(1);
+    rows.routes[0].pools.push(("records".into(), 1));
+    rows.unreadable
+        .push(unreadable(Row::Pool("engines".into())));
+    rows.unreadable.push(unreadable(Row::Unknown));
+    let table = Table::new(rows);
+    let found = table.resolve("a.example", "/digest/1", Some(b"key"));
+    assert_eq!(found.unwrap().route.pools, [("records".into(), 1)]);
+    let mut rows = crate::common::rows(2);
+    rows.unreadable
+        .push(unreadable(Row::Pool("engines".into())));
+    let table = Table::new(rows);
+    let denied = |path| table.resolve("a.example", path, Some(b"key")).err();
+    assert_eq!(denied("/digest/1"), Some(Denial::Unreadable));
+    assert_eq!(denied("/post/1"), None);
+}
+
+#[test]
+fn keys_of_customers_that_cannot_be_read_are_not_unknown_and_open_nothing() {
+    let mut rows = rows(1);
+    rows.customers.clear();
+    let withheld = Row::Customer(vec![Digest::of(b"withheld")]);
+    rows.unreadable.push(unreadable(withheld));
+    let table = Table::new(rows);
+    let denied = |key: &[u8]| table.resolve("a.example", "/digest/1", Some(key)).err();
+    assert_eq!(denied(b"withheld"), Some(Denial::Unreadable));
+    assert_eq!(denied(b"other"), Some(Denial::KeyUnknown));
+}
