--- a/src/proxy/core/mod.rs
+++ b/src/proxy/core/mod.rs
@@ -27,6 +27,7 @@
         rate::Limiter,
         reach,
         reader::{self, Listing, Reading, Role},
+        readiness::{Cause, Obstacle, Readiness},
         replica::{ASSUMED_COLD_TIME, Outcome, Replica, millis},
         reserve,
         retry::Overload,
@@ -222,6 +223,8 @@
     pub limiter: Limiter,
     /// Whether this host reads the platform's store for its region, and what it has read.
     pub reader_role: Role,
+    /// Whether it has told why it is not ready, and what has failed.
+    pub readiness: Readiness,
     /// The builds that began the streams which callers may resume.
     pub origins: Ledger,
     /// The requests and parts of prompts that crash upstreams.
@@ -276,6 +279,7 @@
             fleet: Fleet::new(setup.identity.clone(), setup.seeds.clone()),
             limiter: Limiter::new(now),
             reader_role: Role::new(now, setup.identity.host.clone()),
+            readiness: Readiness::new(now),
             origins: Ledger::default(),
             quarantine: Quarantine::default(),
             admitted: brief::Ledger::default(),
@@ -308,7 +312,22 @@
 
     /// Whether callers can be served: a configuration is in force and the upstreams were listed.
     pub fn is_ready(&self) -> bool {
-        self.table.is_some() && self.catalog.has_list()
+        self.obstacle().is_none()
+    }
+
+    /// What keeps callers from being served.
+    pub fn obstacle(&self) -> Option<Obstacle> {
+        if self.table.is_some() {
+            return (!self.catalog.has_list()).then_some(Obstacle::UpstreamsUnread);
+        }
+        let is_read = self.reader_role.revision(Section::Operator).is_some();
+        Some(if self.readiness.failure(Cause::Configuration).is_some() {
+            Obstacle::ConfigurationUnreadable
+        } else if is_read {
+            Obstacle::ConfigurationMissing
+        } else {
+            Obstacle::StoreUnread
+        })
     }
 
     /// Installs a configuration if it is newer than the one in force. Returns whether it did.
@@ -335,6 +354,7 @@
             }
         }
         self.table_era = provenance.era;
+        self.readiness.succeed(Cause::Configuration);
         self.limiter.configure(now, table.customers());
         self.table = Some(Arc::new(table));
         true
--- a/src/proxy/follow.rs
+++ b/src/proxy/follow.rs
@@ -19,6 +19,7 @@
         host::Host,
         pages::{Pages, Progress},
         reader::Token,
+        readiness::Cause,
         revision::{Era, Revision},
         server::wait_for_phase,
         table::Table,
@@ -91,13 +92,24 @@
     Unreadable {
         /// Key of the entry in the store.
         key: String,
-        /// The upstream that it should describe, which is not used until an entry can be read.
-        upstream: Option<name::Upstream>,
+        /// What it should describe.
+        subject: Subject,
         /// Why it could not be decoded.
         reason: String,
     },
 }
 
+/// What an entry that could not be decoded should describe.
+#[derive(Debug)]
+pub enum Subject {
+    /// The configuration.
+    Table,
+    /// An upstream, which is not used until an entry of it can be read.
+    Upstream(name::Upstream),
+    /// Something else.
+    Other,
+}
+
 /// Entries returned by one call to the store.
 #[derive(Debug)]
 pub struct Batch {
@@ -542,6 +554,8 @@
     fn record_success(&mut self) {
         if std::mem::take(&mut self.is_lost) {
             tracing::info!(event = "store", section = ?self.section, state = "back");
+            let cause = Cause::Store(self.section);
+            self.host.core().readiness.succeed(cause);
         }
         if self.section == Section::Upstreams {
             let now = self.host.clock.now();
@@ -555,6 +569,8 @@
         if !std::mem::replace(&mut self.is_lost, true) {
             tracing::warn!(event = "store", section = ?self.section, state = "lost", reason);
         }
+        let cause = Cause::Store(self.section);
+        self.host.core().readiness.fail(cause, reason);
         let now = self.host.clock.now();
         if self.section == Section::Upstreams {
             self.host.core().catalog.set_reachable(now, false);
@@ -582,11 +598,18 @@
                 Item::Removed(id) => news.push(News::Removed(id)),
                 Item::Unreadable {
                     key,
-                    upstream,
+                    subject,
                     reason,
                 } => {
                     tracing::warn!(event = "store", key, reason, "entry could not be decoded");
-                    news.extend(upstream.map(News::Unreadable));
+                    match subject {
+                        Subject::Table => {
+                            let mut core = self.host.core();
+                            core.readiness.fail(Cause::Configuration, &reason);
+                        }
+                        Subject::Upstream(id) => news.push(News::Unreadable(id)),
+                        Subject::Other => {}
+                    }
                 }
             }
         }
--- a/src/proxy/host.rs
+++ b/src/proxy/host.rs
@@ -8,6 +8,7 @@
 mod origin;
 mod prompt;
 mod reach;
+mod readiness;
 
 use {
     super::{
@@ -149,6 +150,7 @@
     store_failures: Counter,
     /// Restorations of the store that this host has heard of.
     store_restorations: Counter,
+    readiness: readiness::Metrics,
     grace: Duration,
     /// When shutdown began.
     leaving_since: OnceLock<Duration>,
@@ -218,8 +220,10 @@
         let store_calls = Counter::default();
         let store_failures = Counter::default();
         let store_restorations = Counter::default();
+        let readiness = readiness::Metrics::default();
         dependencies.upstreams.register(&dependencies.metrics);
         dependencies.metrics.register(|registry| {
+            readiness.register(registry);
             registry.register(
                 "answer_bytes_held",
                 "Bytes of answers that are held until they can be passed on",
@@ -391,6 +395,7 @@
             store_calls,
             store_failures,
             store_restorations,
+            readiness,
             grace: dependencies.grace,
             leaving_since: OnceLock::new(),
             sampler: Mutex::new(sampler),
@@ -504,6 +509,8 @@
         let unreadable_count = table.unreadable.len();
         let is_installed = self.core().configure(now, table, provenance);
         if is_installed {
+            let metrics = &self.readiness;
+            metrics.record_configuration(&version, unreadable_count);
             tracing::info!(
                 event = "configured",
                 version = version.short(),
@@ -702,6 +709,7 @@
             panic::contain(|| self.tell_origins());
             panic::contain(|| self.expire());
             panic::contain(|| self.announce());
+            panic::contain(|| self.report_readiness());
             panic::contain(|| self.warm_connections(&mut warmed_at));
         }
     }
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -30,6 +30,7 @@
 pub mod rate;
 pub mod reach;
 pub mod reader;
+pub mod readiness;
 pub mod replica;
 pub mod reserve;
 pub mod retry;
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -42,6 +42,8 @@
 mod reach;
 #[path = "proxy/reader.rs"]
 mod reader;
+#[path = "proxy/readiness.rs"]
+mod readiness;
 #[path = "proxy/region.rs"]
 mod region;
 #[path = "proxy/replay.rs"]
