--- a/src/proxy/host.rs
+++ b/src/proxy/host.rs
@@ -710,6 +710,7 @@
             panic::contain(|| self.expire());
             panic::contain(|| self.announce());
             panic::contain(|| self.report_readiness());
+            panic::contain(|| self.record_upstreams());
             panic::contain(|| self.warm_connections(&mut warmed_at));
         }
     }
--- a/src/proxy/host/readiness.rs
+++ b/src/proxy/host/readiness.rs
@@ -1,4 +1,4 @@
-//! Logs and metrics of the host's being ready, and of the configuration in force.
+//! Logs and metrics of the host's being ready, and of what it has read of the platform's store.
 
 use {
     super::Host,
@@ -30,13 +30,15 @@
     version: String,
 }
 
-/// Metrics of the host's being ready, and of the configuration in force.
+/// Metrics of the host's being ready, and of what it has read of the platform's store.
 #[derive(Debug, Default)]
 pub(super) struct Metrics {
     not_ready: Family<ReasonLabel, Gauge>,
     configuration: Family<VersionLabel, Gauge>,
     version: Gauge<f64, AtomicU64>,
     unreadable_rows: Gauge,
+    usable_upstreams: Gauge,
+    evacuated_domains: Gauge,
 }
 
 impl Metrics {
@@ -61,6 +63,16 @@
             "Rows of the configuration in force that can't be read",
             self.unreadable_rows.clone(),
         );
+        registry.register(
+            "upstreams_usable",
+            "Upstreams whose entry can be read, neither leaving nor evacuated",
+            self.usable_upstreams.clone(),
+        );
+        registry.register(
+            "evacuated_domains",
+            "Failure domains that are evacuated",
+            self.evacuated_domains.clone(),
+        );
         self.record_obstacle(Some(Obstacle::StoreUnread));
     }
 
@@ -97,6 +109,16 @@
         Some((obstacle, reason.map(str::to_owned)))
     }
 
+    /// Records what this host knows of upstreams for the metrics page.
+    pub(super) fn record_upstreams(&self) {
+        let core = self.core();
+        let catalog = &core.catalog;
+        let usable = catalog.all().filter(|replica| catalog.is_usable(replica));
+        self.readiness.usable_upstreams.set(usable.count() as i64);
+        let evacuated = catalog.evacuated().len();
+        self.readiness.evacuated_domains.set(evacuated as i64);
+    }
+
     /// Says why this host is not ready, or that it is.
     pub(super) fn report_readiness(&self) {
         let (obstacle, reason) = self.obstacle().unzip();
