--- a/review/standins-2/src/bin/runs_on.rs
+++ b/review/standins-2/src/bin/runs_on.rs
@@ -21,8 +21,9 @@
 const SLOW_TOKEN: Duration = Duration::from_millis(100);
 /// How long a replica that has just started is slow.
 const SLOW_FOR: Duration = Duration::from_secs(4);
-/// How long the first replica leaves a preempted request waiting.
-const PREEMPTED: Duration = Duration::from_secs(3);
+/// How long the first replica leaves a preempted request waiting, and reads it in again.
+const PREEMPTED: Duration = Duration::from_millis(600);
+const READ_AGAIN: Duration = Duration::from_millis(2_400);
 const PREEMPTED_AFTER: u64 = 6;
 const DEADLINE: Duration = Duration::from_secs(12);
 const CLIENTS: usize = 4;
@@ -137,10 +138,13 @@
                 return Ok(false);
             }
             if preempts && after == 0 && number == PREEMPTED_AFTER {
-                record.line(format!(
-                    "replica {id} preempts {request_id}, and goes on in {PREEMPTED:?}"
-                ));
-                if !works(stream, PREEMPTED) {
+                record.line(format!("replica {id} preempts {request_id}"));
+                let mut goes_on = works(stream, PREEMPTED);
+                if goes_on {
+                    record.line(format!("replica {id} reads {request_id} in again"));
+                    goes_on = works(stream, READ_AGAIN);
+                }
+                if !goes_on {
                     end("its connection has ended");
                     return Ok(false);
                 }
