--- a/review/standins-2/src/lib.rs
+++ b/review/standins-2/src/lib.rs
@@ -6,6 +6,7 @@
     fs::{self, File},
     io::{self, BufRead, BufReader, Read, Write},
     net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    os::unix::process::CommandExt,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
@@ -467,12 +468,6 @@
         true
     }
 
-    /// Reports that the replica is draining.
-    pub fn drain(&self) {
-        *self.state.lock().unwrap() = Some("draining");
-        self.write();
-    }
-
     /// Removes the entry, as the replica has left.
     pub fn leave(&self) {
         *self.state.lock().unwrap() = None;
@@ -523,14 +518,6 @@
     stream.shutdown(std::net::Shutdown::Both).ok();
 }
 
-/// Sends a signal to a process that the case has started.
-pub fn signal(process: u32, number: i32) {
-    extern "C" {
-        fn kill(process: i32, number: i32) -> i32;
-    }
-    unsafe { kill(process as i32, number) };
-}
-
 /// A new empty folder for the settings files and the logs of hosts.
 pub fn temporary_folder() -> PathBuf {
     let name = format!("review-{}-{}", std::process::id(), unix_millis());
@@ -627,7 +614,10 @@
             .append(true)
             .open(&self.log)
             .expect("the log can be written");
-        let process = Command::new(program)
+        let mut command = Command::new(program);
+        // The host ends with the case, however that ends.
+        unsafe { command.pre_exec(end_with_parent) };
+        let process = command
             .args(words)
             .current_dir(&root)
             .env_clear()
@@ -645,16 +635,6 @@
         }
     }
 
-    pub fn id(&self) -> u32 {
-        self.process.as_ref().map_or(0, Child::id)
-    }
-
-    /// Whether the process runs.
-    pub fn is_running(&mut self) -> bool {
-        let process = self.process.as_mut();
-        process.is_some_and(|process| matches!(process.try_wait(), Ok(None)))
-    }
-
     /// Sends SIGKILL and waits for the end.
     pub fn kill(&mut self) {
         if let Some(mut process) = self.process.take() {
@@ -680,12 +660,18 @@
             thread::sleep(Duration::from_millis(20));
         }
     }
+}
 
-    /// Lines of the host's log that hold a text.
-    pub fn log_lines(&self, text: &str) -> Vec<String> {
-        let log = fs::read_to_string(&self.log).unwrap_or_default();
-        let lines = log.lines().filter(|line| line.contains(text));
-        lines.map(str::to_owned).collect()
+/// Makes the kernel kill this process when the thread that has started it ends.
+fn end_with_parent() -> io::Result<()> {
+    extern "C" {
+        fn prctl(option: i32, ...) -> i32;
+    }
+    const PR_SET_PDEATHSIG: i32 = 1;
+    const SIGKILL: u64 = 9;
+    match unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL) } {
+        0 => Ok(()),
+        _ => Err(io::Error::last_os_error()),
     }
 }
 
@@ -857,6 +843,3 @@
         }
     }
 }
-
-/// A flag that ends threads.
-pub type Flag = Arc<AtomicBool>;
