--- a/review/standins-2/src/bin/joined_services.rs
+++ b/review/standins-2/src/bin/joined_services.rs
@@ -13,7 +13,7 @@
 const EVENTS: u64 = 12;
 const EVENT_INTERVAL: Duration = Duration::from_millis(200);
 const DEADLINE: Duration = Duration::from_secs(12);
-const CLIENTS: usize = 24;
+const CLIENTS: usize = 48;
 
 /// Starts a replica whose text tells its service.
 fn start_replica(
@@ -62,7 +62,7 @@
     let folder = temporary_folder();
     let store = Store::start(own_ip(8));
     let configuration = format!(
-        r#"{{"version":7,"routes":[{{"name":"r-digest","host":"{AUTHORITY}","prefix":"/digest/","kind":"stream","timeout_ms":12000,"goal_ms":500,"prio":1,"split":[{{"service":"digest-lm","weight":50}},{{"service":"query-lm","weight":50}}],"attempts":2,"public":true,"sticky":true,"resumable":true,"gap_target_ms":300,"home_regions":[]}}],"services":[{},{}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[]}}"#,
+        r#"{{"version":7,"routes":[{{"name":"r-digest","host":"{AUTHORITY}","prefix":"/digest/","kind":"stream","timeout_ms":12000,"goal_ms":500,"prio":1,"split":[{{"service":"digest-lm","weight":30}},{{"service":"query-lm","weight":70}}],"attempts":2,"public":true,"sticky":true,"resumable":true,"gap_target_ms":300,"home_regions":[]}}],"services":[{},{}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[]}}"#,
         service_json("digest-lm"),
         service_json("query-lm")
     );
@@ -101,7 +101,7 @@
     let clients: Vec<_> = (0..CLIENTS)
         .map(|number| {
             let (record, seen) = (record.clone(), seen.clone());
-            thread::sleep(Duration::from_millis(20));
+            thread::sleep(Duration::from_millis(10));
             thread::spawn(move || {
                 let id = format!("{number:08x}{:08x}", unix_millis() as u32);
                 let mut request = Outgoing::new("POST", "/digest/1")
